Add design page, build skeleton and base library

Cause: the project starts empty.

Change: docs/design.md; CMake presets (release, asan, tsan); scripts; library base with the closed list of error kinds and its table, strict JSON reading.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,15 @@
+# All libraries come from Debian 12 packages; scripts/install-packages names them.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(PostgreSQL REQUIRED)
+find_package(SQLite3 REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
+find_package(toml11 REQUIRED)
+find_package(Catch2 2 REQUIRED)
+
+find_library(JSONRPC_COMMON jsonrpccpp-common REQUIRED)
+find_library(JSONRPC_SERVER jsonrpccpp-server REQUIRED)
+find_library(JSONRPC_CLIENT jsonrpccpp-client REQUIRED)
+find_library(LOG4CPLUS log4cplus REQUIRED)
--- /dev/null
+++ b/cmake/options.cmake
@@ -0,0 +1,39 @@
+option(LAVENDERDALE_WERROR "Treat warnings as errors" OFF)
+set(LAVENDERDALE_SANITIZERS "" CACHE STRING "Comma separated -fsanitize= list")
+
+# Compile options of the project's own targets. PUBLIC users inherit them.
+add_library(lavenderdale_options INTERFACE)
+target_compile_options(lavenderdale_options INTERFACE -Wall -Wextra -Wpedantic)
+if(LAVENDERDALE_WERROR)
+  target_compile_options(lavenderdale_options INTERFACE -Werror)
+endif()
+if(LAVENDERDALE_SANITIZERS)
+  target_compile_options(lavenderdale_options INTERFACE
+    -fsanitize=${LAVENDERDALE_SANITIZERS} -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  target_link_options(lavenderdale_options INTERFACE -fsanitize=${LAVENDERDALE_SANITIZERS})
+endif()
+target_include_directories(lavenderdale_options INTERFACE ${PROJECT_SOURCE_DIR}/src/libs)
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+# Adds a library of src/libs: lavenderdale_library(<name> SOURCES ... LINK ...).
+function(lavenderdale_library Name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_library(${Name} STATIC ${ARG_SOURCES})
+  target_link_libraries(${Name} PUBLIC lavenderdale_options ${ARG_LINK})
+endfunction()
+
+# Adds a Catch2 test of tests/auto: lavenderdale_test(<name> SOURCES ... LINK ...).
+function(lavenderdale_test Name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(tst_${Name} ${ARG_SOURCES})
+  target_link_libraries(tst_${Name} PRIVATE lavenderdale_options testmain ${ARG_LINK})
+  add_test(NAME ${Name} COMMAND tst_${Name})
+  set_tests_properties(${Name} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# g++ 12 reports false uninitialized uses inside libstdc++ under the address
+# sanitizer, so warnings are errors only in builds without sanitizers.
--- /dev/null
+++ b/src/libs/base/strictjson.cpp
@@ -0,0 +1,58 @@
+#include "strictjson.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace lavenderdale {
+namespace {
+
+constexpr int MaxNesting = 64;
+
+Json::CharReaderBuilder makeReaderBuilder() {
+  Json::CharReaderBuilder Builder;
+  Json::CharReaderBuilder::strictMode(&Builder.settings_);
+  Builder["stackLimit"] = MaxNesting;
+  Builder["strictRoot"] = false; // Scalars are valid JSON texts (RFC 8259).
+  return Builder;
+}
+
+std::string oneLine(std::string Text) {
+  std::replace(Text.begin(), Text.end(), '\n', ' ');
+  while (!Text.empty() && Text.back() == ' ')
+    Text.pop_back();
+  return Text;
+}
+
+} // namespace
+
+Result<Json::Value> parseStrictJson(std::string_view Text) {
+  static const Json::CharReaderBuilder Builder = makeReaderBuilder();
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  Json::Value Value;
+  std::string Errors;
+  try {
+    if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Value, &Errors))
+      return failure(ErrorKind::BadRequest, "invalid JSON: " + oneLine(Errors));
+  } catch (const std::exception &) {
+    // jsoncpp throws when the nesting limit is exceeded.
+    return failure(ErrorKind::BadRequest, "invalid JSON: nested deeper than " +
+                                              std::to_string(MaxNesting) +
+                                              " levels");
+  }
+  return Value;
+}
+
+std::string writeCompactJson(const Json::Value &Value) {
+  static const Json::StreamWriterBuilder Builder = [] {
+    Json::StreamWriterBuilder Result;
+    Result["indentation"] = "";
+    Result["emitUTF8"] = true;
+    return Result;
+  }();
+  return Json::writeString(Builder, Value);
+}
+
+} // namespace lavenderdale
