--- /dev/null
+++ b/src/libs/http/httpserver.cpp
@@ -0,0 +1,338 @@
+#include "httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <list>
+#include <optional>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// How often expired connections are looked for. A timer per connection would
+// cost several hundred bytes for each idle client.
+constexpr std::chrono::milliseconds SweepInterval{250};
+
+// Pause after accept() failed, for example for lack of file descriptors.
+constexpr std::chrono::milliseconds AcceptRetryPause{100};
+
+auto resumeWith(error_code &Failure) {
+  return asio::redirect_error(asio::use_awaitable, Failure);
+}
+
+struct Connection {
+  explicit Connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
+
+  tcp::socket Socket;
+  TimePoint Deadline;
+  bool Busy = false;
+};
+
+/// The connections of one worker; touched by that worker only.
+struct WorkerState {
+  explicit WorkerState(asio::io_context &Context)
+      : Context(Context), SweepTimer(Context) {}
+
+  asio::io_context &Context;
+  asio::steady_timer SweepTimer;
+  std::list<Connection> Connections;
+};
+
+Error readError(const error_code &Failure) {
+  if (Failure == http::error::body_limit)
+    return failure(ErrorKind::PayloadTooLarge, "the body is too large");
+  if (Failure == http::error::header_limit)
+    return failure(ErrorKind::PayloadTooLarge, "the header is too large");
+  return failure(ErrorKind::BadRequest, "not HTTP/1.1: " + Failure.message());
+}
+
+bool isProtocolError(const error_code &Failure) {
+  return Failure.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         Failure != http::error::end_of_stream &&
+         Failure != http::error::partial_message;
+}
+
+HttpRequest takeRequest(http::request<http::string_body> &&Message) {
+  HttpRequest Request;
+  Request.Method = std::string(Message.method_string());
+  Request.Target = std::string(Message.target());
+  for (const auto &Field : Message)
+    Request.Fields.add(std::string(Field.name_string()),
+                       std::string(Field.value()));
+  Request.Body = std::move(Message.body());
+  return Request;
+}
+
+http::response<http::string_body>
+makeMessage(HttpResponse Response, unsigned Version, bool KeepAlive) {
+  http::response<http::string_body> Message;
+  Message.version(Version);
+  Message.result(static_cast<unsigned>(Response.Status));
+  Message.set(http::field::content_type, Response.ContentType);
+  for (const auto &[Name, Value] : Response.Fields.all())
+    Message.insert(Name, Value);
+  Message.body() = std::move(Response.Body);
+  Message.keep_alive(KeepAlive);
+  Message.prepare_payload();
+  return Message;
+}
+
+} // namespace
+
+class HttpServer::Private
+    : public std::enable_shared_from_this<HttpServer::Private> {
+public:
+  Private(WorkerPool &Workers, HttpServerLimits Limits, Handler Handle)
+      : Workers(Workers), Limits(Limits), Handle(std::move(Handle)) {
+    for (std::size_t I = 0; I < Workers.size(); ++I)
+      this->States.push_back(std::make_unique<WorkerState>(Workers.worker(I)));
+  }
+
+  Result<Endpoint> listen(const Endpoint &Where) {
+    error_code Failure;
+    const auto Address = asio::ip::make_address(Where.Address, Failure);
+    if (Failure)
+      return failure(ErrorKind::Unavailable, "bad address " + Where.Address);
+    const tcp::endpoint Local(Address, Where.Port);
+    tcp::acceptor &NewAcceptor = this->Acceptor.emplace(Workers.worker(0));
+    NewAcceptor.open(Local.protocol(), Failure);
+    if (!Failure)
+      NewAcceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+    if (!Failure)
+      NewAcceptor.bind(Local, Failure);
+    if (!Failure)
+      NewAcceptor.listen(asio::socket_base::max_listen_connections, Failure);
+    if (Failure)
+      return failure(ErrorKind::Unavailable, "cannot listen on " +
+                                                 toString(Where) + ": " +
+                                                 Failure.message());
+    const Endpoint Bound{Where.Address, NewAcceptor.local_endpoint().port()};
+    asio::co_spawn(this->Workers.worker(0),
+                   this->acceptLoop(this->shared_from_this()), asio::detached);
+    for (const auto &State : this->States)
+      asio::co_spawn(State->Context,
+                     this->sweepLoop(this->shared_from_this(), *State),
+                     asio::detached);
+    return Bound;
+  }
+
+  void closeIdle() {
+    this->Stopped = true;
+    asio::post(this->Workers.worker(0), [Self = this->shared_from_this()] {
+      error_code Ignored;
+      if (Self->Acceptor)
+        Self->Acceptor->close(Ignored);
+    });
+    for (const auto &State : this->States)
+      asio::post(State->Context,
+                 [Self = this->shared_from_this(), Raw = State.get()] {
+                   for (Connection &Open : Raw->Connections)
+                     closeIfIdle(Open);
+                 });
+  }
+
+  std::atomic<bool> CloseAfterResponses{false};
+  std::atomic<bool> Stopped{false};
+  std::atomic<std::size_t> Open{0};
+  std::atomic<std::size_t> InFlight{0};
+  std::atomic<std::uint64_t> Refused{0};
+
+private:
+  // A connection with unread bytes has a request under way.
+  static void closeIfIdle(Connection &Open) {
+    error_code Ignored;
+    if (!Open.Busy && Open.Socket.available(Ignored) == 0)
+      Open.Socket.close(Ignored);
+  }
+
+  asio::awaitable<void> acceptLoop(std::shared_ptr<Private>) {
+    std::size_t Turn = 0;
+    while (!this->Stopped) {
+      WorkerState &State = *this->States[Turn++ % this->States.size()];
+      error_code Failure;
+      tcp::socket Socket = co_await this->Acceptor->async_accept(
+          State.Context, resumeWith(Failure));
+      if (Failure == asio::error::operation_aborted || this->Stopped)
+        co_return;
+      if (Failure) {
+        asio::steady_timer Pause(this->Workers.worker(0));
+        Pause.expires_after(AcceptRetryPause);
+        co_await Pause.async_wait(resumeWith(Failure));
+        continue;
+      }
+      asio::co_spawn(
+          State.Context,
+          this->serve(this->shared_from_this(), State, std::move(Socket)),
+          asio::detached);
+    }
+  }
+
+  asio::awaitable<void> sweepLoop(std::shared_ptr<Private>,
+                                  WorkerState &State) {
+    while (true) {
+      State.SweepTimer.expires_after(SweepInterval);
+      error_code Failure;
+      co_await State.SweepTimer.async_wait(resumeWith(Failure));
+      if (Failure)
+        co_return;
+      const TimePoint Now = std::chrono::steady_clock::now();
+      for (Connection &Open : State.Connections)
+        if (!Open.Busy && Now >= Open.Deadline)
+          Open.Socket.close(Failure);
+    }
+  }
+
+  asio::awaitable<void> serve(std::shared_ptr<Private>, WorkerState &State,
+                              tcp::socket Socket) {
+    State.Connections.emplace_front(std::move(Socket));
+    const auto Self = State.Connections.begin();
+    error_code Ignored;
+    Self->Socket.set_option(tcp::no_delay(true), Ignored);
+    if (this->Open.fetch_add(1) >= this->Limits.MaxConnections)
+      co_await this->refuse(*Self);
+    else
+      co_await this->serveRequests(*Self);
+    this->Open.fetch_sub(1);
+    State.Connections.erase(Self);
+  }
+
+  asio::awaitable<void> refuse(Connection &Open) {
+    this->Refused.fetch_add(1);
+    HttpResponse Response = problemResponse(
+        failure(ErrorKind::TooManyConnections,
+                "limit " + std::to_string(this->Limits.MaxConnections)));
+    co_await this->write(Open, std::move(Response), 11, false);
+  }
+
+  // The read buffer exists only while a request is under way, to keep idle
+  // connections small.
+  asio::awaitable<void> serveRequests(Connection &Open) {
+    std::optional<beast::flat_buffer> Buffer;
+    bool KeepAlive = true;
+    while (KeepAlive) {
+      if (!Buffer || Buffer->size() == 0) {
+        Buffer.reset();
+        Open.Busy = false;
+        Open.Deadline = this->deadline(this->Limits.IdleTimeout);
+        error_code Failure;
+        co_await Open.Socket.async_wait(tcp::socket::wait_read,
+                                        resumeWith(Failure));
+        if (Failure)
+          co_return;
+        Buffer.emplace();
+      }
+      Open.Deadline = this->deadline(this->Limits.ReceiveTimeout);
+      KeepAlive = co_await this->serveOne(Open, *Buffer);
+    }
+  }
+
+  asio::awaitable<bool> serveOne(Connection &Open, beast::flat_buffer &Buffer) {
+    http::request_parser<http::string_body> Parser;
+    Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
+    Parser.body_limit(this->Limits.MaxBodyBytes);
+    error_code Failure;
+    co_await http::async_read(Open.Socket, Buffer, Parser, resumeWith(Failure));
+    if (Failure && !isProtocolError(Failure))
+      co_return false;
+    Open.Busy = true;
+    this->InFlight.fetch_add(1);
+    bool KeepAlive = false;
+    if (Failure)
+      co_await this->write(Open, problemResponse(readError(Failure)), 11,
+                           false);
+    else
+      KeepAlive = co_await this->answer(Open, Parser.release());
+    this->InFlight.fetch_sub(1);
+    co_return KeepAlive;
+  }
+
+  asio::awaitable<bool> answer(Connection &Open,
+                               http::request<http::string_body> Message) {
+    const unsigned Version = Message.version();
+    const bool WantsKeepAlive = Message.keep_alive();
+    HttpResponse Response;
+    try {
+      Response = co_await this->Handle(takeRequest(std::move(Message)));
+    } catch (const std::exception &Failure) {
+      Response = problemResponse(failure(ErrorKind::Internal, Failure.what()));
+    }
+    const bool KeepAlive =
+        WantsKeepAlive && !Response.Close && !this->CloseAfterResponses;
+    co_return co_await this->write(Open, std::move(Response), Version,
+                                   KeepAlive);
+  }
+
+  asio::awaitable<bool> write(Connection &Open, HttpResponse Response,
+                              unsigned Version, bool KeepAlive) {
+    auto Message = makeMessage(std::move(Response), Version, KeepAlive);
+    Open.Busy = false;
+    Open.Deadline = this->deadline(this->Limits.SendTimeout);
+    error_code Failure;
+    co_await http::async_write(Open.Socket, Message, resumeWith(Failure));
+    if (!KeepAlive && !Failure)
+      co_await this->finishSending(Open);
+    co_return KeepAlive && !Failure;
+  }
+
+  // Reads until the peer closes, since closing a socket with unread bytes
+  // resets the connection and can destroy the response on its way.
+  asio::awaitable<void> finishSending(Connection &Open) {
+    constexpr std::chrono::milliseconds LingerLimit{1000};
+    error_code Failure;
+    Open.Socket.shutdown(tcp::socket::shutdown_send, Failure);
+    Open.Deadline = this->deadline(LingerLimit);
+    std::array<char, 1024> Discarded{};
+    while (!Failure)
+      co_await Open.Socket.async_read_some(asio::buffer(Discarded),
+                                           resumeWith(Failure));
+  }
+
+  static TimePoint deadline(std::chrono::milliseconds FromNow) {
+    return std::chrono::steady_clock::now() + FromNow;
+  }
+
+  WorkerPool &Workers;
+  HttpServerLimits Limits;
+  Handler Handle;
+  std::vector<std::unique_ptr<WorkerState>> States;
+  std::optional<tcp::acceptor> Acceptor;
+};
+
+HttpServer::HttpServer(WorkerPool &Workers, HttpServerLimits Limits,
+                       Handler Handle)
+    : P(std::make_shared<Private>(Workers, Limits, std::move(Handle))) {}
+
+HttpServer::~HttpServer() = default;
+
+Result<Endpoint> HttpServer::listen(const Endpoint &Where) {
+  return this->P->listen(Where);
+}
+
+void HttpServer::closeAfterResponses() { this->P->CloseAfterResponses = true; }
+
+void HttpServer::closeIdle() { this->P->closeIdle(); }
+
+std::size_t HttpServer::connections() const { return this->P->Open; }
+
+std::size_t HttpServer::requestsInFlight() const { return this->P->InFlight; }
+
+std::uint64_t HttpServer::refusedConnections() const {
+  return this->P->Refused;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/tests/auto/http/tst_http.cpp
@@ -0,0 +1,158 @@
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+#include "http/runon.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace lavenderdale;
+namespace asio = boost::asio;
+
+namespace {
+
+// Generous, so that a verdict doesn't depend on the machine's speed.
+constexpr std::chrono::seconds Patience{20};
+
+TimePoint patient() { return std::chrono::steady_clock::now() + Patience; }
+
+asio::awaitable<HttpResponse> echo(HttpRequest Request) {
+  HttpResponse Response;
+  Response.Body = Request.Method + " " + Request.Target + " " + Request.Body;
+  co_return Response;
+}
+
+struct Fixture {
+  explicit Fixture(HttpServerLimits Limits = {},
+                   HttpServer::Handler Handle = echo)
+      : Workers(2), Server(Workers, Limits, std::move(Handle)) {
+    this->Where = this->Server.listen({"127.0.0.1", 0}).value();
+    this->Workers.start();
+  }
+
+  ~Fixture() { this->Workers.stop(); }
+
+  Result<HttpResponse> send(HttpClient &Client, HttpRequest Request,
+                            TimePoint Deadline = patient()) {
+    std::optional<Result<HttpResponse>> Response;
+    asio::co_spawn(
+        this->Workers.worker(0),
+        [&]() -> asio::awaitable<void> {
+          Response = co_await Client.send(std::move(Request), Deadline);
+        },
+        asio::use_future)
+        .get();
+    return *Response;
+  }
+
+  std::string raw(const std::string &Bytes) const {
+    asio::io_context Context;
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect(
+        {asio::ip::make_address(this->Where.Address), this->Where.Port});
+    boost::system::error_code Failure;
+    asio::write(Socket, asio::buffer(Bytes), Failure);
+    std::string Answer;
+    asio::read(Socket, asio::dynamic_buffer(Answer), Failure);
+    return Answer;
+  }
+
+  WorkerPool Workers;
+  HttpServer Server;
+  Endpoint Where;
+};
+
+HttpRequest post(std::string Body) {
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = "/x";
+  Request.Body = std::move(Body);
+  return Request;
+}
+
+} // namespace
+
+// Guards against an answer that reaches another request on a kept connection.
+TEST_CASE("requests on one connection get their own answers", "[answers]") {
+  Fixture Setup;
+  HttpClient Client(Setup.Workers.worker(0).get_executor(), Setup.Where);
+  for (int I = 0; I < 20; ++I) {
+    const auto Response = Setup.send(Client, post(std::to_string(I)));
+    REQUIRE(Response.has_value());
+    CHECK(Response.value().Body == "POST /x " + std::to_string(I));
+  }
+  CHECK(Client.idleConnections() == 1);
+}
+
+// Guards against a crash or a silent close on malformed and oversized input.
+TEST_CASE("bad input is answered with a problem document") {
+  HttpServerLimits Limits;
+  Limits.MaxBodyBytes = 10;
+  Fixture Setup(Limits);
+  CHECK(Setup.raw("nonsense\r\n\r\n").find("bad-request") != std::string::npos);
+  CHECK(Setup.raw("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901")
+            .find("payload-too-large") != std::string::npos);
+}
+
+// Guards against slow senders that hold a connection for good.
+TEST_CASE("a request that stays incomplete is dropped") {
+  HttpServerLimits Limits;
+  Limits.ReceiveTimeout = std::chrono::milliseconds(200);
+  Fixture Setup(Limits);
+  CHECK(Setup.raw("POST / HTTP/1.1\r\nContent-Le").empty());
+}
+
+// Guards against unbounded connections.
+TEST_CASE("connections over the limit are refused with an answer") {
+  HttpServerLimits Limits;
+  Limits.MaxConnections = 0;
+  Fixture Setup(Limits);
+  CHECK(Setup.raw("").find("too-many-connections") != std::string::npos);
+  CHECK(Setup.Server.refusedConnections() == 1);
+}
+
+// Guards against a true "not run" being lost or a false one being told.
+TEST_CASE("the client tells unsent requests from lost answers", "[not-run]") {
+  const auto Silent = [](HttpRequest) -> asio::awaitable<HttpResponse> {
+    asio::steady_timer Timer(co_await asio::this_coro::executor);
+    Timer.expires_after(Patience);
+    co_await Timer.async_wait(asio::use_awaitable);
+    co_return HttpResponse{};
+  };
+  Fixture Setup({}, Silent);
+  HttpClient Client(Setup.Workers.worker(0).get_executor(), Setup.Where);
+  const auto Lost = Setup.send(Client, post("a"),
+                               std::chrono::steady_clock::now() +
+                                   std::chrono::milliseconds(200));
+  REQUIRE_FALSE(Lost.has_value());
+  CHECK(Lost.error().Kind == ErrorKind::OutcomeUnknown);
+
+  HttpClient Nobody(Setup.Workers.worker(0).get_executor(), {"127.0.0.1", 1});
+  const auto Unsent = Setup.send(Nobody, post("a"));
+  REQUIRE_FALSE(Unsent.has_value());
+  CHECK(Unsent.error().Kind == ErrorKind::Unavailable);
+}
+
+// Guards against a stop that cuts a response or keeps connections open.
+TEST_CASE("a stopping server closes each connection after its response",
+          "[planned-stop]") {
+  Fixture Setup;
+  HttpClient Client(Setup.Workers.worker(0).get_executor(), Setup.Where);
+  REQUIRE(Setup.send(Client, post("a")).has_value());
+  Setup.Server.closeAfterResponses();
+  const auto Last = Setup.send(Client, post("b"));
+  REQUIRE(Last.has_value());
+  CHECK(Last.value().Close);
+  Setup.Server.closeIdle();
+  const TimePoint Limit = patient();
+  while (Setup.Server.connections() > 0 &&
+         std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(Setup.Server.connections() == 0);
+}
