--- a/src/libs/catalogue/objectkind.h
+++ b/src/libs/catalogue/objectkind.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 
