--- a/src/libs/limits/ratedrawer.h
+++ b/src/libs/limits/ratedrawer.h
@@ -18,11 +18,14 @@
   Duration AnswerTimeout = std::chrono::milliseconds(50);
   /// How long an owner that did not answer or is not ready is avoided.
   Duration OwnerAvoidance = std::chrono::milliseconds(250);
-  /// Pause before asking an owner again that had no token.
-  Duration EmptyPause = std::chrono::milliseconds(5);
+  /// Pause before asking an owner again that granted less than was wanted.
+  /// Doubled up to LongestPause while it grants nothing.
+  Duration ShortPause = std::chrono::milliseconds(5);
+  Duration LongestPause = std::chrono::milliseconds(40);
   /// Spent tokens are reported, and unused ones given back, after this time.
   Duration ReportInterval = std::chrono::milliseconds(200);
-  /// Whether expiry is checked; false only in tests.
+  /// Whether expiry is checked. Only tests set it to false, to show that their
+  /// checks find the fault.
   bool ExpiryChecked = true;
   auto operator<=>(const RateDrawerTimes &) const = default;
 };
@@ -33,7 +36,7 @@
 struct SpendDecision {
   SpendKind Kind = SpendKind::Refused;
   /// For WaitUntil: try again at this time or when an answer was received,
-  /// whichever is first. Not after the request's GiveUpAt.
+  /// whichever is first. Never after the request's GiveUpAt.
   TimePoint RetryAt{};
 };
 
@@ -54,8 +57,9 @@
 /// lets them try again before newer ones.
 class RateDrawer {
 public:
-  RateDrawer(std::string Workspace, std::string Host,
-             std::uint64_t Incarnation, RateDrawerTimes Times = {});
+  /// \param Incarnation random number of this process.
+  RateDrawer(std::string Workspace, std::string Host, std::uint64_t Incarnation,
+             RateDrawerTimes Times = {});
 
   /// Names the owners: that of the own failure domain first, then those of the
   /// other domains, which are asked while the first one cannot answer. Tokens
@@ -64,7 +68,7 @@
 
   /// Spends a token for one request.
   /// \param GiveUpAt the earlier of arrival + MaxRateWait and the request's
-  /// deadline; from then on the answer is Refused instead of WaitUntil.
+  /// deadline; from then on the decision is Refused instead of WaitUntil.
   SpendDecision trySpend(TimePoint Now, TimePoint GiveUpAt,
                          SpendAttempt Attempt = SpendAttempt::First);
 
@@ -75,8 +79,8 @@
   /// Returns when poll() has to be called next; TimePoint::max() if idle.
   TimePoint nextPoll(TimePoint Now) const;
 
-  /// Takes an answer of \p Owner. Late and unexpected ones are ignored, which
-  /// loses their tokens until the owner learns of it by the next request.
+  /// Takes an answer of \p Owner. Late and unexpected ones are ignored. Their
+  /// tokens return to the owner with the report of the next request.
   void receive(const std::string &Owner, const GrantAnswer &Answer,
                TimePoint Now);
 
@@ -89,10 +93,11 @@
   /// An owner as the drawer sees it.
   struct Source {
     std::string Owner;
-    std::uint64_t Sequence = 0;
+    /// Tokens spent. Begins at the sum over all owners, so that it never goes
+    /// back when an owner is named again.
     std::uint64_t Spent = 0;
-    TimePoint AvoidedUntil{};
-    TimePoint NextAt{};         ///< No request before this time.
+    TimePoint NotBefore{}; ///< No request that wants tokens before this time.
+    Duration Pause{};      ///< After the last answer with too few tokens.
     TimePoint ReportAt = TimePoint::max();
     auto operator<=>(const Source &) const = default;
   };
@@ -110,21 +115,23 @@
     auto operator<=>(const PendingDraw &) const = default;
   };
 
-  Source *sourceOf(const std::string &Owner);
-  std::uint32_t heldOf(const std::string &Owner, TimePoint Now) const;
+  Source *find(const std::string &Owner);
   std::uint32_t wanted(TimePoint Now) const;
-  Source *choose(TimePoint Now);
-  DrawRequest makeRequest(Source &From, std::uint32_t Wanted, TimePoint Now);
+  std::optional<DrawRequest> report(TimePoint Now);
+  DrawRequest request(Source &From, std::uint32_t Wanted, TimePoint Now);
   void giveUpPending(TimePoint Now);
   void dropExpired(TimePoint Now);
+  bool usable(const Lot &Held, TimePoint Now) const;
 
   std::string Workspace;
   std::string Host;
   std::uint64_t Incarnation;
   RateDrawerTimes Times;
   std::uint64_t Epoch = 0;
+  std::uint64_t Sequence = 0;
+  std::uint64_t SpentSum = 0;
   std::vector<Source> Sources;
-  std::vector<Lot> Lots;
+  std::vector<Lot> Lots; ///< In the order of their deadlines.
   std::optional<PendingDraw> Pending;
   DemandMeter Demand;
   std::uint32_t Unserved = 0; ///< Tries without a token since the last draw.
--- a/src/libs/limits/rateowner.h
+++ b/src/libs/limits/rateowner.h
@@ -4,23 +4,23 @@
 #include "ratemessages.h"
 
 #include <map>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lavenderdale {
 
-/// Durations used by rate owners. Tests set single ones to zero to show that
-/// the checks find what then goes wrong.
+/// Durations used by rate owners.
 struct RateOwnerTimes {
   /// Wait of a new owner; not shorter than the longest lease.
   Duration Handover = std::chrono::seconds(1);
-  /// How long a grant may be spent, counted from its request.
+  /// How long a grant may be spent, counted from its request. It covers a few
+  /// windows of demand; a longer one holds tokens back when a host dies.
   Duration GrantValidity = std::chrono::milliseconds(500);
   /// How long a loan may be added, counted from its request.
   Duration LoanValidity = std::chrono::milliseconds(100);
-  /// How long outstanding tokens are counted, as a multiple of their validity
-  /// (1, or 0 in tests).
+  /// Outstanding tokens are counted for this multiple of their validity. Only
+  /// tests set it to 0, to show that their checks find the fault.
   int OutstandingFactor = 1;
   auto operator<=>(const RateOwnerTimes &) const = default;
 };
@@ -34,46 +34,66 @@
 
 namespace detail {
 
-/// What one host was granted and may still spend.
+/// A host and the random number of its process.
+using RateClient = std::pair<std::string, std::uint64_t>;
+
+/// What a client was given and may still use.
 struct RateLedger {
   struct Entry {
     Microtokens Amount = 0;
     TimePoint Until{};
     auto operator<=>(const Entry &) const = default;
   };
+
+  Microtokens outstanding() const;
+  /// Takes what is more than \p Amount from the entries that expire first.
+  void reduceTo(Microtokens Amount);
+
   std::uint64_t Sequence = 0;
+  std::vector<Entry> Entries;    ///< In the order of their deadlines.
+  std::uint64_t SpentBefore = 0; ///< As of the last report.
+  Microtokens Given = 0;         ///< Held at the last report and granted since.
+  Microtokens Expired = 0; ///< Of these, no longer counted as outstanding.
+  Microtokens Unmet = 0;   ///< Wanted, but not granted, by the last request.
+  TimePoint UsedAt{};
   GrantAnswer LastGrant;
   LoanAnswer LastLoan;
-  std::vector<Entry> Entries; ///< In the order of their deadlines.
-  std::uint64_t SpentBase = 0;
-  std::uint64_t Granted = 0; ///< Tokens since the ledger was opened.
-  TimePoint UsedAt{};
   auto operator<=>(const RateLedger &) const = default;
 };
 
+using RateLedgers = std::map<RateClient, RateLedger>;
+
 /// A lender as the borrower sees it.
 struct RateLender {
   std::string Host;
-  std::uint64_t Sequence = 0;
   TimePoint SentAt{};
-  bool Pending = false;
-  Microtokens Wanted = 0; ///< Of the pending request.
-  TimePoint NextAt{};     ///< No request before this time.
+  Microtokens Asked = 0; ///< By the pending request, 0 without one.
+  Microtokens Spare = 0; ///< As of its last answer.
+  std::uint64_t Sequence = 0;
+  TimePoint NextAt{}; ///< No request before this time.
+  Duration Pause{};   ///< After the last answer without tokens.
   auto operator<=>(const RateLender &) const = default;
 };
 
 /// One workspace of an owner.
 struct OwnedRate {
+  Microtokens capacity() const;
+  Microtokens outstanding() const;
+  /// Tokens that can be added without exceeding the share of the burst.
+  Microtokens room() const;
+  Microtokens unmet(TimePoint Now) const;
+
   RateAndBurst Limit;
   RateShare Share;
-  RateShare NextShare;   ///< In force from NextShareAt.
+  RateShare NextShare; ///< In force from NextShareAt.
   TimePoint NextShareAt{};
   std::uint64_t Epoch = 0;
-  TimePoint ReadyAt{};   ///< End of the handover wait.
+  TimePoint ReadyAt{}; ///< End of the handover wait.
   TimePoint AccruedTo{};
-  std::int64_t Remainder = 0; ///< Part of a microtoken not yet accrued.
+  std::int64_t Remainder = 0; ///< Accrued, but less than a microtoken.
   Microtokens Bucket = 0;
-  std::map<std::pair<std::string, std::uint64_t>, RateLedger> Ledgers;
+  RateLedgers Grants;
+  RateLedgers Loans;
   std::vector<RateLender> Lenders;
   DemandMeter Demand; ///< In microtokens.
   auto operator<=>(const OwnedRate &) const = default;
@@ -85,8 +105,9 @@
 /// failure domain, the domain's share of rate and burst.
 ///
 /// Invariant: bucket + outstanding <= share of burst. Outstanding are tokens
-/// that others may still spend or add to their own bucket. The sum over all
-/// domains is thus never above the burst, and grows only by the rate.
+/// that entry hosts may still spend, or borrowers still add to their bucket.
+/// The sum over all domains is therefore never above the burst and grows by
+/// the rate at most, which bounds what is spent in any window.
 class RateOwner {
 public:
   /// \param Host name of this host.
@@ -95,9 +116,10 @@
             RateOwnerTimes Times = {});
 
   /// Makes this host the owner of \p Workspace, or changes its limit. An owner
-  /// of the directly preceding epoch keeps its bucket; any other one starts
-  /// empty and waits for the handover time. A smaller share holds at once, a
-  /// greater one after the handover time.
+  /// of the same or the directly preceding epoch keeps its bucket; any other
+  /// one starts empty and waits for the handover time. A smaller share holds
+  /// at once, a greater one after the handover time. An older epoch is
+  /// ignored.
   void configure(const std::string &Workspace, RateAndBurst Limit,
                  RateShare Share, std::uint64_t Epoch, TimePoint Now);
 
@@ -108,20 +130,21 @@
   /// Ends the ownership of \p Workspace.
   void remove(const std::string &Workspace);
 
-  /// Extends the lease of this host as an owner in \p Epoch. A lease of an
-  /// older epoch than a workspace's does not count for that workspace. The
-  /// only host of a domain passes TimePoint::max().
-  void renewLease(std::uint64_t Epoch, TimePoint ValidUntil, TimePoint Now);
+  /// Extends the lease of this host until \p ValidUntil, which is counted from
+  /// the sending of the heartbeat that was answered. The only host of a domain
+  /// renews its own lease by the same time. A new owner's handover wait must
+  /// begin after the last renewal for the old owner.
+  void renewLease(TimePoint ValidUntil, TimePoint Now);
 
   /// Answers an entry host. A repeated request gets the first answer again.
   GrantAnswer grant(const GrantRequest &Request, TimePoint Now);
 
-  /// Answers the owner of another domain. Keeps twice the own demand of a
-  /// window back.
+  /// Answers the owner of another domain. The own demand of two windows is
+  /// kept back.
   LoanAnswer lend(const LoanRequest &Request, TimePoint Now);
 
-  /// Returns the loan requests to send at \p Now. Called after each grant and
-  /// each received loan.
+  /// Returns the loan requests to send at \p Now. Called after each grant() and
+  /// receiveLoan().
   std::vector<LoanDraw> loansWanted(const std::string &Workspace,
                                     TimePoint Now);
 
@@ -138,15 +161,25 @@
   auto operator<=>(const RateOwner &) const = default;
 
 private:
-  TimePoint leaseEnd(const detail::OwnedRate &Owned) const;
+  detail::OwnedRate *find(const std::string &Workspace);
   bool ready(const detail::OwnedRate &Owned, TimePoint Now) const;
-  void accrue(detail::OwnedRate &Owned, TimePoint Now) const;
+  void settle(detail::OwnedRate &Owned, TimePoint Now) const;
+  void accrue(detail::OwnedRate &Owned, TimePoint To) const;
+  void addGrant(detail::OwnedRate &Owned, detail::RateLedger &Ledger,
+                const GrantRequest &Request, TimePoint Now) const;
+  void addLoan(detail::OwnedRate &Owned, detail::RateLedger &Ledger,
+               const LoanRequest &Request, TimePoint Now) const;
+  void giveUpLoans(detail::OwnedRate &Owned, TimePoint Now) const;
+  LoanRequest makeLoanRequest(const std::string &Workspace,
+                              const detail::OwnedRate &Owned,
+                              detail::RateLender &Lender, Microtokens Wanted,
+                              TimePoint Now);
 
   std::string Host;
   std::uint64_t Incarnation;
   RateOwnerTimes Times;
-  std::uint64_t LeaseEpoch = 0;
   TimePoint LeaseUntil{};
+  std::uint64_t LoanSequence = 0;
   std::map<std::string, detail::OwnedRate> Rates;
 };
 
--- a/src/libs/scheduling/connectionpool.h
+++ b/src/libs/scheduling/connectionpool.h
@@ -18,7 +18,7 @@
   Busy,     ///< One statement or exchange, with a deadline.
   Pinned,   ///< Held by a transaction, with the transaction's deadline.
   Checking, ///< Idle check, or reset after a transaction.
-  Broken,   ///< To be closed; not counted in the budget after Close was given.
+  Broken,   ///< Closed by the next poll().
 };
 
 enum class PoolActionKind {
@@ -48,7 +48,8 @@
   std::uint32_t Budget = 5;      ///< Most connections, in any state.
   std::uint32_t MinimumWarm = 2; ///< Idle or opening ones that are kept.
   std::uint32_t InFlight = 2;    ///< Most statements at the same time.
-  std::uint32_t Opening = 2;     ///< Most connections being opened.
+  std::uint32_t Pinned = 4;  ///< Most transactions, so that statements go on.
+  std::uint32_t Opening = 2; ///< Most connections being opened.
 };
 
 struct PoolTimes {
@@ -72,25 +73,27 @@
 
   /// Returns what has to be done at \p Now. Called after each event and at
   /// nextPoll().
-  std::vector<PoolAction> poll(TimePoint Now);
+  /// \param Random source of the jitter of the pause after a failed opening.
+  std::vector<PoolAction> poll(TimePoint Now, Generator &Random);
 
   /// Returns when poll() has to be called next without an event.
   TimePoint nextPoll() const;
 
-  void opened(ConnectionId Id, TimePoint Now);
-  /// \param Random source of the jitter of the pause before the next opening.
+  /// \returns false if the opening was given up before; close the socket.
+  bool opened(ConnectionId Id, TimePoint Now);
   void openFailed(ConnectionId Id, OpenFailure Failure, TimePoint Now,
                   Generator &Random);
   void checked(ConnectionId Id, bool Answered, TimePoint Now);
   /// The connection was closed by the other side or had an error.
-  void broken(ConnectionId Id, TimePoint Now);
+  void broken(ConnectionId Id);
 
   /// Takes an idle connection for one exchange.
   /// \returns nothing if none is idle, the limit of statements in flight is
   /// reached, or the upstream is leaving.
   std::optional<ConnectionId> acquire(TimePoint Deadline);
   /// Ends the exchange of a busy connection.
-  /// \returns false if the connection was closed before (late answer).
+  /// \returns false if the answer is late: the connection is closed, and the
+  /// answer must not be used.
   bool release(ConnectionId Id, ConnectionUse Use, TimePoint Now);
 
   /// Takes an idle connection for a transaction.
@@ -99,8 +102,8 @@
   /// \returns false if the connection is not pinned any more, has a statement
   /// already, or the limit of statements in flight is reached.
   bool beginStatement(ConnectionId Id, TimePoint Deadline);
-  /// Ends it. \returns false if the connection was closed before.
-  bool endStatement(ConnectionId Id);
+  /// Ends it. \returns false if the answer is late, as release() does.
+  bool endStatement(ConnectionId Id, TimePoint Now);
   /// Ends the transaction; a clean connection is reset before it is used
   /// again.
   /// \returns false if the connection was closed before.
@@ -125,14 +128,18 @@
     TimePoint Deadline{};          ///< Of the state; next check if idle.
     bool StatementRunning = false; ///< Pinned only.
     TimePoint StatementDeadline{};
-    bool ResetDue = false;
+    bool ResetDue = false; ///< Checking, but Reset was not given yet.
   };
 
   Connection *find(ConnectionId Id, ConnectionState State);
-  std::optional<ConnectionId> takeIdle() const;
-  void closeOverdue(TimePoint Now);
-  void checkIdle(TimePoint Now, std::vector<PoolAction> &Actions);
-  void open(TimePoint Now, std::vector<PoolAction> &Actions);
+  std::optional<ConnectionId> freshestIdle() const;
+  void toIdle(Connection &Each, TimePoint Now) const;
+  void openingFailed(TimePoint Now, Generator &Random);
+  void breakOverdue(TimePoint Now, Generator &Random);
+  void breakSurplus();
+  void closeBroken(std::vector<PoolAction> &Actions);
+  void check(TimePoint Now, std::vector<PoolAction> &Actions);
+  bool opensMore() const;
 
   PoolLimits Limits;
   PoolTimes Times;
--- /dev/null
+++ b/src/libs/scheduling/fairqueue.cpp
@@ -0,0 +1,234 @@
+#include "fairqueue.h"
+
+#include "base/softassert.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace lavenderdale {
+namespace {
+
+/// Urgent items in a row while others wait; the fifth turn is theirs.
+constexpr std::uint32_t MostUrgentInRow = 4;
+/// Weight of one service time in the smoothed one, as a divisor.
+constexpr int ServiceSmoothing = 16;
+
+constexpr std::size_t indexOf(QueueClass Class) {
+  return static_cast<std::size_t>(Class);
+}
+
+} // namespace
+
+FairQueue::FairQueue(std::uint32_t Slots) : Slots(std::max(1U, Slots)) {}
+
+void FairQueue::setSlots(std::uint32_t NewSlots) {
+  this->Slots = std::max(1U, NewSlots);
+}
+
+void FairQueue::setLimits(const std::string &Workspace,
+                          WorkspaceQueueLimits Limits) {
+  Limits.Weight = std::max(1U, Limits.Weight);
+  this->Workspaces[Workspace].Limits = Limits;
+}
+
+Result<void> FairQueue::enqueue(const QueueItem &Item, TimePoint Now) {
+  if (!softAssert(!this->Places.contains(Item.Id), "queue item id is unique"))
+    return failure(ErrorKind::Internal, "queue item id is in use");
+  WorkspaceState &State = this->Workspaces[Item.Workspace];
+  if (State.Statistics.Waiting >= State.Limits.Length) {
+    ++State.Statistics.RefusedFull;
+    return failure(ErrorKind::QueueFull,
+                   std::to_string(State.Limits.Length) +
+                       " requests of the workspace are waiting");
+  }
+  const Duration Wait = this->expectedWait(Item.Workspace, Item.Class);
+  if (!this->inTime(Now, Wait, Item.Deadline)) {
+    ++State.Statistics.RefusedDeadline;
+    return failure(ErrorKind::QueueDeadline,
+                   "the expected wait is longer than the time left");
+  }
+  ClassQueue &Queue = this->Classes[indexOf(Item.Class)];
+  Flow &Items = Queue.Flows[Item.Workspace];
+  if (Items.Items.empty())
+    Queue.Round.push_back(Item.Workspace);
+  Items.Items.push_back({Item.Id, Item.Deadline, Now});
+  ++Queue.Size;
+  this->Places[Item.Id] = {Item.Workspace, Item.Class};
+  ++State.Statistics.Accepted;
+  ++State.Statistics.Waiting;
+  return success();
+}
+
+DequeueResult FairQueue::dequeue(TimePoint Now) {
+  DequeueResult Result;
+  while (const std::optional<QueueClass> Class = this->nextClass()) {
+    std::string Workspace;
+    const Waiting Item = this->takeFront(*Class, Workspace);
+    WorkspaceQueueStatistics &Statistics =
+        this->Workspaces[Workspace].Statistics;
+    if (!this->inTime(Now, Duration::zero(), Item.Deadline)) {
+      ++Statistics.RefusedDeadline;
+      Result.Expired.push_back(Item.Id);
+      continue;
+    }
+    this->countTurn(*Class);
+    ++this->InService;
+    ++Statistics.Dequeued;
+    Statistics.WaitSum += Now - Item.Arrived;
+    Statistics.LongestWait =
+        std::max(Statistics.LongestWait, Now - Item.Arrived);
+    Result.Next = Item.Id;
+    break;
+  }
+  return Result;
+}
+
+bool FairQueue::cancel(QueueItemId Id) {
+  const auto Place = this->Places.find(Id);
+  if (Place == this->Places.end())
+    return false;
+  const auto [Workspace, Class] = Place->second;
+  ClassQueue &Queue = this->Classes[indexOf(Class)];
+  std::deque<Waiting> &Items = Queue.Flows[Workspace].Items;
+  std::erase_if(Items, [Id](const Waiting &Each) { return Each.Id == Id; });
+  --Queue.Size;
+  if (Items.empty())
+    dropFlow(Queue, Workspace);
+  this->Places.erase(Place);
+  WorkspaceQueueStatistics &Statistics = this->Workspaces[Workspace].Statistics;
+  --Statistics.Waiting;
+  ++Statistics.Cancelled;
+  return true;
+}
+
+void FairQueue::completed(Duration ServiceTime) {
+  if (this->InService > 0)
+    --this->InService;
+  if (this->MeanService == Duration::zero())
+    this->MeanService = ServiceTime;
+  else
+    this->MeanService += (ServiceTime - this->MeanService) / ServiceSmoothing;
+}
+
+Duration FairQueue::serviceTime() const { return this->MeanService; }
+
+/// Items of the same class that are served before a new one of \p Workspace,
+/// and those of the other classes that their turns let in between.
+Duration FairQueue::expectedWait(const std::string &Workspace,
+                                 QueueClass Class) const {
+  std::size_t Ahead = this->aheadInClass(Workspace, Class);
+  const std::size_t Urgent = this->waitingIn(QueueClass::Urgent);
+  const std::size_t Standard = this->waitingIn(QueueClass::Standard);
+  const std::size_t Lookup = this->waitingIn(QueueClass::Lookup);
+  if (Class == QueueClass::Urgent) {
+    Ahead += std::min(Standard + Lookup, Ahead / MostUrgentInRow);
+  } else {
+    Ahead +=
+        std::min(Class == QueueClass::Standard ? Lookup : Standard, Ahead + 1);
+    Ahead += std::min(Urgent, MostUrgentInRow * (Ahead + 1));
+  }
+  if (Ahead == 0 && this->InService < this->Slots)
+    return Duration::zero();
+  return this->MeanService * static_cast<std::int64_t>(Ahead + 1) /
+         static_cast<std::int64_t>(this->Slots);
+}
+
+std::size_t FairQueue::size() const {
+  return std::accumulate(this->Classes.begin(), this->Classes.end(),
+                         std::size_t{0},
+                         [](std::size_t Sum, const ClassQueue &Queue) {
+                           return Sum + Queue.Size;
+                         });
+}
+
+WorkspaceQueueStatistics
+FairQueue::statistics(const std::string &Workspace) const {
+  const auto Place = this->Workspaces.find(Workspace);
+  return Place == this->Workspaces.end() ? WorkspaceQueueStatistics{}
+                                         : Place->second.Statistics;
+}
+
+std::optional<QueueClass> FairQueue::nextClass() const {
+  const bool Standard = this->waitingIn(QueueClass::Standard) > 0;
+  const bool Lookup = this->waitingIn(QueueClass::Lookup) > 0;
+  const bool OthersDue =
+      (Standard || Lookup) && this->UrgentInRow >= MostUrgentInRow;
+  if (this->waitingIn(QueueClass::Urgent) > 0 && !OthersDue)
+    return QueueClass::Urgent;
+  if (Standard && !(Lookup && this->LookupTurn))
+    return QueueClass::Standard;
+  if (Lookup)
+    return QueueClass::Lookup;
+  return std::nullopt;
+}
+
+void FairQueue::countTurn(QueueClass Class) {
+  if (Class == QueueClass::Urgent) {
+    ++this->UrgentInRow;
+    return;
+  }
+  this->UrgentInRow = 0;
+  this->LookupTurn = Class == QueueClass::Standard;
+}
+
+FairQueue::Waiting FairQueue::takeFront(QueueClass Class,
+                                        std::string &Workspace) {
+  ClassQueue &Queue = this->Classes[indexOf(Class)];
+  Workspace = Queue.Round.front();
+  Flow &Items = Queue.Flows[Workspace];
+  if (Items.Deficit == 0)
+    Items.Deficit = this->weightOf(Workspace);
+  const Waiting Item = Items.Items.front();
+  Items.Items.pop_front();
+  --Items.Deficit;
+  --Queue.Size;
+  if (Items.Items.empty()) {
+    dropFlow(Queue, Workspace);
+  } else if (Items.Deficit == 0) {
+    Queue.Round.pop_front();
+    Queue.Round.push_back(Workspace);
+  }
+  this->Places.erase(Item.Id);
+  --this->Workspaces[Workspace].Statistics.Waiting;
+  return Item;
+}
+
+void FairQueue::dropFlow(ClassQueue &Queue, const std::string &Workspace) {
+  std::erase(Queue.Round, Workspace);
+  Queue.Flows.erase(Workspace);
+}
+
+std::size_t FairQueue::aheadInClass(const std::string &Workspace,
+                                    QueueClass Class) const {
+  const ClassQueue &Queue = this->Classes[indexOf(Class)];
+  const auto Own = Queue.Flows.find(Workspace);
+  const std::size_t OwnItems =
+      Own == Queue.Flows.end() ? 0 : Own->second.Items.size();
+  const std::size_t Rounds = OwnItems / this->weightOf(Workspace) + 1;
+  std::size_t Ahead = OwnItems;
+  for (const auto &[Other, Items] : Queue.Flows)
+    if (Other != Workspace)
+      Ahead += std::min(Items.Items.size(), Rounds * this->weightOf(Other));
+  return Ahead;
+}
+
+std::size_t FairQueue::waitingIn(QueueClass Class) const {
+  return this->Classes[indexOf(Class)].Size;
+}
+
+std::uint32_t FairQueue::weightOf(const std::string &Workspace) const {
+  const auto Place = this->Workspaces.find(Workspace);
+  return Place == this->Workspaces.end() ? 1 : Place->second.Limits.Weight;
+}
+
+/// Without an item in service no new measurement would correct a service time
+/// that is too long for all deadlines, so each refusal then shortens it.
+bool FairQueue::inTime(TimePoint Now, Duration Wait, TimePoint Deadline) {
+  if (Now + Wait + this->MeanService < Deadline)
+    return true;
+  if (this->InService == 0)
+    this->MeanService -= this->MeanService / ServiceSmoothing;
+  return false;
+}
+
+} // namespace lavenderdale
--- a/src/libs/scheduling/fairqueue.h
+++ b/src/libs/scheduling/fairqueue.h
@@ -49,9 +49,10 @@
   std::vector<QueueItemId> Expired;
 };
 
-/// The queue of one upstream: urgent items first, but every fifth dequeue goes
-/// to the other classes if any of them waits; inside a class deficit round
-/// robin over workspaces by weight.
+/// The queue of one upstream: urgent items first, but at least every fifth
+/// dequeue goes to the other classes if any of them waits. These two take
+/// turns, so that a full one does not keep the other waiting. Inside a class:
+/// deficit round robin over workspaces by weight.
 class FairQueue {
 public:
   /// \param Slots number of items that are served at the same time.
@@ -69,7 +70,8 @@
   /// Removes a waiting item. \returns false if it is not waiting.
   bool cancel(QueueItemId Id);
 
-  /// Tells how long an item was served, from dequeue to its end.
+  /// Tells how long an item was served, from dequeue to its end. Called for
+  /// each dequeued item.
   void completed(Duration ServiceTime);
 
   /// Smoothed service time; zero before the first completed item.
@@ -102,16 +104,23 @@
     WorkspaceQueueStatistics Statistics;
   };
 
-  std::optional<QueueClass> nextClass();
-  std::string nextWorkspace(ClassQueue &Queue);
-  Waiting takeFront(ClassQueue &Queue, const std::string &Workspace);
-  std::size_t itemsAhead(const std::string &Workspace, QueueClass Class) const;
+  std::optional<QueueClass> nextClass() const;
+  void countTurn(QueueClass Class);
+  Waiting takeFront(QueueClass Class, std::string &Workspace);
+  static void dropFlow(ClassQueue &Queue, const std::string &Workspace);
+  std::size_t aheadInClass(const std::string &Workspace,
+                           QueueClass Class) const;
+  std::size_t waitingIn(QueueClass Class) const;
+  std::uint32_t weightOf(const std::string &Workspace) const;
+  bool inTime(TimePoint Now, Duration Wait, TimePoint Deadline);
 
   std::uint32_t Slots;
   std::array<ClassQueue, QueueClassCount> Classes;
   std::map<std::string, WorkspaceState> Workspaces;
   std::map<QueueItemId, std::pair<std::string, QueueClass>> Places;
   std::uint32_t UrgentInRow = 0;
+  bool LookupTurn = false; ///< The next of the other classes is a lookup.
+  std::uint32_t InService = 0;
   Duration MeanService{};
 };
 
