Add the placement library

Tasks have to be assigned without a coordinator, the same way on every host. One holder pair is pinned in a test and was checked against an independent computation of the hash.

--- /dev/null
+++ b/src/libs/placement/placement.cpp
@@ -0,0 +1,161 @@
+#include "placement.h"
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+
+namespace lavenderdale {
+namespace {
+
+constexpr std::size_t HolderCount = 2;
+constexpr std::size_t RelayCount = 2;
+constexpr std::size_t MonitorCount = 3;
+constexpr std::size_t MinMonitorCount = 2;
+
+using HostRefs = std::vector<const PlacementHost *>;
+
+// The first 8 bytes of SHA-256, most significant first. The parts are
+// separated by a byte that names do not contain, so that no two lists of
+// parts give the same text.
+std::uint64_t stableHash(std::string_view Role, std::string_view Key,
+                         std::string_view Host) {
+  constexpr char Separator = '\0';
+  std::string Text;
+  Text.reserve(Role.size() + Key.size() + Host.size() + 2);
+  Text.append(Role).push_back(Separator);
+  Text.append(Key).push_back(Separator);
+  Text.append(Host);
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
+  SHA256(reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
+         Digest.data());
+  std::uint64_t Value = 0;
+  for (std::size_t I = 0; I < sizeof Value; ++I)
+    Value = Value << 8U | Digest[I];
+  return Value;
+}
+
+HostRefs hostsOf(std::string_view FailureDomain,
+                 std::span<const PlacementHost> Hosts, bool Inside = true) {
+  HostRefs Found;
+  for (const PlacementHost &Host : Hosts)
+    if ((Host.FailureDomain == FailureDomain) == Inside)
+      Found.push_back(&Host);
+  return Found;
+}
+
+// Orders by falling weight; equal weights, by name.
+HostRefs ranked(const HostRefs &Hosts, std::string_view Role,
+                std::string_view Key) {
+  std::vector<std::pair<std::uint64_t, const PlacementHost *>> Weighted;
+  Weighted.reserve(Hosts.size());
+  for (const PlacementHost *Host : Hosts)
+    Weighted.emplace_back(stableHash(Role, Key, Host->Name), Host);
+  std::ranges::sort(Weighted, [](const auto &Left, const auto &Right) {
+    if (Left.first != Right.first)
+      return Left.first > Right.first;
+    return Left.second->Name < Right.second->Name;
+  });
+  HostRefs Result;
+  Result.reserve(Weighted.size());
+  for (const auto &[Weight, Host] : Weighted)
+    Result.push_back(Host);
+  return Result;
+}
+
+void appendNames(std::vector<std::string> &Names, const HostRefs &Hosts,
+                 std::size_t Limit) {
+  for (const PlacementHost *Host : Hosts) {
+    if (Names.size() >= Limit)
+      return;
+    Names.push_back(Host->Name);
+  }
+}
+
+// The cube root makes the number of steps between any two hosts of a ring of
+// 70 at most 10.
+std::array<std::size_t, MonitorCount> ringDistances(std::size_t RingSize) {
+  const double Root = std::cbrt(static_cast<double>(RingSize));
+  const auto Middle =
+      std::max<std::size_t>(2, static_cast<std::size_t>(std::lround(Root)));
+  const auto Long = std::max<std::size_t>(
+      Middle + 1, static_cast<std::size_t>(std::lround(Root * Root)));
+  return {1, Middle, Long};
+}
+
+std::vector<std::string> neighboursOf(const PlacementHost &Host,
+                                      std::span<const PlacementHost> Hosts) {
+  const HostRefs Ring =
+      ranked(hostsOf(Host.FailureDomain, Hosts), "ring", Host.FailureDomain);
+  const auto Self = std::ranges::find(Ring, Host.Name, &PlacementHost::Name);
+  std::vector<std::string> Names;
+  if (Self == Ring.end())
+    return Names;
+  const auto Position = static_cast<std::size_t>(Self - Ring.begin());
+  for (const std::size_t Distance : ringDistances(Ring.size()))
+    if (Distance < Ring.size())
+      Names.push_back(Ring[(Position + Distance) % Ring.size()]->Name);
+  return Names;
+}
+
+} // namespace
+
+std::vector<std::string> holdersOf(std::string_view Upstream,
+                                   std::string_view FailureDomain,
+                                   std::span<const PlacementHost> Hosts) {
+  std::vector<std::string> Names;
+  appendNames(Names, ranked(hostsOf(FailureDomain, Hosts), "holder", Upstream),
+              HolderCount);
+  if (Names.size() < HolderCount)
+    appendNames(
+        Names, ranked(hostsOf(FailureDomain, Hosts, false), "holder", Upstream),
+        HolderCount);
+  return Names;
+}
+
+std::optional<std::string> rateOwnerOf(std::string_view Workspace,
+                                       std::string_view FailureDomain,
+                                       std::span<const PlacementHost> Hosts) {
+  const HostRefs Ranked =
+      ranked(hostsOf(FailureDomain, Hosts), "rate", Workspace);
+  if (Ranked.empty())
+    return std::nullopt;
+  return Ranked.front()->Name;
+}
+
+std::vector<std::string> relaysOf(std::string_view FailureDomain,
+                                  std::span<const PlacementHost> Hosts) {
+  std::vector<std::string> Names;
+  appendNames(Names,
+              ranked(hostsOf(FailureDomain, Hosts), "relay", FailureDomain),
+              RelayCount);
+  return Names;
+}
+
+std::vector<std::string> monitorsOf(const PlacementHost &Host,
+                                    std::span<const PlacementHost> Hosts) {
+  std::vector<std::string> Names = neighboursOf(Host, Hosts);
+  if (Names.size() < MinMonitorCount)
+    appendNames(
+        Names,
+        ranked(hostsOf(Host.FailureDomain, Hosts, false), "monitor", Host.Name),
+        MinMonitorCount);
+  return Names;
+}
+
+std::vector<std::string> watchersOf(std::span<const PlacementUpstream> Group,
+                                    std::span<const PlacementHost> Hosts) {
+  std::vector<std::string> Names;
+  for (const PlacementUpstream &Member : Group) {
+    const std::vector<std::string> Holders =
+        holdersOf(Member.Name, Member.FailureDomain, Hosts);
+    if (!Holders.empty() &&
+        std::ranges::find(Names, Holders.front()) == Names.end())
+      Names.push_back(Holders.front());
+  }
+  return Names;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/tests/auto/placement/tst_placement.cpp
@@ -0,0 +1,107 @@
+#include "placement/placement.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace lavenderdale;
+
+namespace {
+
+constexpr int DomainCount = 7;
+constexpr int HostCount = 490;
+constexpr int DatabaseCount = 690;
+
+std::string domainOf(int Index) {
+  return "domain-" + std::to_string(Index % DomainCount);
+}
+
+std::vector<PlacementHost> makeHosts(int Count) {
+  std::vector<PlacementHost> Hosts;
+  Hosts.reserve(static_cast<std::size_t>(Count));
+  for (int I = 0; I < Count; ++I)
+    Hosts.push_back({"host-" + std::to_string(I), domainOf(I)});
+  return Hosts;
+}
+
+std::vector<std::string> databaseHolders(int Database,
+                                         std::span<const PlacementHost> Hosts) {
+  return holdersOf("db-" + std::to_string(Database), domainOf(Database), Hosts);
+}
+
+} // namespace
+
+// Guards against a hash that differs between machines or versions, which
+// would give one share to two owners.
+TEST_CASE("placement is the same everywhere", "[rate]") {
+  std::vector<PlacementHost> Hosts = makeHosts(HostCount);
+  CHECK(holdersOf("db-0", "domain-0", Hosts) ==
+        std::vector<std::string>{"host-210", "host-462"});
+  const auto Owner = rateOwnerOf("w", "domain-3", Hosts);
+  std::shuffle(Hosts.begin(), Hosts.end(), std::mt19937_64(1));
+  CHECK(rateOwnerOf("w", "domain-3", Hosts) == Owner);
+  CHECK_FALSE(rateOwnerOf("w", "elsewhere", Hosts).has_value());
+}
+
+// Guards against a host change that moves the tasks of unrelated hosts, and
+// against hosts that hold far more databases than others.
+TEST_CASE("holders are balanced and move only with their host") {
+  const std::vector<PlacementHost> Hosts = makeHosts(HostCount);
+  const std::vector<PlacementHost> Fewer(Hosts.begin(), Hosts.end() - 1);
+  const std::string &Left = Hosts.back().Name;
+  std::map<std::string, int> Load;
+  for (int I = 0; I < DatabaseCount; ++I) {
+    const auto Before = databaseHolders(I, Hosts);
+    const auto After = databaseHolders(I, Fewer);
+    REQUIRE(Before.size() == 2);
+    CHECK(Before[0] != Before[1]);
+    for (const std::string &Name : Before) {
+      ++Load[Name];
+      if (Name != Left)
+        CHECK(std::ranges::find(After, Name) != After.end());
+    }
+  }
+  // 1,380 tasks over 490 hosts are 2.8 a host.
+  for (const auto &[Name, Count] : Load)
+    CHECK(Count <= 10);
+  CHECK(Load.size() >= 440);
+}
+
+TEST_CASE("a domain with too few hosts borrows holders, but no rate owner") {
+  const std::vector<PlacementHost> Hosts = {{"a", "x"}, {"b", "y"}, {"c", "y"}};
+  CHECK(holdersOf("db", "x", Hosts).size() == 2);
+  CHECK(holdersOf("db", "x", Hosts).front() == "a");
+  CHECK(holdersOf("db", "z", Hosts).size() == 2);
+  CHECK(relaysOf("x", Hosts) == std::vector<std::string>{"a"});
+  CHECK(rateOwnerOf("w", "x", Hosts) == "a");
+  const std::vector<PlacementUpstream> Group = {
+      {"d1", "x"}, {"d2", "x"}, {"d3", "y"}};
+  CHECK(watchersOf(Group, Hosts).size() == 2);
+}
+
+// Guards against a host that nobody watches.
+TEST_CASE("monitors are spread evenly at every size") {
+  for (int Count = 1; Count <= 120; ++Count) {
+    std::vector<PlacementHost> Hosts = makeHosts(Count);
+    for (PlacementHost &Host : Hosts)
+      Host.FailureDomain = "one";
+    std::map<std::string, std::size_t> Watched;
+    const std::size_t Expected =
+        std::min<std::size_t>(3, static_cast<std::size_t>(Count - 1));
+    for (const PlacementHost &Host : Hosts) {
+      const auto Names = monitorsOf(Host, Hosts);
+      CHECK(std::set<std::string>(Names.begin(), Names.end()).size() ==
+            Expected);
+      CHECK(std::ranges::find(Names, Host.Name) == Names.end());
+      for (const std::string &Name : Names)
+        ++Watched[Name];
+    }
+    for (const auto &[Name, Times] : Watched)
+      CHECK(Times == Expected);
+  }
+  const std::vector<PlacementHost> Small = {{"a", "x"}, {"b", "y"}, {"c", "z"}};
+  CHECK(monitorsOf(Small[0], Small).size() == 2);
+}
