--- /dev/null
+++ b/src/libs/consistency/lineage.cpp
@@ -0,0 +1,1 @@
+#include "lineage.h"
--- /dev/null
+++ b/src/libs/consistency/logposition.cpp
@@ -0,0 +1,1 @@
+#include "logposition.h"
--- /dev/null
+++ b/src/libs/consistency/logposition.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lavenderdale {
+
+/// A position in the write-ahead log, in bytes (a PostgreSQL LSN).
+struct LogPosition {
+  std::uint64_t Value = 0;
+
+  auto operator<=>(const LogPosition &) const = default;
+
+  /// Parses PostgreSQL's notation: two hexadecimal numbers of 1 to 8 digits,
+  /// separated by a slash.
+  /// \returns the position, or BadRequest.
+  static Result<LogPosition> parse(std::string_view Text);
+
+  /// PostgreSQL's notation, for example "0/16B3748".
+  std::string toString() const;
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/consistency/readrouter.cpp
@@ -0,0 +1,1 @@
+#include "readrouter.h"
--- /dev/null
+++ b/src/libs/consistency/readrule.cpp
@@ -0,0 +1,1 @@
+#include "readrule.h"
--- /dev/null
+++ b/src/libs/consistency/replicaage.cpp
@@ -0,0 +1,1 @@
+#include "replicaage.h"
--- /dev/null
+++ b/src/libs/consistency/sessiontoken.cpp
@@ -0,0 +1,1 @@
+#include "sessiontoken.h"
--- /dev/null
+++ b/src/libs/consistency/sessiontokencodec.cpp
@@ -0,0 +1,1 @@
+#include "sessiontokencodec.h"
--- /dev/null
+++ b/src/libs/failover/evidence.cpp
@@ -0,0 +1,1 @@
+#include "evidence.h"
--- /dev/null
+++ b/src/libs/failover/failuredetector.cpp
@@ -0,0 +1,1 @@
+#include "failuredetector.h"
--- /dev/null
+++ b/src/libs/failover/promotion.cpp
@@ -0,0 +1,1 @@
+#include "promotion.h"
--- /dev/null
+++ b/src/libs/failover/replicapoll.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/timepoint.h"
+#include "consistency/position.h"
+
+#include <algorithm>
+#include <string>
+
+namespace lavenderdale {
+
+/// The answer of a group's member to a poll.
+struct ReplicaPoll {
+  std::string Upstream;
+  TimePoint SentAt;
+  /// Timeline: of its log if it is a primary, else the one that it follows.
+  /// Zero if it is unknown, which gives no permission and no vote.
+  Term Timeline;
+  LogPosition ReceivePosition;
+  LogPosition ReplayPosition;
+  bool InRecovery = false;
+  bool PrimaryConninfoSet = false; ///< primary_conninfo is not empty.
+  bool ReceiverRunning = false;    ///< pg_stat_wal_receiver has a row.
+  /// Name of the upstream that primary_conninfo points at; empty if it is not
+  /// set or names none of the group.
+  std::string Follows;
+
+  /// Whether the member can receive nothing more from a primary.
+  bool isFenced() const {
+    return this->InRecovery && !this->PrimaryConninfoSet &&
+           !this->ReceiverRunning;
+  }
+
+  /// End of the log that the member holds. After a restart the receive
+  /// position is unset until streaming resumes.
+  LogPosition logEnd() const {
+    return std::max(this->ReceivePosition, this->ReplayPosition);
+  }
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/failover/writepermission.cpp
@@ -0,0 +1,1 @@
+#include "writepermission.h"
