--- /dev/null
+++ b/src/libs/postgres/postgresconnection.cpp
@@ -0,0 +1,1 @@
+#include "postgresconnection.h"
