--- a/src/libs/postgres/postgresconnection.h
+++ b/src/libs/postgres/postgresconnection.h
@@ -51,7 +51,8 @@
   /// The connection is also broken if the coroutine is cancelled or destroyed.
   /// \param Deadline when the exchange is given up.
   /// \param MaxResultBytes bytes of all rows, counted as the protocol's row
-  /// messages (values, 4 bytes per value, 7 bytes per row).
+  /// messages (values, 4 bytes per value, 7 bytes per row). Rows are counted
+  /// one by one as they arrive; libpq holds a single row whole before that.
   boost::asio::awaitable<Result<GroupResults>>
   run(std::vector<std::vector<Statement>> Groups, TimePoint Deadline,
       std::size_t MaxResultBytes);
--- a/src/libs/postgres/resultcollector.cpp
+++ b/src/libs/postgres/resultcollector.cpp
@@ -38,6 +38,7 @@
 
 std::vector<Column> readColumns(const PGresult *Rows) {
   std::vector<Column> Columns;
+  Columns.reserve(static_cast<std::size_t>(PQnfields(Rows)));
   for (int I = 0; I < PQnfields(Rows); ++I)
     Columns.push_back({PQfname(Rows, I), PQftype(Rows, I)});
   return Columns;
--- a/tests/auto/postgres/testclient.h
+++ b/tests/auto/postgres/testclient.h
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <stdexcept>
 #include <thread>
 
 namespace lavenderdale::test {
@@ -59,7 +60,9 @@
   }
 
   PostgresConnection &connection() {
-    REQUIRE(this->Opened.has_value());
+    // No Catch2 assertions here: tests call this from several threads.
+    if (!this->Opened)
+      throw std::runtime_error(this->Opened.error().Detail);
     return *this->Opened.value();
   }
 
@@ -74,7 +77,7 @@
   run(std::vector<std::vector<Statement>> Groups) {
     auto Results = this->tryRun(std::move(Groups));
     if (!Results)
-      FAIL("run failed: " << Results.error().Detail);
+      throw std::runtime_error(Results.error().Detail);
     return std::move(Results.value());
   }
 
--- a/tests/auto/postgres/tst_postgresconnection.cpp
+++ b/tests/auto/postgres/tst_postgresconnection.cpp
@@ -107,7 +107,7 @@
           "[answers][not-run]") {
   StandinDatabase Database(withTable());
   TestClient Client(Database);
-  Database.freeze(1s);
+  Database.freeze(1h);
   const auto Failed = Client.tryRun(
       {{{"INSERT INTO entry VALUES (1, 'late')", {}}}}, later(50ms));
   REQUIRE(Failed.has_error());
@@ -116,6 +116,7 @@
   const auto Again = Client.tryRun({{{"SELECT 1", {}}}});
   REQUIRE(Again.has_error());
   CHECK(Again.error().Kind == ErrorKind::Unavailable);
+  Database.freeze(0ms);
   // The outcome is unknown indeed: the statement runs after all, because the
   // database had received it.
   TestClient Other(Database);
@@ -192,7 +193,7 @@
       await(Context,
             PostgresConnection::open({"localhost", 1, "d", "u", "a"}, later()));
   CHECK(Named.error().Kind == ErrorKind::InvalidSettings);
-  Database.freeze(10s);
+  Database.freeze(1h);
   const auto Late = await(
       Context, PostgresConnection::open(
                    {"127.0.0.1", Database.port(), "d", "u", "a"}, later(30ms)));
--- a/tests/auto/postgres/tst_standindatabase.cpp
+++ b/tests/auto/postgres/tst_standindatabase.cpp
@@ -1,5 +1,13 @@
 #include "testclient.h"
 
+#include "base/strictjson.h"
+#include "standins/database/adminserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
 using namespace lavenderdale;
 using namespace lavenderdale::test;
 using standin::StandinDatabase;
@@ -18,6 +26,23 @@
   return Settings;
 }
 
+Json::Value ask(std::uint16_t Port, boost::beast::http::verb Verb,
+                const std::string &Target, const std::string &Body) {
+  namespace http = boost::beast::http;
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Socket(Context);
+  Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+  http::request<http::string_body> Asked(Verb, Target, 11, Body);
+  Asked.prepare_payload();
+  http::write(Socket, Asked);
+  boost::beast::flat_buffer Buffer;
+  http::response<http::string_body> Answer;
+  http::read(Socket, Buffer, Answer);
+  Json::Value Value = parseStrictJson(Answer.body()).value();
+  Value["status"] = Answer.result_int();
+  return Value;
+}
+
 void follow(TestClient &Replica, const std::string &Conninfo) {
   CHECK(
       Replica.stateOf("ALTER SYSTEM SET primary_conninfo = '" + Conninfo + "'")
@@ -70,6 +95,7 @@
   constexpr int Rounds = 50;
   {
     std::vector<std::jthread> Running;
+    Running.reserve(Threads);
     for (int I = 0; I < Threads; ++I)
       Running.emplace_back([&Database] {
         TestClient Client(Database);
@@ -193,6 +219,7 @@
   const auto Start = std::chrono::steady_clock::now();
   {
     std::vector<std::jthread> Running;
+    Running.reserve(3);
     for (int I = 0; I < 3; ++I)
       Running.emplace_back(
           [&Database] { TestClient(Database).one(CountEntries); });
@@ -216,3 +243,34 @@
   CHECK(Log[0]["pid"] == Client.connection().backendPid());
   CHECK(Log[1]["transaction"] == Log[0]["transaction"]);
 }
+
+// Guards against faults that a test believes to have injected, but did not.
+TEST_CASE("the admin interface sets faults and refuses wrong input") {
+  using boost::beast::http::verb;
+  StandinDatabase Primary(withTable());
+  StandinDatabase Replica(withTable(Primary.conninfo()));
+  const standin::AdminServer Admin(Replica, "127.0.0.1", 0);
+  const auto Post = [&](const std::string &Target, const std::string &Body) {
+    return ask(Admin.port(), verb::post, Target, Body)["status"].asUInt();
+  };
+  CHECK(Post("/set", R"({"slots":3,"replayLagMs":7})") == 200);
+  CHECK(Replica.settings().Slots == 3);
+  CHECK(Replica.settings().ReplayLag == 7ms);
+  CHECK(Post("/set", R"({"slot":3})") == 400);
+  CHECK(Post("/cut", R"({"what":"some"})") == 400);
+  CHECK(Post("/freeze", "{}") == 400);
+  CHECK(Post("/nothing", "") == 404);
+
+  TestClient Client(Replica);
+  CHECK(Post("/cut", R"({"what":"all"})") == 200);
+  CHECK(Client.tryRun({{{"SELECT 1", {}}}}).has_error());
+  CHECK(TestClient(Replica).opened().has_error());
+  CHECK(Post("/cut", R"({"what":"all","on":false})") == 200);
+  CHECK(TestClient(Replica).value("SELECT 1") == "1");
+  CHECK(Post("/promote", "") == 200);
+  CHECK(Post("/promote", "") == 409);
+  CHECK(ask(Admin.port(), verb::get, "/state", "")["timeline"] == 2);
+  CHECK(Post("/rejoin",
+             R"({"primaryConninfo":")" + Primary.conninfo() + R"("})") == 200);
+  CHECK(ask(Admin.port(), verb::get, "/state", "")["timeline"] == 1);
+}
--- a/tests/standins/database/adminserver.cpp
+++ b/tests/standins/database/adminserver.cpp
@@ -21,7 +21,7 @@
 
 constexpr int PollMilliseconds = 20;
 constexpr time_t ReadTimeoutSeconds = 2;
-constexpr std::uint64_t MaxMilliseconds = 3600 * 1000;
+constexpr std::uint64_t MaxMilliseconds = 3'600'000;
 constexpr std::uint64_t MaxMicroseconds = MaxMilliseconds * 1000;
 constexpr std::uint64_t MaxCount = 100000;
 constexpr std::size_t DefaultLogLimit = 1000;
--- a/tests/standins/database/databasestate.cpp
+++ b/tests/standins/database/databasestate.cpp
@@ -6,7 +6,7 @@
 namespace lavenderdale::standin {
 namespace {
 
-constexpr std::size_t MaxLogBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxLogBytes = std::size_t{64} << 20;
 constexpr std::size_t MaxStatements = 20000;
 
 // Records replayed in one SQLite transaction.
--- a/tests/standins/database/replicationreceiver.cpp
+++ b/tests/standins/database/replicationreceiver.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds HandshakeTimeout{2000};
 constexpr std::chrono::milliseconds LockTimeout{1000};
 constexpr std::chrono::milliseconds ReplayWait{50};
+constexpr std::chrono::milliseconds ReplayRetry{200};
 constexpr std::uint32_t ProtocolVersion3 = 0x00030000;
 
 std::optional<WireMessage> readWithin(WireConnection &Wire,
@@ -268,11 +269,16 @@
     if (!this->State.Writer.acquire(LockTimeout, this->State.stopping()))
       continue;
     // Rejoin may have replaced the state since the records were taken.
+    bool Replayed = true;
     if (this->State.isInRecovery() &&
-        this->State.replayed() < Records.front()->End &&
-        this->replayBatch(Handle.get(), Records))
-      this->State.setReplayed(Records.back()->End);
+        this->State.replayed() < Records.front()->End) {
+      Replayed = this->replayBatch(Handle.get(), Records);
+      if (Replayed)
+        this->State.setReplayed(Records.back()->End);
+    }
     this->State.Writer.release();
+    if (!Replayed)
+      this->State.sleep(ReplayRetry, this->State.stopping());
   }
 }
 
--- a/tests/standins/database/sqlsession.cpp
+++ b/tests/standins/database/sqlsession.cpp
@@ -204,14 +204,15 @@
                     std::size_t Rows, sqlite3 *Handle) {
   if (IsRead)
     return "SELECT " + std::to_string(Rows);
-  const std::string Changes = std::to_string(sqlite3_changes64(Handle));
+  std::string Changes = std::to_string(sqlite3_changes64(Handle));
   for (const std::string &Word : Words) {
     if (Word == "INSERT")
-      return "INSERT 0 " + Changes;
+      return Changes.insert(0, "INSERT 0 ");
     if (Word == "UPDATE" || Word == "DELETE")
-      return Word + " " + Changes;
-    if (Word == "CREATE" || Word == "DROP" || Word == "ALTER")
-      return Words.size() > 1 ? Word + " " + Words[1] : Word;
+      return Changes.insert(0, " ").insert(0, Word);
+    if ((Word == "CREATE" || Word == "DROP" || Word == "ALTER") &&
+        Words.size() > 1)
+      return std::string(Word).append(" ").append(Words[1]);
   }
   return Words.empty() ? "" : Words.front();
 }
--- a/tests/standins/database/timelinehistory.cpp
+++ b/tests/standins/database/timelinehistory.cpp
@@ -10,7 +10,7 @@
 
 constexpr unsigned HalfBits = 32;
 constexpr std::uint64_t LowHalf = 0xFFFFFFFF;
-constexpr Lsn SegmentBytes = 16 * 1024 * 1024; // PostgreSQL's default.
+constexpr Lsn SegmentBytes = Lsn{16} << 20; // PostgreSQL's default.
 constexpr Lsn SegmentsPerFile = (LowHalf + 1) / SegmentBytes;
 constexpr std::size_t MaxPrinted = 32;
 
@@ -27,7 +27,6 @@
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
   int Used = 0;
-  // NOLINTNEXTLINE(cert-err34-c): the count and the length are checked.
   const int Count = std::sscanf(Text.c_str(), "%8" SCNx64 "/%8" SCNx64 "%n",
                                 &High, &Low, &Used);
   if (Count != 2 || static_cast<std::size_t>(Used) != Text.size())
--- a/tests/standins/database/wireconnection.cpp
+++ b/tests/standins/database/wireconnection.cpp
@@ -16,8 +16,8 @@
 namespace lavenderdale::standin {
 namespace {
 
-constexpr std::size_t ReadBytes = 64 * 1024;
-constexpr std::size_t MaxMessageBytes = 256 * 1024 * 1024;
+constexpr std::size_t ReadBytes = std::size_t{64} << 10;
+constexpr std::size_t MaxMessageBytes = std::size_t{256} << 20;
 constexpr std::size_t LengthBytes = 4;
 constexpr unsigned ByteBits = 8;
 constexpr std::size_t Int16Bytes = 2;
