Add the membership library

Hosts have to agree on who owns a share of a workspace's rate, without a coordinator, through pauses, cuts and lost answers. `Membership` decides on heartbeats, suspicions and their refutation, agreed removals, joins, leaves and conditional proposals of the host set. A lease is renewed by heartbeat answers of the own domain. Where several hosts of a domain can be removed together (up to a third), the lease also needs signs of life of more members than that, and the removal waits until older signs have expired: hosts that are cut off together could otherwise renew each other. A host that joins uses its shares only after all members of its domain have been seen with the epoch of its joining.

IpEndpoint and PlacementHost lose their ordering, which nothing used.

--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -13,7 +13,7 @@
   std::string Name;
   std::string FailureDomain;
 
-  auto operator<=>(const PlacementHost &) const = default;
+  bool operator==(const PlacementHost &) const = default;
 };
 
 /// An upstream, as far as its placement depends on it.
--- a/src/libs/settings/ipendpoint.h
+++ b/src/libs/settings/ipendpoint.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,7 +12,7 @@
   std::string Address; ///< Without the brackets of IPv6.
   std::uint16_t Port = 0;
 
-  auto operator<=>(const IpEndpoint &) const = default;
+  bool operator==(const IpEndpoint &) const = default;
 };
 
 /// Reads "192.0.2.1:80" or "[2001:db8::1]:80". Host names are not accepted,
--- /dev/null
+++ b/tests/auto/membership/fleetfake.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "membership/membership.h"
+
+#include <functional>
+#include <memory>
+
+namespace lavenderdale {
+
+/// A fleet of Membership objects with a fake network, platform and clock.
+class FleetFake {
+public:
+  struct Host {
+    HostMember Self;
+    std::unique_ptr<Membership> Agent; ///< Null while the host is down.
+    TimePoint PausedUntil;
+    int Side = 0; ///< Hosts with different sides cannot reach each other.
+    bool SeesPlatform = true;
+    std::uint64_t BytesSent = 0;
+    std::uint64_t Messages = 0;
+  };
+
+  FleetFake(std::uint64_t Seed, int HostCount, int DomainCount);
+
+  /// Runs for \p Time; calls EachStep every 10 ms.
+  void run(Duration Time, const std::function<void()> &EachStep = {});
+
+  void start(Host &Which);
+  void crash(Host &Which);
+  bool isRunning(const Host &Which) const;
+  bool isMember(const Host &Which) const;
+  /// Hosts that may use the domain's share of the workspace's rate now.
+  int ownerCount(const std::string &Workspace, const std::string &Domain);
+
+  std::vector<Host> Hosts;
+  HostSet Stored; ///< The platform's host set.
+  TimePoint Now{std::chrono::hours(1)};
+  double Loss = 0;
+  bool LosePlatformAnswers = false;
+  bool CountBytes = false;
+  std::mt19937_64 Random;
+
+private:
+  struct Event {
+    TimePoint Due;
+    std::size_t To;
+    std::uint64_t Generation;
+    std::function<void(Membership &)> Deliver;
+  };
+
+  bool reaches(const Host &From, const Host &To) const;
+  Duration latency();
+  Host *byName(const std::string &Name);
+  void send(Host &From, Host &To, std::function<void(Membership &)> Deliver);
+  void deliverDue();
+  void tick(Host &Which);
+  void perform(Host &Which, const SendHeartbeat &Action);
+  void perform(Host &Which, const AskRemoval &Action);
+  void perform(Host &Which, const ProposeHostSet &Action);
+  void perform(Host &Which, const FetchHostSet &Action);
+  template <typename Message> void count(Host &From, const Message &Sent);
+
+  std::vector<Event> Events;
+  std::uint64_t NextGeneration = 1;
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/tests/auto/membership/tst_membershipcodec.cpp
@@ -0,0 +1,62 @@
+#include "membership/membershipcodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lavenderdale;
+
+namespace {
+
+const HostKey Key{"host-1", 1'700'000'000'123};
+
+PeerNews makeNews() {
+  return {{Key, 3, HostState::Leaving},
+          7,
+          99,
+          {{{"host-2", 5}, 1, HostState::Suspected}}};
+}
+
+} // namespace
+
+TEST_CASE("membership messages survive JSON") {
+  const Heartbeat Sent{makeNews(), true, HostMember{Key, "d", "1.2.3.4:5", 0}};
+  const auto Read = heartbeatFromJson(toJson(Sent));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value().News.Updates == Sent.News.Updates);
+  CHECK(Read.value().News.Sender == Sent.News.Sender);
+  CHECK(Read.value().Joining == Sent.Joining);
+  CHECK(Read.value().WantsContacts);
+
+  const HeartbeatAnswer Answer{makeNews(), true, true, {0, 3, 255}};
+  const auto ReadAnswer = heartbeatAnswerFromJson(toJson(Answer));
+  REQUIRE(ReadAnswer.has_value());
+  CHECK(ReadAnswer.value().Contacts == Answer.Contacts);
+  CHECK(ReadAnswer.value().AgreedToRemove);
+  CHECK(ReadAnswer.value().News.ConfigurationVersion == 99);
+
+  const auto Question =
+      removalQuestionFromJson(toJson(RemovalQuestion{Key, 7, {{"x", 2}}}));
+  REQUIRE(Question.has_value());
+  CHECK(Question.value().Suspects == std::vector<HostKey>{{"x", 2}});
+  const HostSet Set{4, {{Key, "d", "1.2.3.4:5", 2}}};
+  CHECK(hostSetFromJson(toJson(Set)).value() == Set);
+}
+
+// Guards against a message that a broken or foreign peer sends.
+TEST_CASE("malformed membership messages are refused") {
+  Json::Value Value = toJson(Heartbeat{makeNews(), false, {}});
+  Value["sender"]["state"] = "gone";
+  CHECK_FALSE(heartbeatFromJson(Value).has_value());
+  Value = toJson(Heartbeat{makeNews(), false, {}});
+  Value["extra"] = 1;
+  CHECK_FALSE(heartbeatFromJson(Value).has_value());
+  Value.removeMember("extra");
+  for (int I = 0; I < 10; ++I)
+    Value["updates"].append(Value["updates"][0]);
+  CHECK_FALSE(heartbeatFromJson(Value).has_value());
+  Value = toJson(HeartbeatAnswer{makeNews(), true, false, {1}});
+  Value["contacts"].append(256);
+  CHECK_FALSE(heartbeatAnswerFromJson(Value).has_value());
+  Value =
+      toJson(HostSet{4, {{Key, "d", "a", 2}, {{"host-1", 9}, "d", "a", 2}}});
+  CHECK_FALSE(hostSetFromJson(Value).has_value());
+}
