Add daemon: services, entry, holder and their wiring

The daemon's shell around the decision libraries: callers over HTTP, forwarding to holders, group services with polls, write permission and promotion, rates, membership and configuration.

--- a/src/libs/catalogue/hostset.cpp
+++ b/src/libs/catalogue/hostset.cpp
@@ -17,6 +17,8 @@
   Member.FailureDomain = detail::requiredName(Reader, "failureDomain");
   Member.PeerAddress = detail::requiredAddress(Reader, "peerAddress");
   Member.PeerPort = detail::requiredPort(Reader, "peerPort");
+  Member.Generation = Reader.optionalUnsigned("generation", 0, MaxEpoch, 0);
+  Member.Joined = Reader.optionalUnsigned("joined", 0, MaxEpoch, 0);
   BOOST_OUTCOME_TRYV(Reader.finish());
   return Member;
 }
@@ -52,6 +54,8 @@
     Item["failureDomain"] = Member.FailureDomain;
     Item["peerAddress"] = Member.PeerAddress;
     Item["peerPort"] = static_cast<Json::Int64>(Member.PeerPort);
+    Item["generation"] = static_cast<Json::UInt64>(Member.Generation);
+    Item["joined"] = static_cast<Json::UInt64>(Member.Joined);
     Spec["members"].append(Item);
   }
   return Spec;
--- a/src/libs/catalogue/hostset.h
+++ b/src/libs/catalogue/hostset.h
@@ -15,6 +15,8 @@
   std::string FailureDomain;
   std::string PeerAddress; ///< IP address.
   std::uint16_t PeerPort = 0;
+  std::uint64_t Generation = 0; ///< Start of the process, Unix milliseconds.
+  std::uint64_t Joined = 0;     ///< Epoch that added the process.
 
   bool operator==(const HostSetMember &) const = default;
 };
--- a/src/libs/membership/hostset.cpp
+++ b/src/libs/membership/memberset.cpp
@@ -1,4 +1,4 @@
-#include "hostset.h"
+#include "memberset.h"
 
 #include <algorithm>
 
@@ -9,7 +9,7 @@
   return Order != 0 ? Order <=> 0 : this->Generation <=> Other.Generation;
 }
 
-const HostMember *HostSet::find(std::string_view Name) const {
+const HostMember *MemberSet::find(std::string_view Name) const {
   const auto Found =
       std::ranges::find_if(this->Members, [Name](const HostMember &Member) {
         return Member.Key.Name == Name;
@@ -17,13 +17,13 @@
   return Found == this->Members.end() ? nullptr : &*Found;
 }
 
-const HostMember *HostSet::find(const HostKey &Key) const {
+const HostMember *MemberSet::find(const HostKey &Key) const {
   const HostMember *Member = this->find(Key.Name);
   return Member && Member->Key == Key ? Member : nullptr;
 }
 
 std::vector<HostMember>
-HostSet::ofDomain(std::string_view FailureDomain) const {
+MemberSet::ofDomain(std::string_view FailureDomain) const {
   std::vector<HostMember> Found;
   std::ranges::copy_if(this->Members, std::back_inserter(Found),
                        [FailureDomain](const HostMember &Member) {
--- a/src/libs/membership/hostset.h
+++ b/src/libs/membership/memberset.h
@@ -33,7 +33,7 @@
 
 /// The platform's object `hostsets/fleet`: which hosts have shares of the
 /// rates. It only changes by conditional updates that raise the epoch by one.
-struct HostSet {
+struct MemberSet {
   std::uint64_t Epoch = 0; ///< 0: no host set is known.
   std::vector<HostMember> Members;
 
@@ -44,7 +44,7 @@
   /// The members of a failure domain, ordered by name.
   std::vector<HostMember> ofDomain(std::string_view FailureDomain) const;
 
-  bool operator==(const HostSet &) const = default;
+  bool operator==(const MemberSet &) const = default;
 };
 
 /// The members' names and domains.
--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -65,7 +65,7 @@
   return this->Set.find(this->Self.Key) != nullptr;
 }
 
-void Membership::adoptHostSet(const HostSet &Newer, TimePoint Now) {
+void Membership::adoptHostSet(const MemberSet &Newer, TimePoint Now) {
   if (Newer.Epoch <= this->Set.Epoch)
     return;
   const HostMember *Before = this->Set.find(this->Self.Key);
@@ -430,8 +430,8 @@
   });
 }
 
-HostSet Membership::buildProposal(TimePoint Now) const {
-  HostSet Proposed{this->Set.Epoch + 1, {}};
+MemberSet Membership::buildProposal(TimePoint Now) const {
+  MemberSet Proposed{this->Set.Epoch + 1, {}};
   const bool Removes = this->canRemove(Now);
   for (const HostMember &Member : this->Set.Members) {
     const bool Removed =
--- a/src/libs/membership/membership.h
+++ b/src/libs/membership/membership.h
@@ -41,7 +41,7 @@
   void setConfigurationVersion(std::uint64_t Version);
 
   /// Takes over a host set from the platform or a peer, if it is newer.
-  void adoptHostSet(const HostSet &Newer, TimePoint Now);
+  void adoptHostSet(const MemberSet &Newer, TimePoint Now);
 
   /// Announces that this host leaves, and gives up its shares at once.
   void leave(TimePoint Now);
@@ -57,7 +57,7 @@
   /// \returns what has to be done now.
   std::vector<MembershipAction> tick(TimePoint Now);
 
-  const HostSet &hostSet() const { return this->Set; }
+  const MemberSet &hostSet() const { return this->Set; }
   bool isMember() const;
   bool isLeaving() const { return this->Own.State == HostState::Leaving; }
 
@@ -112,7 +112,7 @@
   void propose(TimePoint Now, std::vector<MembershipAction> &Actions);
   bool canRemove(TimePoint Now) const;
   bool hasReasonToPropose(TimePoint Now) const;
-  HostSet buildProposal(TimePoint Now) const;
+  MemberSet buildProposal(TimePoint Now) const;
   void fetchNewer(TimePoint Now, std::vector<MembershipAction> &Actions);
   const std::string &ownerOf(std::string_view Workspace) const;
   Duration jitter(Duration Limit);
@@ -123,7 +123,7 @@
   std::uint64_t ConfigurationVersion = 0;
   std::uint64_t Version = 1;
 
-  HostSet Set;
+  MemberSet Set;
   std::vector<HostMember> Domain; ///< Members of the own domain, by name.
   /// Owners of the own domain's shares under the current host set.
   mutable std::map<std::string, std::string, std::less<>> OwnerCache;
--- a/src/libs/membership/membershipcodec.cpp
+++ b/src/libs/membership/membershipcodec.cpp
@@ -191,7 +191,7 @@
   return removalToJson(Message.Sender, Message.Epoch, Message.Agreed);
 }
 
-Json::Value toJson(const HostSet &Set) {
+Json::Value toJson(const MemberSet &Set) {
   Json::Value Value(Json::objectValue);
   Value["epoch"] = number(Set.Epoch);
   Value["members"] = listToJson(Set.Members, memberToJson);
@@ -233,9 +233,9 @@
   return readRemoval(Value, &RemovalAnswer::Agreed);
 }
 
-Result<HostSet> hostSetFromJson(const Json::Value &Value) {
+Result<MemberSet> memberSetFromJson(const Json::Value &Value) {
   ObjectReader Reader(Value, "");
-  HostSet Set;
+  MemberSet Set;
   Set.Epoch = Reader.requiredUnsigned("epoch", 1, MaxNumber);
   Set.Members = readList(Reader, "members", MaxHosts, readMember);
   BOOST_OUTCOME_TRY(Reader.finish());
--- a/src/libs/membership/membershipcodec.h
+++ b/src/libs/membership/membershipcodec.h
@@ -15,12 +15,12 @@
 Json::Value toJson(const RemovalQuestion &Message);
 Json::Value toJson(const RemovalAnswer &Message);
 /// Also the form of the host set's `spec` on the platform.
-Json::Value toJson(const HostSet &Set);
+Json::Value toJson(const MemberSet &Set);
 
 Result<Heartbeat> heartbeatFromJson(const Json::Value &Value);
 Result<HeartbeatAnswer> heartbeatAnswerFromJson(const Json::Value &Value);
 Result<RemovalQuestion> removalQuestionFromJson(const Json::Value &Value);
 Result<RemovalAnswer> removalAnswerFromJson(const Json::Value &Value);
-Result<HostSet> hostSetFromJson(const Json::Value &Value);
+Result<MemberSet> memberSetFromJson(const Json::Value &Value);
 
 } // namespace lavenderdale
--- a/src/libs/membership/membershipmessages.h
+++ b/src/libs/membership/membershipmessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hostset.h"
+#include "memberset.h"
 
 #include <optional>
 #include <variant>
@@ -90,7 +90,7 @@
 /// Membership::adoptHostSet().
 struct ProposeHostSet {
   std::uint64_t ExpectedEpoch = 0;
-  HostSet Proposed;
+  MemberSet Proposed;
 };
 
 /// Get a host set of at least \p Epoch from the peer, or from the platform.
--- a/src/libs/membership/statustable.cpp
+++ b/src/libs/membership/statustable.cpp
@@ -73,7 +73,7 @@
   return Updates;
 }
 
-void StatusTable::retainMembers(const HostSet &Set) {
+void StatusTable::retainMembers(const MemberSet &Set) {
   std::erase_if(this->Entries, [&Set](const auto &Item) {
     const HostKey &Key = Item.second.Status.Key;
     const HostMember *Member = Set.find(Key.Name);
--- a/src/libs/membership/statustable.h
+++ b/src/libs/membership/statustable.h
@@ -29,7 +29,7 @@
   std::vector<HostStatus> takeUpdates(std::string_view Peer);
 
   /// Forgets hosts that are not in \p Set, except later generations.
-  void retainMembers(const HostSet &Set);
+  void retainMembers(const MemberSet &Set);
 
 private:
   struct Entry {
--- a/src/libs/server/configurationservice.cpp
+++ b/src/libs/server/configurationservice.cpp
@@ -95,9 +95,10 @@
 
 void ConfigurationService::addMethods(RpcServer &Server) {
   Server.add("configuration.version",
-             [this](const Json::Value &) -> Result<Json::Value> {
+             [this](const Json::Value &Params) -> Result<Json::Value> {
                const std::lock_guard Guard(this->Lock);
-               return toJson(this->State.report(now()));
+               return toJson(this->State.report(
+                   Params["failureDomain"].asString(), now()));
              });
 }
 
@@ -171,10 +172,11 @@
   const FleetView::Member *Peer = View->find(Host);
   if (!Peer)
     co_return;
+  Json::Value Params(Json::objectValue);
+  Params["failureDomain"] = this->Context.Config.Host.FailureDomain;
   const TimePoint SentAt = now();
   const auto Answer = co_await this->Context.Rpc.call(
-      Peer->Peer, "configuration.version", Json::Value(Json::objectValue),
-      SentAt + QueryLimit);
+      Peer->Peer, "configuration.version", Params, SentAt + QueryLimit);
   if (!Answer)
     co_return;
   const Result<VersionReport> Report = versionReportFromJson(Answer.value());
--- a/src/libs/server/configurationservice.h
+++ b/src/libs/server/configurationservice.h
@@ -6,7 +6,7 @@
 #include "distribution/configurationstate.h"
 #include "fleetview.h"
 #include "http/httpmessage.h"
-#include "platform/platformgateway.h"
+#include "platformgateway.h"
 #include "rpc/rpcserver.h"
 
 #include <boost/asio/awaitable.hpp>
--- /dev/null
+++ b/src/libs/server/daemon.cpp
@@ -0,0 +1,307 @@
+#include "daemon.h"
+
+#include "base/softassert.h"
+#include "base/strictjson.h"
+#include "configurationservice.h"
+#include "daemoncontext.h"
+#include "entry.h"
+#include "executor.h"
+#include "groupdirectory.h"
+#include "http/httpserver.h"
+#include "membershipservice.h"
+#include "platformaccess.h"
+#include "platformstatusstore.h"
+#include "rateservice.h"
+#include "rpc/rpcserver.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <thread>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// Calls to peers block a thread each; pending ones are few.
+constexpr std::size_t RpcThreads = 12;
+constexpr milliseconds StopPollInterval{20};
+// Peers keep connections open for longer than their clients do.
+constexpr milliseconds PeerIdleTimeout{120000};
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+Endpoint endpointOf(const IpEndpoint &Where) {
+  return {Where.Address, Where.Port};
+}
+
+std::vector<Endpoint> endpointsOf(const std::vector<IpEndpoint> &List) {
+  std::vector<Endpoint> Endpoints;
+  for (const IpEndpoint &Each : List)
+    Endpoints.push_back(endpointOf(Each));
+  return Endpoints;
+}
+
+HttpServerLimits callerLimits(const Settings &Config) {
+  HttpServerLimits Limits;
+  Limits.MaxConnections = Config.Limits.MaxConnections;
+  Limits.MaxBodyBytes = Config.Limits.MaxRequestBytes;
+  Limits.IdleTimeout = Config.Limits.IdleTimeout;
+  Limits.ReceiveTimeout = Config.Limits.HeaderTimeout;
+  return Limits;
+}
+
+HttpServerLimits peerLimits(const Settings &Config) {
+  HttpServerLimits Limits;
+  // A forwarded request is the caller's with some members around it.
+  Limits.MaxBodyBytes = 2 * Config.Limits.MaxRequestBytes + 65536;
+  Limits.IdleTimeout = PeerIdleTimeout;
+  return Limits;
+}
+
+HttpResponse textResponse(int Status, std::string Body) {
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.ContentType = "text/plain; charset=utf-8";
+  Response.Body = std::move(Body);
+  return Response;
+}
+
+std::vector<CountedRate> ratesOf(const CatalogueSnapshot &Snapshot) {
+  std::vector<CountedRate> Rates;
+  const auto Whole = [](double Value) {
+    return static_cast<std::uint32_t>(std::max(1.0, Value));
+  };
+  for (const auto &[Name, Each] : Snapshot.workspaces())
+    Rates.push_back(
+        {"workspace/" + Name, {Whole(Each->Rate), Whole(Each->Burst)}});
+  for (const auto &[Name, Each] : Snapshot.routes())
+    if (Each->Limits.Rate)
+      Rates.push_back(
+          {"route/" + Name,
+           {Whole(*Each->Limits.Rate),
+            Whole(Each->Limits.Burst.value_or(*Each->Limits.Rate))}});
+  return Rates;
+}
+
+} // namespace
+
+class Daemon::Private {
+public:
+  explicit Private(Settings Wanted)
+      : Config(std::move(Wanted)), Workers(Config.Threads.Workers),
+        Rpc(RpcThreads), Context{Config, Workers, Metrics, Rpc, nullptr},
+        Platform(Workers.worker(0), endpointsOf(Config.Platform.Endpoints)),
+        Statuses(Workers.worker(0), Platform), Groups(Context, Statuses, Views),
+        Rates(std::make_shared<RateService>(
+            Context, [this] { return this->Members->rateFleet(); })),
+        Members(std::make_shared<MembershipService>(
+            Context, Platform, endpointOf(Config.Listen.Peers),
+            MembershipService::Listeners{
+                [this] { this->fleetChanged(); },
+                [this](TimePoint Until) { this->Rates->renewLease(Until); },
+                [this](const std::string &Host, std::uint64_t Version) {
+                  this->Configuration->peerVersion(Host, Version);
+                }})),
+        Configuration(std::make_shared<ConfigurationService>(
+            Context, Platform, [this] { return this->Members->liveFleet(); },
+            [this](const SnapshotPointer &Snapshot) {
+              this->configurationChanged(Snapshot);
+            })),
+        Run(Context, Groups, [this] { return this->Members->liveFleet(); }),
+        Callers(
+            Context, *Configuration, *Rates, Views, Run,
+            [this] { return this->Members->liveFleet(); },
+            [this](std::string Group) -> asio::awaitable<void> {
+              return this->Groups.refreshView(std::move(Group));
+            }),
+        CallerServer(Workers, callerLimits(Config),
+                     [this](HttpRequest Request) {
+                       return this->Callers.handle(std::move(Request));
+                     }),
+        PeerServer(Workers, peerLimits(Config),
+                   [this](HttpRequest Request) {
+                     return this->handlePeer(std::move(Request));
+                   }),
+        AdminServer(Workers, HttpServerLimits{}, [this](HttpRequest Request) {
+          return this->handleAdmin(std::move(Request));
+        }) {}
+
+  Result<void> start() {
+    if (!this->Config.Traces.File.empty()) {
+      BOOST_OUTCOME_TRY(this->Spans, SpanWriter::open(this->Config.Traces.File,
+                                                      this->Config.Host.Name));
+      this->Context.Spans = this->Spans.get();
+    }
+    this->Members->addMethods(this->Methods);
+    this->Configuration->addMethods(this->Methods);
+    this->Groups.addMethods(this->Methods);
+    this->Rates->addMethods(this->Methods);
+    BOOST_OUTCOME_TRYV(
+        this->PeerServer.listen(endpointOf(this->Config.Listen.Peers)));
+    BOOST_OUTCOME_TRYV(
+        this->AdminServer.listen(endpointOf(this->Config.Listen.Admin)));
+    BOOST_OUTCOME_TRYV(
+        this->CallerServer.listen(endpointOf(this->Config.Listen.Clients)));
+    this->Configuration->setFleet(this->Members->liveFleet());
+    this->Members->start();
+    this->Configuration->start();
+    this->Workers.start();
+    logInfo("started in failure domain " + this->Config.Host.FailureDomain);
+    return success();
+  }
+
+  bool stop() {
+    logInfo("stopping: requests in flight are answered first");
+    this->Stopping = true;
+    const TimePoint Limit = now() + this->Config.Timeouts.StopLimit;
+    this->Members->leave();
+    this->CallerServer.closeAfterResponses();
+    std::this_thread::sleep_for(std::min(this->Config.Timeouts.StopGrace,
+                                         this->Config.Timeouts.StopLimit));
+    this->CallerServer.closeIdle();
+    bool Ended = false;
+    while (!Ended && now() < Limit) {
+      Ended = this->CallerServer.requestsInFlight() == 0 &&
+              this->PeerServer.requestsInFlight() == 0 &&
+              this->Groups.transactions() == 0;
+      if (!Ended)
+        std::this_thread::sleep_for(StopPollInterval);
+    }
+    this->shutDown();
+    logInfo(Ended ? "stopped" : "stopped at the limit with work in flight");
+    return Ended;
+  }
+
+  void shutDown() {
+    this->Members->stop();
+    this->Configuration->stop();
+    this->Groups.stop();
+    this->Workers.stop();
+    this->Rpc.stop();
+  }
+
+private:
+  asio::awaitable<HttpResponse> handlePeer(HttpRequest Request) {
+    if (Request.Target == "/healthz")
+      co_return textResponse(200, "ok\n");
+    if (Request.Target == "/v1/forward")
+      co_return co_await this->Run.handleForwarded(std::move(Request));
+    if (Request.Target == "/v1/configuration/pull")
+      co_return co_await this->Configuration->handlePull(std::move(Request));
+    if (Request.Target == "/rpc") {
+      HttpResponse Response;
+      Response.Body = this->Methods.handle(Request.Body);
+      co_return Response;
+    }
+    co_return problemResponse(failure(ErrorKind::NotFound, Request.Target));
+  }
+
+  asio::awaitable<HttpResponse> handleAdmin(HttpRequest Request) {
+    if (Request.Target == "/healthz")
+      co_return textResponse(200, "ok\n");
+    if (Request.Target == "/readyz")
+      co_return this->isReady() ? textResponse(200, "ready\n")
+                                : textResponse(503, "not ready\n");
+    if (Request.Target == "/metrics")
+      co_return textResponse(200, this->exposition());
+    if (Request.Target == "/status")
+      co_return this->statusResponse();
+    co_return problemResponse(failure(ErrorKind::NotFound, Request.Target));
+  }
+
+  bool isReady() const {
+    return !this->Stopping && this->Configuration->snapshot() != nullptr;
+  }
+
+  std::string exposition() {
+    this->Metrics
+        .gauge("lavenderdale_caller_connections", "Open caller connections")
+        .set(static_cast<std::int64_t>(this->CallerServer.connections()));
+    this->Metrics
+        .gauge("lavenderdale_configuration_version",
+               "Version of the configuration in force")
+        .set(static_cast<std::int64_t>(this->Configuration->version()));
+    this->Metrics
+        .gauge("lavenderdale_configuration_usable_keys",
+               "1 if keys are accepted on all routes")
+        .set(this->Configuration->mayServeKeyed(now()) ? 1 : 0);
+    this->Metrics
+        .gauge("lavenderdale_soft_assert_failures",
+               "Internal checks that failed")
+        .set(static_cast<std::int64_t>(softAssertFailures()));
+    return this->Metrics.exposition();
+  }
+
+  HttpResponse statusResponse() const {
+    Json::Value Status(Json::objectValue);
+    Status["host"] = this->Config.Host.Name;
+    Status["failureDomain"] = this->Config.Host.FailureDomain;
+    Status["configurationVersion"] =
+        Json::Value::UInt64(this->Configuration->version());
+    Status["acceptsKeys"] = this->Configuration->mayServeKeyed(now());
+    Status["stopping"] = this->Stopping.load();
+    const FleetPointer Fleet = this->Members->liveFleet();
+    Status["hostSetEpoch"] = Json::Value::UInt64(Fleet->epoch());
+    Status["liveHosts"] = Json::Value(Json::arrayValue);
+    for (const PlacementHost &Host : Fleet->hosts())
+      Status["liveHosts"].append(Host.Name);
+    Status["faults"] = Json::Value(Json::arrayValue);
+    for (const CatalogueFault &Fault : this->Configuration->faults())
+      Status["faults"].append(std::string(pluralName(Fault.Kind)) + "/" +
+                              Fault.Name + ": " + Fault.Detail);
+    HttpResponse Response;
+    Response.Body = writeCompactJson(Status);
+    return Response;
+  }
+
+  void configurationChanged(const SnapshotPointer &Snapshot) {
+    this->Members->configure(Snapshot, Snapshot->version());
+    this->fleetChanged();
+  }
+
+  void fleetChanged() {
+    const FleetPointer Fleet = this->Members->liveFleet();
+    this->Configuration->setFleet(Fleet);
+    const SnapshotPointer Snapshot = this->Configuration->snapshot();
+    if (!Snapshot)
+      return;
+    this->Groups.reconcile(Snapshot, Fleet);
+    this->Rates->configure(ratesOf(*Snapshot));
+  }
+
+  Settings Config;
+  MetricsRegistry Metrics;
+  WorkerPool Workers;
+  RpcClient Rpc;
+  std::unique_ptr<SpanWriter> Spans;
+  DaemonContext Context;
+  PlatformAccess Platform;
+  PlatformStatusStore Statuses;
+  GroupViews Views;
+  GroupDirectory Groups;
+  std::shared_ptr<RateService> Rates;
+  std::shared_ptr<MembershipService> Members;
+  std::shared_ptr<ConfigurationService> Configuration;
+  Executor Run;
+  Entry Callers;
+  RpcServer Methods;
+  HttpServer CallerServer;
+  HttpServer PeerServer;
+  HttpServer AdminServer;
+  std::atomic<bool> Stopping{false};
+};
+
+Daemon::Daemon(Settings Config)
+    : P(std::make_unique<Private>(std::move(Config))) {}
+
+Daemon::~Daemon() { this->P->shutDown(); }
+
+Result<void> Daemon::start() { return this->P->start(); }
+
+bool Daemon::stop() { return this->P->stop(); }
+
+} // namespace lavenderdale
--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -213,6 +213,14 @@
   this->Refreshing.erase(Group);
 }
 
+std::size_t GroupDirectory::transactions() const {
+  const std::lock_guard Guard(this->Lock);
+  std::size_t Sum = 0;
+  for (const auto &[Name, Service] : this->Services)
+    Sum += Service->transactions();
+  return Sum;
+}
+
 void GroupDirectory::stop() {
   const std::lock_guard Guard(this->Lock);
   for (const auto &[Name, Service] : this->Services)
--- a/src/libs/server/groupdirectory.h
+++ b/src/libs/server/groupdirectory.h
@@ -37,6 +37,9 @@
 
   void stop();
 
+  /// Number of open transactions; their connections are on this host.
+  std::size_t transactions() const;
+
 private:
   using ServicePointer = std::shared_ptr<GroupService>;
 
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -255,12 +255,12 @@
 }
 
 AckDecision GroupService::decide(const Position &Reached, Acknowledge Mode,
-                                 TimePoint Now) const {
+                                 TimePoint SentAt, TimePoint Now) const {
   return this->Permission.decide(Reached.InTerm, Reached.Log,
                                  Mode == Acknowledge::Replica
                                      ? AcknowledgeMode::Replica
                                      : AcknowledgeMode::Primary,
-                                 Now);
+                                 SentAt, Now);
 }
 
 asio::awaitable<void> GroupService::nextPoll(TimePoint Limit) {
--- a/src/libs/server/groupservice.h
+++ b/src/libs/server/groupservice.h
@@ -71,7 +71,7 @@
   /// @{
   bool mayWrite(TimePoint Now) const override;
   AckDecision decide(const Position &Reached, Acknowledge Mode,
-                     TimePoint Now) const override;
+                     TimePoint SentAt, TimePoint Now) const override;
   boost::asio::awaitable<void> nextPoll(TimePoint Limit) override;
   const Lineage &history() const override { return this->Status.History; }
   std::optional<Duration> ageOf(const Position &Replayed,
--- /dev/null
+++ b/src/libs/server/membershipservice.cpp
@@ -0,0 +1,313 @@
+#include "membershipservice.h"
+
+#include "http/runon.h"
+#include "membership/membershipcodec.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <random>
+#include <variant>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{50};
+constexpr milliseconds HeartbeatLimit{800};
+constexpr milliseconds PlatformLimit{1000};
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+std::uint64_t unixMilliseconds() {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(Since).count());
+}
+
+HostMember selfOf(const DaemonContext &Context, const Endpoint &PeerAddress) {
+  HostMember Self;
+  Self.Key = {Context.hostName(), unixMilliseconds()};
+  Self.FailureDomain = Context.Config.Host.FailureDomain;
+  Self.Address = toString(PeerAddress);
+  return Self;
+}
+
+MemberSet memberSetOf(const HostSet &Stored) {
+  MemberSet Set;
+  Set.Epoch = Stored.Epoch;
+  for (const HostSetMember &Each : Stored.Members) {
+    HostMember Member;
+    Member.Key = {Each.Name, Each.Generation};
+    Member.FailureDomain = Each.FailureDomain;
+    Member.Address = toString(Endpoint{Each.PeerAddress, Each.PeerPort});
+    Member.Joined = Each.Joined;
+    Set.Members.push_back(std::move(Member));
+  }
+  return Set;
+}
+
+HostSet storedOf(const MemberSet &Set) {
+  HostSet Stored;
+  Stored.Epoch = Set.Epoch;
+  for (const HostMember &Each : Set.Members) {
+    const Result<Endpoint> Where = parseEndpoint(Each.Address);
+    if (!Where)
+      continue;
+    HostSetMember Member;
+    Member.Name = Each.Key.Name;
+    Member.Generation = Each.Key.Generation;
+    Member.FailureDomain = Each.FailureDomain;
+    Member.PeerAddress = Where.value().Address;
+    Member.PeerPort = Where.value().Port;
+    Member.Joined = Each.Joined;
+    Stored.Members.push_back(std::move(Member));
+  }
+  return Stored;
+}
+
+} // namespace
+
+/// Starts the work of each action.
+struct MembershipService::Performer {
+  MembershipService &Service;
+
+  void operator()(const SendHeartbeat &Action) {
+    Service.spawn(Service.heartbeat(Action));
+  }
+  void operator()(const AskRemoval &Action) {
+    Service.spawn(Service.askRemoval(Action));
+  }
+  void operator()(const ProposeHostSet &Action) {
+    Service.spawn(Service.propose(Action));
+  }
+  void operator()(const FetchHostSet &) { Service.spawn(Service.fetch()); }
+};
+
+MembershipService::MembershipService(const DaemonContext &Context,
+                                     PlatformGateway &Platform,
+                                     const Endpoint &PeerAddress,
+                                     Listeners Told)
+    : Context(Context), Platform(Platform), Told(std::move(Told)),
+      Home(Context.Workers.worker(0)),
+      State(selfOf(Context, PeerAddress),
+            std::mt19937_64(std::random_device{}())) {
+  this->Addresses[Context.hostName()] = PeerAddress;
+  this->Live = this->makeFleet(
+      {{Context.hostName(), Context.Config.Host.FailureDomain}}, 0);
+  this->ForRates = this->Live;
+}
+
+void MembershipService::addMethods(RpcServer &Server) {
+  Server.add("membership.heartbeat",
+             [this](const Json::Value &Params) -> Result<Json::Value> {
+               BOOST_OUTCOME_TRY(const Heartbeat Message,
+                                 heartbeatFromJson(Params));
+               const std::lock_guard Guard(this->Lock);
+               return toJson(this->State.onHeartbeat(Message, now()));
+             });
+  Server.add("membership.removal",
+             [this](const Json::Value &Params) -> Result<Json::Value> {
+               BOOST_OUTCOME_TRY(const RemovalQuestion Question,
+                                 removalQuestionFromJson(Params));
+               const std::lock_guard Guard(this->Lock);
+               return toJson(this->State.onRemovalQuestion(Question, now()));
+             });
+}
+
+void MembershipService::start() { this->spawn(this->tickLoop()); }
+
+void MembershipService::leave() {
+  const std::lock_guard Guard(this->Lock);
+  this->State.leave(now());
+}
+
+void MembershipService::spawn(asio::awaitable<void> Work) {
+  asio::co_spawn(
+      this->Home,
+      [](std::shared_ptr<MembershipService>,
+         asio::awaitable<void> Inner) -> asio::awaitable<void> {
+        co_await std::move(Inner);
+      }(this->shared_from_this(), std::move(Work)),
+      asio::detached);
+}
+
+asio::awaitable<void> MembershipService::tickLoop() {
+  asio::steady_timer Timer(this->Home);
+  while (!this->Stopped) {
+    std::vector<MembershipAction> Actions;
+    bool Leased = false;
+    {
+      const std::lock_guard Guard(this->Lock);
+      Actions = this->State.tick(now());
+      Leased = this->State.holdsLease(now());
+    }
+    // The lease is passed on in small parts, so that it is never longer than
+    // what Membership holds.
+    if (Leased)
+      this->Told.LeaseRenewed(now() + 2 * TickInterval);
+    for (const MembershipAction &Action : Actions)
+      std::visit(Performer{*this}, Action);
+    this->refreshFleet();
+    Timer.expires_after(TickInterval);
+    boost::system::error_code Ignored;
+    co_await Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+}
+
+asio::awaitable<void> MembershipService::heartbeat(SendHeartbeat Action) {
+  const Result<Endpoint> Where = parseEndpoint(Action.Address);
+  if (!Where)
+    co_return;
+  const TimePoint SentAt = now();
+  const auto Reply = co_await this->Context.Rpc.call(
+      Where.value(), "membership.heartbeat", toJson(Action.Message),
+      SentAt + HeartbeatLimit);
+  if (!Reply)
+    co_return;
+  const Result<HeartbeatAnswer> Answer = heartbeatAnswerFromJson(Reply.value());
+  if (!Answer)
+    co_return;
+  {
+    const std::lock_guard Guard(this->Lock);
+    this->State.onHeartbeatAnswer(Answer.value(), SentAt, now());
+  }
+  this->Told.PeerVersion(Action.To, Answer.value().News.ConfigurationVersion);
+}
+
+asio::awaitable<void> MembershipService::askRemoval(AskRemoval Action) {
+  const Result<Endpoint> Where = parseEndpoint(Action.Address);
+  if (!Where)
+    co_return;
+  const auto Reply = co_await this->Context.Rpc.call(
+      Where.value(), "membership.removal", toJson(Action.Message),
+      now() + HeartbeatLimit);
+  if (!Reply)
+    co_return;
+  const Result<RemovalAnswer> Answer = removalAnswerFromJson(Reply.value());
+  if (!Answer)
+    co_return;
+  const std::lock_guard Guard(this->Lock);
+  this->State.onRemovalAnswer(Answer.value(), now());
+}
+
+asio::awaitable<void> MembershipService::propose(ProposeHostSet Action) {
+  CatalogueObject Object;
+  Object.Kind = ObjectKind::HostSet;
+  Object.Name = HostSet::ObjectName;
+  Object.Spec = storedOf(Action.Proposed).toJson();
+  if (Action.ExpectedEpoch != 0) {
+    const auto Stored = co_await this->Platform.get(
+        ObjectKind::HostSet, HostSet::ObjectName, now() + PlatformLimit);
+    if (!Stored)
+      co_return;
+    const auto Known = HostSet::fromJson(Stored.value().Spec);
+    if (!Known || Known.value().Epoch != Action.ExpectedEpoch) {
+      this->adopt(Stored.value());
+      co_return;
+    }
+    Object.Version = Stored.value().Version;
+  }
+  const auto Answer =
+      co_await this->Platform.replaceIf(Object, now() + PlatformLimit);
+  if (Answer) {
+    logInfo("host set epoch " + std::to_string(Action.Proposed.Epoch) +
+            " has " + std::to_string(Action.Proposed.Members.size()) +
+            " members");
+    this->adopt(Answer.value());
+    co_return;
+  }
+  co_await this->fetch();
+}
+
+asio::awaitable<void> MembershipService::fetch() {
+  const auto Stored = co_await this->Platform.get(
+      ObjectKind::HostSet, HostSet::ObjectName, now() + PlatformLimit);
+  if (Stored)
+    this->adopt(Stored.value());
+}
+
+void MembershipService::adopt(const CatalogueObject &Object) {
+  const Result<HostSet> Stored = HostSet::fromJson(Object.Spec);
+  if (!Stored)
+    return;
+  {
+    const std::lock_guard Guard(this->Lock);
+    for (const HostSetMember &Each : Stored.value().Members)
+      this->Addresses[Each.Name] = {Each.PeerAddress, Each.PeerPort};
+    this->State.adoptHostSet(memberSetOf(Stored.value()), now());
+  }
+  this->refreshFleet();
+}
+
+void MembershipService::configure(const SnapshotPointer &Snapshot,
+                                  std::uint64_t Version) {
+  std::vector<HostMember> Seeds;
+  {
+    const std::lock_guard Guard(this->Lock);
+    for (const auto &[Name, Each] : Snapshot->hosts()) {
+      const Endpoint Where{Each->PeerAddress, Each->PeerPort};
+      this->Addresses.try_emplace(Name, Where);
+      HostMember Seed;
+      Seed.Key.Name = Name;
+      Seed.FailureDomain = Each->FailureDomain;
+      Seed.Address = toString(Where);
+      if (Name != this->Context.hostName())
+        Seeds.push_back(std::move(Seed));
+    }
+    this->State.setSeeds(std::move(Seeds));
+    this->State.setConfigurationVersion(Version);
+  }
+  const CatalogueObject *Object =
+      Snapshot->object(ObjectKind::HostSet, HostSet::ObjectName);
+  if (Object)
+    this->adopt(*Object);
+}
+
+FleetPointer
+MembershipService::makeFleet(const std::vector<PlacementHost> &Hosts,
+                             std::uint64_t Epoch) const {
+  std::vector<FleetView::Member> Members;
+  for (const PlacementHost &Host : Hosts) {
+    const auto Found = this->Addresses.find(Host.Name);
+    if (Found != this->Addresses.end())
+      Members.push_back({Host.Name, Host.FailureDomain, Found->second, false});
+  }
+  return std::make_shared<FleetView>(Epoch, std::move(Members));
+}
+
+void MembershipService::refreshFleet() {
+  {
+    const std::lock_guard Guard(this->Lock);
+    if (this->State.version() == this->FleetVersion)
+      return;
+    this->FleetVersion = this->State.version();
+    const std::vector<PlacementHost> Alive = this->State.liveHosts();
+    const MemberSet &Set = this->State.hostSet();
+    if (!Alive.empty())
+      this->Live = this->makeFleet(Alive, Set.Epoch);
+    if (!Set.Members.empty())
+      this->ForRates =
+          this->makeFleet(toPlacementHosts(Set.Members), Set.Epoch);
+  }
+  this->Told.FleetChanged();
+}
+
+FleetPointer MembershipService::liveFleet() const {
+  const std::lock_guard Guard(this->Lock);
+  return this->Live;
+}
+
+FleetPointer MembershipService::rateFleet() const {
+  const std::lock_guard Guard(this->Lock);
+  return this->ForRates;
+}
+
+} // namespace lavenderdale
--- a/src/libs/platform/platformgateway.h
+++ b/src/libs/server/platformgateway.h
@@ -41,10 +41,6 @@
   virtual boost::asio::awaitable<Result<CatalogueObject>>
   replaceIf(CatalogueObject Object, TimePoint Deadline) = 0;
 
-  /// Deletes the object if its version is current. Errors as replaceIf().
-  virtual boost::asio::awaitable<Result<void>> remove(CatalogueObject Object,
-                                                      TimePoint Deadline) = 0;
-
   /// Reports changes after \p Version until the watch ends.
   /// \returns why it ended.
   virtual boost::asio::awaitable<Error>
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -247,6 +247,7 @@
     Target->release(Held.value(), true);
     co_return noPrimary();
   }
+  const TimePoint SentAt = now();
   Groups Statements = pairOf(Request.Sql, positionStatement());
   const auto Results =
       co_await this->run(Target, Held.value(), std::move(Statements), Request);
@@ -259,15 +260,15 @@
   ExecutionAnswer Answer;
   Answer.Body = resultToJson(Result);
   Answer.Reached = readPosition(Results.value()[1][0]);
-  co_return co_await this->acknowledge(Request, std::move(Answer));
+  co_return co_await this->acknowledge(Request, std::move(Answer), SentAt);
 }
 
 asio::awaitable<ExecutionResult>
-StatementRunner::acknowledge(ExecutionRequest &Request,
-                             ExecutionAnswer Answer) {
+StatementRunner::acknowledge(ExecutionRequest &Request, ExecutionAnswer Answer,
+                             TimePoint SentAt) {
   while (Answer.Reached) {
     const AckDecision Decision =
-        this->State.decide(*Answer.Reached, Request.Mode, now());
+        this->State.decide(*Answer.Reached, Request.Mode, SentAt, now());
     if (Decision == AckDecision::Acknowledge)
       co_return ExecutionResult::answered(std::move(Answer));
     if (Decision == AckDecision::Withhold || now() >= Request.Deadline)
@@ -292,12 +293,14 @@
     co_return noPrimary();
   }
   bool Plain = true;
+  const TimePoint SentAt = now();
   ExecutionResult Result =
       co_await this->runKeyed(Target, Request, Held.value(), Plain);
   Target->release(Held.value(), Plain);
   if (!Result.Answer)
     co_return Result;
-  co_return co_await this->acknowledge(Request, std::move(*Result.Answer));
+  co_return co_await this->acknowledge(Request, std::move(*Result.Answer),
+                                       SentAt);
 }
 
 // The record is written in the transaction of the statement, so that both are
@@ -395,6 +398,8 @@
     if (!Held)
       co_return runFailure(Held.error());
     Groups Statements = pairOf(replayStatement(), Request.Sql);
+    Statements.push_back({});
+    Statements.back().push_back(replayStatement());
     const auto Results = co_await this->run(Target, Held.value(),
                                             std::move(Statements), Request);
     Target->release(Held.value(), Results && isPlain(Results.value()[1][0]));
@@ -418,7 +423,8 @@
       ExecutionAnswer Answer;
       Answer.Body = resultToJson(Result);
       Answer.Role = UpstreamRole::Replica;
-      Answer.Reached = Replayed;
+      // The data can be newer than the position that was read before it.
+      Answer.Reached = readReplay(Results.value()[2][0]);
       co_return ExecutionResult::answered(std::move(Answer));
     }
     const TimePoint Again = now() + CatchUpInterval;
@@ -438,13 +444,15 @@
   const auto Held = co_await Target->acquire(demandOf(Request));
   if (!Held)
     co_return runFailure(Held.error());
-  Groups Statements = oneGroup(positionStatement());
-  Statements.push_back(
-      insideBegin("BEGIN READ ONLY", Request.Sql, plain("COMMIT")));
+  const TimePoint SentAt = now();
+  Groups Statements(
+      1, insideBegin("BEGIN READ ONLY", Request.Sql, plain("COMMIT")));
+  Statements.push_back({});
+  Statements.back().push_back(positionStatement());
   const auto Results =
       co_await this->run(Target, Held.value(), std::move(Statements), Request);
-  bool Plain = Results && isPlain(Results.value()[1][1]);
-  if (Results && firstFailure(Results.value()[1])) {
+  bool Plain = Results && isPlain(Results.value()[0][1]);
+  if (Results && firstFailure(Results.value()[0])) {
     const auto RolledBack =
         co_await this->run(Target, Held.value(), single("ROLLBACK"), Request);
     Plain = RolledBack.has_value();
@@ -452,13 +460,14 @@
   Target->release(Held.value(), Plain);
   if (!Results)
     co_return runFailure(Results.error());
-  if (const SqlError *Failure = firstFailure(Results.value()[1]))
+  if (const SqlError *Failure = firstFailure(Results.value()[0]))
     co_return sqlFailure(*Failure);
   ExecutionAnswer Answer;
-  Answer.Body = resultToJson(Results.value()[1][1]);
-  Answer.Reached = readPosition(Results.value()[0][0]);
+  Answer.Body = resultToJson(Results.value()[0][1]);
+  Answer.Reached = readPosition(Results.value()[1][0]);
   if (!Answer.Reached ||
-      this->State.decide(*Answer.Reached, Acknowledge::Primary, now()) !=
+      this->State.decide(*Answer.Reached, Acknowledge::Primary, SentAt,
+                         now()) !=
           AckDecision::Acknowledge)
     co_return ExecutionResult::failed(ErrorKind::OutcomeUnknown,
                                       "the primary may not answer reads now",
@@ -504,9 +513,16 @@
   ExecutionAnswer Answer;
   Answer.Transaction = this->newTransactionId(Request.Group);
   this->Open[Answer.Transaction] = {Request.Workspace, Target, Held.value()};
+  this->OpenCount = this->Open.size();
   co_return ExecutionResult::answered(std::move(Answer));
 }
 
+bool StatementRunner::forget(const std::string &Id) {
+  const bool Known = this->Open.erase(Id) > 0;
+  this->OpenCount = this->Open.size();
+  return Known;
+}
+
 asio::awaitable<ExecutionResult>
 StatementRunner::runInside(ExecutionRequest &Request) {
   const auto Found = this->Open.find(Request.Transaction);
@@ -519,7 +535,7 @@
       co_await Current.Target->beginStatement(Current.Held, Request.Deadline);
   if (!Started) {
     if (Started.error().Kind == ErrorKind::TransactionLost) {
-      if (this->Open.erase(Request.Transaction) > 0)
+      if (this->forget(Request.Transaction))
         Current.Target->unpin(Current.Held);
     }
     co_return runFailure(Started.error());
@@ -528,7 +544,7 @@
                                           oneGroup(Request.Sql), Request);
   Current.Target->endStatement(Current.Held);
   if (!Results) {
-    if (this->Open.erase(Request.Transaction) > 0)
+    if (this->forget(Request.Transaction))
       Current.Target->unpin(Current.Held);
     co_return ExecutionResult::failed(ErrorKind::OutcomeUnknown,
                                       "the transaction was lost: " +
@@ -539,7 +555,7 @@
   if (Result.Failure)
     co_return sqlFailure(*Result.Failure);
   if (endsTransaction(Result)) {
-    if (this->Open.erase(Request.Transaction) > 0)
+    if (this->forget(Request.Transaction))
       Current.Target->unpin(Current.Held);
     co_return ExecutionResult::failed(
         ErrorKind::StatementNotAllowed,
@@ -565,7 +581,7 @@
       co_await Current.Target->beginStatement(Current.Held, Request.Deadline);
   if (!Started && Started.error().Kind != ErrorKind::TransactionLost)
     co_return runFailure(Started.error());
-  if (this->Open.erase(Request.Transaction) == 0)
+  if (!this->forget(Request.Transaction))
     co_return ExecutionResult::failed(ErrorKind::UnknownTransaction,
                                       Request.Transaction,
                                       AttemptOutcome::RefusedBeforeRun);
@@ -573,6 +589,7 @@
     Current.Target->unpin(Current.Held);
     co_return runFailure(Started.error());
   }
+  const TimePoint SentAt = now();
   Groups Statements = pairOf(plain(Commits && Allowed ? "COMMIT" : "ROLLBACK"),
                              positionStatement());
   const auto Results = co_await this->run(Current.Target, Current.Held,
@@ -601,7 +618,7 @@
   Answer.Reached = readPosition(Results.value()[1][0]);
   if (!Commits)
     co_return ExecutionResult::answered(std::move(Answer));
-  co_return co_await this->acknowledge(Request, std::move(Answer));
+  co_return co_await this->acknowledge(Request, std::move(Answer), SentAt);
 }
 
 } // namespace lavenderdale
--- a/src/libs/server/statementrunner.h
+++ b/src/libs/server/statementrunner.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,8 +25,9 @@
   virtual bool mayWrite(TimePoint Now) const = 0;
 
   /// Decides about a write whose commit was answered.
+  /// \param SentAt when the commit was sent.
   virtual AckDecision decide(const Position &Reached, Acknowledge Mode,
-                             TimePoint Now) const = 0;
+                             TimePoint SentAt, TimePoint Now) const = 0;
 
   /// Waits for the next poll of a replica, at most until \p Limit.
   virtual boost::asio::awaitable<void> nextPoll(TimePoint Limit) = 0;
@@ -49,7 +51,8 @@
   execute(std::shared_ptr<UpstreamService> Target, ExecutionRequest Request);
 
   /// Number of open transactions.
-  std::size_t transactions() const { return this->Open.size(); }
+  /// Safe to call from any thread.
+  std::size_t transactions() const { return this->OpenCount; }
 
 private:
   using Groups = std::vector<std::vector<Statement>>;
@@ -90,11 +93,13 @@
   boost::asio::awaitable<Result<GroupResults>>
   run(TargetPointer Target, UpstreamService::Lease Held, Groups Statements,
       const ExecutionRequest &Request);
+  bool forget(const std::string &Id);
   std::string newTransactionId(const std::string &Group);
 
   const DaemonContext &Context;
   GroupState &State;
   std::map<std::string, Transaction> Open;
+  std::atomic<std::size_t> OpenCount{0};
   std::mt19937_64 Random;
 };
 
--- a/tests/auto/membership/fleetfake.h
+++ b/tests/auto/membership/fleetfake.h
@@ -33,7 +33,7 @@
   int ownerCount(const std::string &Workspace, const std::string &Domain);
 
   std::vector<Host> Hosts;
-  HostSet Stored; ///< The platform's host set.
+  MemberSet Stored; ///< The platform's host set.
   TimePoint Now{std::chrono::hours(1)};
   double Loss = 0;
   bool LosePlatformAnswers = false;
--- a/tests/auto/membership/tst_membership.cpp
+++ b/tests/auto/membership/tst_membership.cpp
@@ -177,7 +177,7 @@
   Message.News.Epoch = Fleet.Stored.Epoch;
   CHECK_FALSE(Agent.onHeartbeat(Message, Later).Renews);
   CHECK(Agent.onHeartbeat(Message, Later).AgreedToRemove);
-  HostSet Next = Fleet.Stored;
+  MemberSet Next = Fleet.Stored;
   ++Next.Epoch;
   Agent.adoptHostSet(Next, Later);
   CHECK(Agent.onHeartbeat(Message, Later).Renews);
@@ -195,7 +195,7 @@
   for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
     FleetFake Fleet(Seed, 18, 3);
     Fleet.run(12s);
-    const HostSet Before = Fleet.Stored;
+    const MemberSet Before = Fleet.Stored;
     CAPTURE(Seed);
     const bool ThroughDomains = Seed % 2 == 0;
     for (std::size_t I = 0; I < Fleet.Hosts.size(); ++I) {
--- a/tests/auto/membership/tst_membershipcodec.cpp
+++ b/tests/auto/membership/tst_membershipcodec.cpp
@@ -37,8 +37,8 @@
       removalQuestionFromJson(toJson(RemovalQuestion{Key, 7, {{"x", 2}}}));
   REQUIRE(Question.has_value());
   CHECK(Question.value().Suspects == std::vector<HostKey>{{"x", 2}});
-  const HostSet Set{4, {{Key, "d", "1.2.3.4:5", 2}}};
-  CHECK(hostSetFromJson(toJson(Set)).value() == Set);
+  const MemberSet Set{4, {{Key, "d", "1.2.3.4:5", 2}}};
+  CHECK(memberSetFromJson(toJson(Set)).value() == Set);
 }
 
 // Guards against a message that a broken or foreign peer sends.
@@ -57,6 +57,6 @@
   Value["contacts"].append(256);
   CHECK_FALSE(heartbeatAnswerFromJson(Value).has_value());
   Value =
-      toJson(HostSet{4, {{Key, "d", "a", 2}, {{"host-1", 9}, "d", "a", 2}}});
-  CHECK_FALSE(hostSetFromJson(Value).has_value());
+      toJson(MemberSet{4, {{Key, "d", "a", 2}, {{"host-1", 9}, "d", "a", 2}}});
+  CHECK_FALSE(memberSetFromJson(Value).has_value());
 }
