--- /dev/null
+++ b/src/libs/administration/administrator.cpp
@@ -0,0 +1,361 @@
+#include "administrator.h"
+
+#include "hostconfirmation.h"
+
+#include "base/strictjson.h"
+#include "catalogue/keytext.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+
+bool isForOperators(ObjectKind Kind) {
+  return Kind == ObjectKind::Workspace || Kind == ObjectKind::Route ||
+         Kind == ObjectKind::Group;
+}
+
+Result<void> checkKinds(const std::vector<CatalogueObject> &Desired) {
+  for (const CatalogueObject &Object : Desired)
+    if (!isForOperators(Object.Kind))
+      return failure(ErrorKind::InvalidCatalogue,
+                     Object.label() +
+                         ": expected a workspace, route or group; keys are "
+                         "changed with \"lavenderctl keys\"");
+  return success();
+}
+
+std::set<std::string> faultsOf(SnapshotBuilder &Builder) {
+  Builder.build();
+  std::set<std::string> Faults;
+  for (const CatalogueFault &Fault : Builder.faults())
+    Faults.insert(Fault.Detail);
+  return Faults;
+}
+
+/// Refuses a plan after which an object would not be in force.
+Result<void> checkTogether(const ObjectList &Stored,
+                           const std::vector<Change> &Steps) {
+  SnapshotBuilder Builder;
+  Builder.replaceAll(Stored);
+  const std::set<std::string> Before = faultsOf(Builder);
+  for (Change Step : Steps) {
+    Step.Object.Version = Builder.version() + 1;
+    if (Step.Action == ChangeAction::Delete)
+      Builder.remove(Step.Object.Kind, Step.Object.Name, Step.Object.Version);
+    else
+      Builder.apply(Step.Object);
+  }
+  for (const std::string &Fault : faultsOf(Builder))
+    if (!Before.contains(Fault))
+      return failure(ErrorKind::InvalidCatalogue, Fault);
+  return success();
+}
+
+/// Refuses a plan when a desired object names a version that is not stored.
+Result<void> checkVersions(const ObjectList &Stored,
+                           const std::vector<CatalogueObject> &Desired) {
+  for (const CatalogueObject &Object : Desired) {
+    if (Object.Version == 0)
+      continue;
+    const auto Found = std::find_if(
+        Stored.Objects.begin(), Stored.Objects.end(),
+        [&](const CatalogueObject &Item) {
+          return Item.Kind == Object.Kind && Item.Name == Object.Name;
+        });
+    const std::uint64_t Version =
+        Found == Stored.Objects.end() ? 0 : Found->Version;
+    if (Version != Object.Version)
+      return failure(
+          ErrorKind::VersionConflict,
+          Object.label() + ": the change is for version " +
+              std::to_string(Object.Version) + ", stored is " +
+              (Version == 0 ? "none" : "version " + std::to_string(Version)));
+  }
+  return success();
+}
+
+/// A result has no default value, which asio::co_spawn() needs for one.
+template <typename T>
+asio::awaitable<void> storeAnswer(PlatformClient::Call<T> Call,
+                                  std::optional<Result<T>> &Answer) {
+  Answer.emplace(co_await std::move(Call));
+}
+
+Json::Value shownObject(CatalogueObject Object) {
+  if (Object.Kind == ObjectKind::Secret && Object.Spec.isMember("hex"))
+    Object.Spec["hex"] = "(not shown)";
+  return Object.toJson();
+}
+
+} // namespace
+
+struct Administrator::Planned {
+  ObjectList Stored;
+  std::vector<Change> Steps;
+};
+
+Administrator::Administrator(asio::ip::tcp::endpoint Platform,
+                             TimePoint Deadline)
+    : Client(this->Io.get_executor(), std::move(Platform)), Deadline(Deadline) {
+}
+
+template <typename T>
+Result<T> Administrator::run(PlatformClient::Call<T> Call) {
+  std::optional<Result<T>> Answer;
+  asio::co_spawn(this->Io, storeAnswer(std::move(Call), Answer),
+                 asio::detached);
+  this->Io.restart();
+  this->Io.run();
+  if (!Answer)
+    return failure(ErrorKind::Internal, "the call ended with an exception");
+  return std::move(*Answer);
+}
+
+Result<ObjectList> Administrator::listAll() {
+  return this->run(this->Client.list(std::nullopt, this->Deadline));
+}
+
+Result<Administrator::Planned>
+Administrator::makePlan(const std::vector<CatalogueObject> &Desired,
+                        MissingObjects Missing) {
+  BOOST_OUTCOME_TRYV(checkKinds(Desired));
+  Planned Made;
+  BOOST_OUTCOME_TRY(Made.Stored, this->listAll());
+  BOOST_OUTCOME_TRYV(checkVersions(Made.Stored, Desired));
+  BOOST_OUTCOME_TRY(Made.Steps,
+                    planChanges(Made.Stored.Objects, Desired, Missing));
+  BOOST_OUTCOME_TRYV(checkTogether(Made.Stored, Made.Steps));
+  return Made;
+}
+
+Report Administrator::plan(const std::vector<CatalogueObject> &Desired,
+                           MissingObjects Missing) {
+  const Result<Planned> Made = this->makePlan(Desired, Missing);
+  if (!Made)
+    return failureReport(Made.error());
+  Report Outcome;
+  Outcome.Text =
+      Made.value().Steps.empty() ? "no change\n" : describe(Made.value().Steps);
+  Outcome.Data["changes"] = toJson(Made.value().Steps);
+  return Outcome;
+}
+
+Result<std::uint64_t> Administrator::write(const Change &Step) {
+  const CatalogueObject &Object = Step.Object;
+  if (Step.Action == ChangeAction::Delete) {
+    BOOST_OUTCOME_TRYV(this->run(this->Client.removeResolved(
+        Object.Kind, Object.Name, Object.Version, this->Deadline)));
+    BOOST_OUTCOME_TRY(const ObjectList After, this->listAll());
+    return After.Version;
+  }
+  BOOST_OUTCOME_TRY(
+      const CatalogueObject Stored,
+      this->run(Step.Action == ChangeAction::Create
+                    ? this->Client.createResolved(Object, this->Deadline)
+                    : this->Client.replaceIfResolved(Object, this->Deadline)));
+  return Stored.Version;
+}
+
+Report Administrator::lostRace(const Change &Step, const Error &Failure) {
+  Report Outcome = failureReport(Failure);
+  const Result<CatalogueObject> Stored = this->run(
+      this->Client.get(Step.Object.Kind, Step.Object.Name, this->Deadline));
+  Outcome.Data["wanted"] = shownObject(Step.Object);
+  Outcome.Data["stored"] = Stored ? shownObject(Stored.value()) : Json::Value();
+  Outcome.Text = Step.Object.label() +
+                 " was changed by somebody else; nothing was overwritten.\n" +
+                 "wanted: " + writeCompactJson(Outcome.Data["wanted"]) +
+                 "\nstored: " + writeCompactJson(Outcome.Data["stored"]) + "\n";
+  return Outcome;
+}
+
+Report Administrator::apply(const std::vector<CatalogueObject> &Desired,
+                            MissingObjects Missing, bool Wait) {
+  const Result<Planned> Made = this->makePlan(Desired, Missing);
+  if (!Made)
+    return failureReport(Made.error());
+  Report Outcome;
+  std::uint64_t Version = Made.value().Stored.Version;
+  std::vector<Change> Done;
+  for (const Change &Step : Made.value().Steps) {
+    const Result<std::uint64_t> Written = this->write(Step);
+    if (!Written) {
+      Outcome = Written.error().Kind == ErrorKind::VersionConflict
+                    ? this->lostRace(Step, Written.error())
+                    : failureReport(Written.error());
+      Outcome.Text += "written before: " + std::to_string(Done.size()) +
+                      " of " + std::to_string(Made.value().Steps.size()) +
+                      " changes\n" + describe(Done);
+      Outcome.Data["changes"] = toJson(Done);
+      return Outcome;
+    }
+    Version = std::max(Version, Written.value());
+    Done.push_back(Step);
+  }
+  Outcome.Text = Done.empty() ? "no change\n" : describe(Done);
+  Outcome.Data["changes"] = toJson(Done);
+  Outcome.Data["version"] = static_cast<Json::UInt64>(Version);
+  if (Wait)
+    this->waitForHosts(Version, "The change is stored.", Outcome);
+  return Outcome;
+}
+
+void Administrator::waitForHosts(std::uint64_t Version,
+                                 const std::string &Stored, Report &Outcome) {
+  const Result<ObjectList> List =
+      this->run(this->Client.list(ObjectKind::Host, this->Deadline));
+  if (!List) {
+    Outcome.Code = ExitCode::NotInForce;
+    Outcome.Text += Stored + " The list of hosts could not be read.\n";
+    return;
+  }
+  SnapshotBuilder Builder;
+  Builder.replaceAll(List.value());
+  std::vector<Host> Hosts;
+  const SnapshotPointer Snapshot = Builder.build();
+  for (const auto &[Name, Item] : Snapshot->hosts())
+    Hosts.push_back(*Item);
+  std::vector<std::string> Missing;
+  asio::co_spawn(
+      this->Io, hostsWithout(Version, std::move(Hosts), this->Deadline),
+      [&](const std::exception_ptr &, std::vector<std::string> Names) {
+        Missing = std::move(Names);
+      });
+  this->Io.restart();
+  this->Io.run();
+  Outcome.Data["unconfirmed"] = Json::Value(Json::arrayValue);
+  for (const std::string &Name : Missing)
+    Outcome.Data["unconfirmed"].append(Name);
+  if (Missing.empty()) {
+    Outcome.Text +=
+        "in force on all hosts (version " + std::to_string(Version) + ")\n";
+    return;
+  }
+  Outcome.Code = ExitCode::NotInForce;
+  Outcome.Text += Stored + " " + unconfirmedSentence(Missing) + "\n";
+}
+
+Report Administrator::get(std::optional<ObjectKind> Kind,
+                          const std::string &Name) {
+  Report Outcome;
+  if (Kind && !Name.empty()) {
+    const auto Object =
+        this->run(this->Client.get(*Kind, Name, this->Deadline));
+    if (!Object)
+      return failureReport(Object.error());
+    Outcome.Data = shownObject(Object.value());
+    Outcome.Text = Outcome.Data.toStyledString();
+    return Outcome;
+  }
+  const auto List = this->run(this->Client.list(Kind, this->Deadline));
+  if (!List)
+    return failureReport(List.error());
+  Outcome.Data["objects"] = Json::Value(Json::arrayValue);
+  for (const CatalogueObject &Object : List.value().Objects) {
+    Outcome.Data["objects"].append(shownObject(Object));
+    Outcome.Text +=
+        Object.label() + " (version " + std::to_string(Object.Version) + ")\n";
+  }
+  return Outcome;
+}
+
+Report Administrator::grantKey(const std::string &WorkspaceName) {
+  const auto Owner = this->run(
+      this->Client.get(ObjectKind::Workspace, WorkspaceName, this->Deadline));
+  if (!Owner)
+    return failureReport(Owner.error());
+  const Result<KeyText> Generated = generateKey();
+  if (!Generated)
+    return failureReport(Generated.error());
+  Key Granted;
+  Granted.Id = Generated.value().Id;
+  Granted.Workspace = WorkspaceName;
+  Granted.Hash = hashSecret(Generated.value().Secret);
+  CatalogueObject Object;
+  Object.Kind = ObjectKind::Key;
+  Object.Name = Granted.Id;
+  Object.Spec = Granted.toJson();
+  const auto Stored =
+      this->run(this->Client.createResolved(Object, this->Deadline));
+  if (!Stored)
+    return failureReport(Stored.error());
+  Report Outcome;
+  Outcome.Data["id"] = Granted.Id;
+  Outcome.Data["key"] = Generated.value().text();
+  Outcome.Data["version"] = static_cast<Json::UInt64>(Stored.value().Version);
+  Outcome.Text = Generated.value().text() + "\n";
+  return Outcome;
+}
+
+Report Administrator::withdrawKey(const std::string &Id, bool Wait) {
+  const auto Stored =
+      this->run(this->Client.get(ObjectKind::Key, Id, this->Deadline));
+  if (!Stored)
+    return failureReport(Stored.error());
+  Change Step{ChangeAction::Update, Stored.value(), {}};
+  Step.Object.Spec["state"] = std::string(toString(KeyState::Withdrawn));
+  const Result<std::uint64_t> Written = this->write(Step);
+  if (!Written)
+    return Written.error().Kind == ErrorKind::VersionConflict
+               ? this->lostRace(Step, Written.error())
+               : failureReport(Written.error());
+  Report Outcome;
+  Outcome.Data["id"] = Id;
+  Outcome.Data["version"] = static_cast<Json::UInt64>(Written.value());
+  Outcome.Text = "key " + Id + " is withdrawn (version " +
+                 std::to_string(Written.value()) + ")\n";
+  if (Wait)
+    this->waitForHosts(Written.value(), "The withdrawal is stored.", Outcome);
+  return Outcome;
+}
+
+Report Administrator::listKeys() {
+  const auto List =
+      this->run(this->Client.list(ObjectKind::Key, this->Deadline));
+  if (!List)
+    return failureReport(List.error());
+  Report Outcome;
+  Outcome.Data["keys"] = Json::Value(Json::arrayValue);
+  for (const CatalogueObject &Object : List.value().Objects) {
+    const Result<Key> Item = Key::fromJson(Object.Name, Object.Spec);
+    if (!Item)
+      continue;
+    Json::Value Entry(Json::objectValue);
+    Entry["id"] = Item.value().Id;
+    Entry["workspace"] = Item.value().Workspace;
+    Entry["state"] = std::string(toString(Item.value().State));
+    Outcome.Data["keys"].append(Entry);
+    Outcome.Text += Item.value().Id + " " + Item.value().Workspace + " " +
+                    std::string(toString(Item.value().State)) + "\n";
+  }
+  return Outcome;
+}
+
+Report Administrator::status() {
+  const Result<ObjectList> List = this->listAll();
+  if (!List)
+    return failureReport(List.error());
+  SnapshotBuilder Builder;
+  Builder.replaceAll(List.value());
+  const SnapshotPointer Snapshot = Builder.build();
+  return statusReport(*Snapshot, Builder.faults());
+}
+
+Report Administrator::explain(const ExplainedRequest &Request) {
+  const Result<ObjectList> List = this->listAll();
+  if (!List)
+    return failureReport(List.error());
+  SnapshotBuilder Builder;
+  Builder.replaceAll(List.value());
+  const SnapshotPointer Snapshot = Builder.build();
+  return explainReport(*Snapshot, Request);
+}
+
+} // namespace lavenderdale
