--- a/src/libs/server/platformaccess.cpp
+++ b/src/libs/server/platformaccess.cpp
@@ -41,14 +41,13 @@
 
 asio::awaitable<Result<ObjectList>>
 PlatformAccess::listAll(TimePoint Deadline) {
-  co_return this->noted(
-      co_await this->current().list(std::nullopt, Deadline));
+  co_return this->noted(co_await this->current().list(std::nullopt, Deadline));
 }
 
 asio::awaitable<Result<std::uint64_t>>
 PlatformAccess::version(TimePoint Deadline) {
-  const Result<ObjectList> List = this->noted(
-      co_await this->current().list(ObjectKind::HostSet, Deadline));
+  const Result<ObjectList> List =
+      this->noted(co_await this->current().list(ObjectKind::HostSet, Deadline));
   if (!List)
     co_return List.error();
   co_return List.value().Version;
@@ -69,9 +68,9 @@
       co_await this->current().replaceIf(std::move(Object), Deadline));
 }
 
-asio::awaitable<Error> PlatformAccess::watchAll(
-    std::uint64_t Version,
-    std::function<void(const PlatformChange &)> OnChange) {
+asio::awaitable<Error>
+PlatformAccess::watchAll(std::uint64_t Version,
+                         std::function<void(const PlatformChange &)> OnChange) {
   this->Watching =
       this->WatchClients[this->Turn % this->WatchClients.size()].get();
   const Result<void> End = co_await this->Watching->watch(
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -467,8 +467,7 @@
   Answer.Reached = readPosition(Results.value()[1][0]);
   if (!Answer.Reached ||
       this->State.decide(*Answer.Reached, Acknowledge::Primary, SentAt,
-                         now()) !=
-          AckDecision::Acknowledge)
+                         now()) != AckDecision::Acknowledge)
     co_return ExecutionResult::failed(ErrorKind::OutcomeUnknown,
                                       "the primary may not answer reads now",
                                       AttemptOutcome::PermissionLost);
