--- a/src/libs/consistency/lineage.cpp
+++ b/src/libs/consistency/lineage.cpp
@@ -1,1 +1,35 @@
 #include "lineage.h"
+
+#include <algorithm>
+
+namespace lavenderdale {
+
+Result<void> Lineage::append(Term InTerm, LogPosition Start) {
+  if (InTerm <= this->newest())
+    return failure(ErrorKind::BadRequest,
+                   "term " + std::to_string(InTerm.Value) +
+                       " does not follow term " +
+                       std::to_string(this->newest().Value));
+  if (this->Entries.size() == MaxEntries)
+    this->Entries.erase(this->Entries.begin());
+  this->Entries.push_back({InTerm, Start});
+  return success();
+}
+
+Term Lineage::newest() const {
+  return this->Entries.empty() ? Term{} : this->Entries.back().InTerm;
+}
+
+WriteFate Lineage::fate(const Position &Written) const {
+  const auto Own =
+      std::find_if(this->Entries.begin(), this->Entries.end(),
+                   [&](const Entry &E) { return E.InTerm == Written.InTerm; });
+  if (Own == this->Entries.end())
+    return WriteFate::Unknown;
+  const bool Survived =
+      std::all_of(Own + 1, this->Entries.end(),
+                  [&](const Entry &E) { return Written.Log <= E.Start; });
+  return Survived ? WriteFate::Survived : WriteFate::Lost;
+}
+
+} // namespace lavenderdale
--- a/src/libs/consistency/logposition.h
+++ b/src/libs/consistency/logposition.h
@@ -13,7 +13,10 @@
 struct LogPosition {
   std::uint64_t Value = 0;
 
-  auto operator<=>(const LogPosition &) const = default;
+  bool operator==(const LogPosition &) const = default;
+  friend auto operator<=>(const LogPosition &A, const LogPosition &B) {
+    return A.Value <=> B.Value;
+  }
 
   /// Parses PostgreSQL's notation: two hexadecimal numbers of 1 to 8 digits,
   /// separated by a slash.
--- a/src/libs/consistency/position.h
+++ b/src/libs/consistency/position.h
@@ -13,7 +13,12 @@
   Term InTerm;
   LogPosition Log;
 
-  auto operator<=>(const Position &) const = default;
+  bool operator==(const Position &) const = default;
+  friend std::strong_ordering operator<=>(const Position &A,
+                                          const Position &B) {
+    const std::strong_ordering ByTerm = A.InTerm <=> B.InTerm;
+    return ByTerm != std::strong_ordering::equal ? ByTerm : A.Log <=> B.Log;
+  }
 };
 
 } // namespace lavenderdale
--- a/src/libs/consistency/readrouter.cpp
+++ b/src/libs/consistency/readrouter.cpp
@@ -1,1 +1,121 @@
 #include "readrouter.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lavenderdale {
+namespace {
+
+constexpr std::array<std::string_view, 4> ReasonNames = {"behind", "no-replica",
+                                                         "age", "strong"};
+
+using Views = std::vector<const UpstreamView *>;
+
+/// The serving replicas, by what they can do for the read.
+struct SortedReplicas {
+  Views Ready;
+  Views CatchingUp;
+  Views TooOld;
+};
+
+/// Serving replicas, the own failure domain first, then by expected wait.
+Views orderedReplicas(const ReadGroupView &Group, const std::string &OwnDomain,
+                      std::mt19937_64 *Ties) {
+  Views Replicas;
+  for (const UpstreamView &U : Group.Upstreams)
+    if (U.Role == UpstreamRole::Replica && U.State == UpstreamState::Serving)
+      Replicas.push_back(&U);
+  std::sort(Replicas.begin(), Replicas.end(),
+            [](const auto *A, const auto *B) { return A->Name < B->Name; });
+  if (Ties != nullptr)
+    std::shuffle(Replicas.begin(), Replicas.end(), *Ties);
+  std::stable_sort(Replicas.begin(), Replicas.end(),
+                   [&](const auto *A, const auto *B) {
+                     const bool OwnA = A->FailureDomain == OwnDomain;
+                     const bool OwnB = B->FailureDomain == OwnDomain;
+                     if (OwnA != OwnB)
+                       return OwnA;
+                     return A->ExpectedWait < B->ExpectedWait;
+                   });
+  return Replicas;
+}
+
+SortedReplicas sortReplicas(const Views &Replicas, const ReadDemand &Demand,
+                            const Lineage &History) {
+  SortedReplicas Sorted;
+  const ReadDemand AnyAge{Demand.Seen, std::nullopt};
+  for (const UpstreamView *U : Replicas) {
+    const ReplicaState State{U->Timeline, U->Replayed};
+    const bool AgeAccepted =
+        !Demand.AcceptedAge || (U->Age && *U->Age <= *Demand.AcceptedAge);
+    const ReadVerdict Verdict = judgeRead(AnyAge, State, U->Age, History);
+    if (Verdict == ReadVerdict::TermUnknown)
+      continue;
+    if (!AgeAccepted)
+      Sorted.TooOld.push_back(U);
+    else if (Verdict == ReadVerdict::MayServe)
+      Sorted.Ready.push_back(U);
+    else
+      Sorted.CatchingUp.push_back(U);
+  }
+  return Sorted;
+}
+
+void appendPrimary(ReadPlan &Plan, const ReadGroupView &Group) {
+  for (const UpstreamView &U : Group.Upstreams)
+    if (U.Role == UpstreamRole::Primary && U.State == UpstreamState::Serving)
+      Plan.Candidates.push_back({U.Name, UpstreamRole::Primary, std::nullopt});
+}
+
+void appendReplicas(ReadPlan &Plan, const SortedReplicas &Sorted, TimePoint Now,
+                    TimePoint Deadline) {
+  for (const UpstreamView *U : Sorted.Ready)
+    Plan.Candidates.push_back({U->Name, UpstreamRole::Replica, std::nullopt});
+  if (!Sorted.Ready.empty())
+    return;
+  if (Sorted.CatchingUp.empty()) {
+    Plan.Reason =
+        Sorted.TooOld.empty() ? PrimaryReason::NoReplica : PrimaryReason::Age;
+    return;
+  }
+  Plan.Reason = PrimaryReason::Behind;
+  const Duration Remaining = std::max(Deadline - Now, Duration::zero());
+  const Duration Wait =
+      std::min<Duration>(ReadRouter::MaxCatchUpWait, Remaining / 4);
+  Plan.Candidates.push_back(
+      {Sorted.CatchingUp.front()->Name, UpstreamRole::Replica, Now + Wait});
+}
+
+} // namespace
+
+std::string_view toString(PrimaryReason Reason) {
+  return ReasonNames[static_cast<std::size_t>(Reason)];
+}
+
+ReadPlan ReadRouter::plan(const ReadGroupView &Group,
+                          const ReadRequest &Request, TimePoint Now,
+                          std::mt19937_64 *Ties) {
+  ReadPlan Plan;
+  const std::optional<Position> &Seen = Request.Demand.Seen;
+  if (Seen && Seen->InTerm > Group.History.newest()) {
+    Plan.Result = ReadPlan::Outcome::RefreshView;
+    return Plan;
+  }
+  if (Seen && Group.History.fate(*Seen) != WriteFate::Survived) {
+    Plan.Result = ReadPlan::Outcome::SessionLost;
+    return Plan;
+  }
+  const std::optional<Duration> &Accepted = Request.Demand.AcceptedAge;
+  if (Accepted && *Accepted <= Duration::zero()) {
+    Plan.Reason = PrimaryReason::Strong;
+  } else {
+    const Views Replicas =
+        orderedReplicas(Group, Request.OwnFailureDomain, Ties);
+    appendReplicas(Plan, sortReplicas(Replicas, Request.Demand, Group.History),
+                   Now, Request.Deadline);
+  }
+  appendPrimary(Plan, Group);
+  return Plan;
+}
+
+} // namespace lavenderdale
--- a/src/libs/consistency/term.h
+++ b/src/libs/consistency/term.h
@@ -11,7 +11,10 @@
   std::uint64_t Value = 0;
 
   Term next() const { return Term{this->Value + 1}; }
-  auto operator<=>(const Term &) const = default;
+  bool operator==(const Term &) const = default;
+  friend auto operator<=>(const Term &A, const Term &B) {
+    return A.Value <=> B.Value;
+  }
 };
 
 } // namespace lavenderdale
--- a/src/libs/failover/failoverlimits.h
+++ b/src/libs/failover/failoverlimits.h
@@ -29,6 +29,10 @@
 /// the gap is its own and proves nothing.
 constexpr milliseconds MaxPollGap{300};
 
+/// Pause before a promoter polls again a member whose fence is not in effect
+/// yet: the reload of a configuration takes a few milliseconds.
+constexpr milliseconds FencePollInterval{10};
+
 /// Evidence of another watcher counts for this long after it was requested.
 constexpr milliseconds EvidenceLifetime{500};
 
@@ -39,8 +43,10 @@
 /// A call to the platform or to a member without an answer counts as lost.
 constexpr milliseconds CallTimeout{500};
 
-/// Pause between two attempts of one watcher.
+/// Pause between two attempts of one watcher. It doubles with each failed
+/// attempt, MaxRetryDoublings times at most, to spare the platform.
 constexpr milliseconds RetryPause{200};
+constexpr unsigned MaxRetryDoublings = 4;
 
 /// Watchers other than the promoter wait this long before they complete a
 /// change of term, so that usually only one does.
--- a/src/libs/failover/failuredetector.cpp
+++ b/src/libs/failover/failuredetector.cpp
@@ -1,1 +1,75 @@
 #include "failuredetector.h"
+
+#include "failoverlimits.h"
+
+#include <algorithm>
+
+namespace lavenderdale {
+
+using namespace failoverlimits;
+
+void FailureDetector::primaryChanged(Term Current, TimePoint Now, bool First) {
+  if (Current <= this->Current)
+    return;
+  *this = FailureDetector();
+  this->Current = Current;
+  if (!First)
+    this->GraceUntil = Now + GraceAfterChange;
+}
+
+void FailureDetector::pollSent(TimePoint Now) {
+  const bool Paused = this->LastSent && Now - *this->LastSent > MaxPollGap;
+  if (Paused) {
+    this->SilentSince.reset();
+    this->RefusedSince.reset();
+    this->LastRefused.reset();
+    this->CountFrom = Now;
+  }
+  this->LastSent = Now;
+  if (!this->SilentSince)
+    this->SilentSince = Now;
+}
+
+void FailureDetector::pollAnswered(TimePoint SentAt, TimePoint /*Now*/) {
+  if (this->LastAnswered && SentAt <= *this->LastAnswered)
+    return;
+  this->LastAnswered = SentAt;
+  this->RefusedSince.reset();
+  this->LastRefused.reset();
+  // An answer to a poll from before an own pause does not reach back over it.
+  this->SilentSince =
+      this->CountFrom ? std::max(SentAt, *this->CountFrom) : SentAt;
+}
+
+void FailureDetector::pollRefused(TimePoint SentAt, TimePoint Now) {
+  const bool Old = (this->LastAnswered && SentAt <= *this->LastAnswered) ||
+                   (this->CountFrom && SentAt < *this->CountFrom);
+  if (Old)
+    return;
+  if (!this->RefusedSince)
+    this->RefusedSince = Now;
+  this->LastRefused = Now;
+}
+
+void FailureDetector::pollTimedOut(TimePoint SentAt, TimePoint /*Now*/) {
+  const bool Old = (this->LastAnswered && SentAt <= *this->LastAnswered) ||
+                   (this->CountFrom && SentAt < *this->CountFrom);
+  // A connection attempt that is no longer refused ends the refusals.
+  if (!Old && this->LastRefused && SentAt > *this->LastRefused)
+    this->RefusedSince.reset();
+}
+
+bool FailureDetector::suspects(TimePoint Now) const {
+  if (!this->LastSent || Now - *this->LastSent > MaxPollGap)
+    return false;
+  const bool Refuses = this->RefusedSince && this->LastRefused &&
+                       Now - *this->LastRefused <= MaxPollGap &&
+                       Now - *this->RefusedSince >= RefusalLimit;
+  if (Refuses)
+    return true;
+  const bool InGrace = this->GraceUntil && Now < *this->GraceUntil;
+  return !InGrace && this->SilentSince &&
+         Now - *this->SilentSince >= SilenceLimit;
+}
+
+} // namespace lavenderdale
--- a/src/libs/failover/failuredetector.h
+++ b/src/libs/failover/failuredetector.h
@@ -41,7 +41,8 @@
   std::optional<TimePoint> GraceUntil;
   std::optional<TimePoint> LastSent;
   std::optional<TimePoint> LastAnswered; ///< Send time of the newest answer.
-  std::optional<TimePoint> SilentSince;  ///< First unanswered poll's send time.
+  std::optional<TimePoint> CountFrom;    ///< End of the last own pause.
+  std::optional<TimePoint> SilentSince;
   std::optional<TimePoint> RefusedSince;
   std::optional<TimePoint> LastRefused;
 };
--- a/src/libs/failover/promotion.cpp
+++ b/src/libs/failover/promotion.cpp
@@ -1,1 +1,237 @@
 #include "promotion.h"
+
+#include "relativetime.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderdale {
+
+using namespace failoverlimits;
+
+/// Hands an event to the parts that may be waiting for it.
+struct Promotion::Dispatcher {
+  Promotion &Owner;
+  PromotionContext &Context;
+
+  void operator()(const Tick & /*Event*/) const {}
+
+  void operator()(const EvidenceCombined &Event) const {
+    Owner.Evidence = Event;
+    Owner.EvidenceAt = Context.Now;
+    Context.Suspected = Owner.isSuspected(Context.Now);
+  }
+
+  void operator()(const StatusSeen &Event) const {
+    Owner.noteStatus(Event.Status, false, Context);
+  }
+
+  void operator()(const MemberSeen &Event) const {
+    Owner.Completion.memberSeen(Event.Poll);
+  }
+
+  void operator()(const StatusRead &Event) const {
+    if (Owner.Refresh && Owner.Refresh->Call == Event.Call)
+      Owner.Refresh.reset();
+    if (Event.Status)
+      Owner.noteStatus(*Event.Status, false, Context);
+    if (Owner.Attempt)
+      Owner.Attempt->statusRead(Event, Context);
+    Owner.Completion.statusRead(Event, Context);
+  }
+
+  void operator()(const UpdateAnswered &Event) const {
+    if (Owner.Attempt)
+      Owner.Attempt->updateAnswered(Event, Context);
+    Owner.releaseAnswered(Event, Context);
+  }
+
+  void operator()(const MemberAnswered &Event) const {
+    if (Owner.Attempt)
+      Owner.Attempt->memberAnswered(Event, Context);
+    Owner.Completion.memberAnswered(Event, Context);
+  }
+
+  void operator()(const MemberPolled &Event) const {
+    Owner.Completion.memberSeen(Event.Poll);
+    if (Owner.Attempt)
+      Owner.Attempt->memberPolled(Event, Context);
+  }
+};
+
+Promotion::Promotion(std::string Self, std::string Instance,
+                     PromotionTimes Times)
+    : Self(std::move(Self)), Instance(std::move(Instance)), Times(Times) {}
+
+PromotionContext Promotion::context(TimePoint Now,
+                                    std::vector<PromotionAction> &Actions) {
+  return {Now, this->isSuspected(Now), this->Times, this->LastCall, Actions};
+}
+
+bool Promotion::isSuspected(TimePoint Now) const {
+  return this->Status && this->Evidence.Agreed &&
+         this->Evidence.Current == this->Status->Current &&
+         Now - this->EvidenceAt <= EvidenceLifetime;
+}
+
+std::vector<PromotionAction>
+Promotion::setMembers(std::vector<std::string> Members, TimePoint Now) {
+  std::vector<PromotionAction> Actions;
+  if (Members == this->Members)
+    return Actions;
+  PromotionContext Context = this->context(Now, Actions);
+  this->Members = std::move(Members);
+  this->Completion.cancel(Context);
+  if (this->Attempt) {
+    Context.emit(GiveUp{this->Attempt->id(), GiveUpReason::MembersChanged});
+    this->Attempt.reset();
+  }
+  return Actions;
+}
+
+std::vector<PromotionAction> Promotion::handle(const PromotionEvent &Event,
+                                               TimePoint Now) {
+  std::vector<PromotionAction> Actions;
+  PromotionContext Context = this->context(Now, Actions);
+  this->expire(Context);
+  this->settleAttempt(Context);
+  std::visit(Dispatcher{*this, Context}, Event);
+  if (this->Attempt)
+    this->Attempt->advance(Context);
+  this->settleAttempt(Context);
+  Context.Suspected = this->isSuspected(Now);
+  this->startIfNeeded(Context);
+  if (!this->Attempt && this->Status && !this->Status->Claim &&
+      Now >= this->CompleteFrom)
+    this->Completion.update(*this->Status, this->Members, Context);
+  return Actions;
+}
+
+void Promotion::expire(PromotionContext &Context) {
+  if (this->Attempt)
+    this->Attempt->expire(Context);
+  this->Completion.expire(Context);
+  if (this->Release && Context.Now >= this->Release->Deadline) {
+    this->Release.reset();
+    this->refresh(Context);
+  }
+  if (this->Refresh && Context.Now >= this->Refresh->Deadline)
+    this->Refresh.reset();
+}
+
+void Promotion::noteStatus(const GroupStatus &Seen, bool Own,
+                           PromotionContext &Context) {
+  if (this->Status && Seen.Version <= this->Status->Version)
+    return;
+  const bool NewClaim = Seen.Claim && (!this->Status || !this->Status->Claim ||
+                                       *this->Status->Claim != *Seen.Claim);
+  if (NewClaim)
+    this->ClaimSeenAt = Context.Now;
+  if (this->Status && this->Status->Current != Seen.Current)
+    this->Failures = 0;
+  this->CompleteFrom =
+      Own ? Context.Now : Context.Now + this->Times.CompletionDelay;
+  this->Status = Seen;
+  Context.Suspected = this->isSuspected(Context.Now);
+  if (this->Attempt)
+    this->Attempt->observe(Seen, Context);
+}
+
+void Promotion::settleAttempt(PromotionContext &Context) {
+  if (!this->Attempt || !this->Attempt->isOver())
+    return;
+  const PromotionAttempt Ended = std::move(*this->Attempt);
+  this->Attempt.reset();
+  if (Ended.changed()) {
+    const GroupStatus &Status = *Ended.changed();
+    this->noteStatus(Status, true, Context);
+    this->CompleteFrom = Context.Now;
+    Context.emit(Finished{Ended.id(), Status.Current, Status.Primary});
+    return;
+  }
+  const unsigned Doublings = std::min(this->Failures++, MaxRetryDoublings);
+  this->AttemptFrom = Context.Now + this->Times.RetryPause * (1U << Doublings);
+  Context.emit(GiveUp{Ended.id(), *Ended.failure()});
+  if (const std::optional<GroupStatus> Unclaimed = Ended.released())
+    this->release(*Unclaimed, Context);
+  else
+    this->refresh(Context);
+}
+
+void Promotion::startIfNeeded(PromotionContext &Context) {
+  if (this->Attempt || this->Release || !this->Status ||
+      Context.Now < this->AttemptFrom)
+    return;
+  const bool Stuck = this->Status->Claim && Context.Now - this->ClaimSeenAt >=
+                                                this->Times.ClaimLifetime;
+  if (this->Status->Claim && !Stuck)
+    return;
+  const bool CanFence = this->Completion.reachableReplicas(
+                            this->Members, this->Status->Primary,
+                            Context.Now) >= fenceQuorum(this->Members.size()) &&
+                        !this->Members.empty();
+  if (Context.Suspected && CanFence) {
+    this->Completion.cancel(Context);
+    this->Attempt.emplace(this->Self + "/" + this->Instance + "/" +
+                              std::to_string(++this->LastAttempt),
+                          this->Self, *this->Status, this->Members, Context);
+    return;
+  }
+  if (!Stuck)
+    return;
+  // Nobody will finish it, and its fence would keep the primary without
+  // permission.
+  GroupStatus Unclaimed = *this->Status;
+  Unclaimed.Claim.reset();
+  this->release(std::move(Unclaimed), Context);
+}
+
+void Promotion::release(GroupStatus Unclaimed, PromotionContext &Context) {
+  this->Released = std::move(Unclaimed);
+  this->Release = PendingCall{Context.nextCall(), Context.callDeadline()};
+  Context.emit(ReleaseClaim{this->Release->Call, this->Released});
+}
+
+void Promotion::releaseAnswered(const UpdateAnswered &Answer,
+                                PromotionContext &Context) {
+  if (!this->Release || this->Release->Call != Answer.Call)
+    return;
+  this->Release.reset();
+  if (Answer.Outcome != UpdateOutcome::Done) {
+    this->refresh(Context);
+    return;
+  }
+  this->Released.Version = Answer.NewVersion;
+  this->noteStatus(this->Released, true, Context);
+}
+
+void Promotion::refresh(PromotionContext &Context) {
+  this->Refresh = PendingCall{Context.nextCall(), Context.callDeadline()};
+  Context.emit(ReadStatus{this->Refresh->Call});
+}
+
+std::string Promotion::describe(TimePoint Now) const {
+  std::string Text = this->Self;
+  if (this->Status)
+    Text += " v" + std::to_string(this->Status->Version) + " term " +
+            std::to_string(this->Status->Current.Value) + " " +
+            this->Status->Primary;
+  if (this->Status && this->Status->Claim)
+    Text +=
+        " claim " + this->Status->Claim->AttemptId + " " +
+        millisecondsUntil(this->ClaimSeenAt + this->Times.ClaimLifetime, Now);
+  Text += " from " + millisecondsUntil(this->CompleteFrom, Now) + " " +
+          millisecondsUntil(this->AttemptFrom, Now);
+  Text += " failures " +
+          std::to_string(std::min(this->Failures, MaxRetryDoublings));
+  if (this->Evidence.Agreed)
+    Text += " evidence " + std::to_string(this->Evidence.Current.Value) + " " +
+            millisecondsUntil(this->EvidenceAt + EvidenceLifetime, Now);
+  Text += describeCall("release", this->Release, Now) +
+          describeCall("refresh", this->Refresh, Now);
+  if (this->Attempt)
+    Text += " attempt " + this->Attempt->describe(Now);
+  return Text + this->Completion.describe(Now);
+}
+
+} // namespace lavenderdale
--- a/src/libs/failover/promotion.h
+++ b/src/libs/failover/promotion.h
@@ -1,26 +1,15 @@
 #pragma once
 
-#include "failoverlimits.h"
-#include "groupview.h"
-#include "promotionmessages.h"
+#include "promotionattempt.h"
+#include "promotioncontext.h"
+#include "termcompletion.h"
 
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace lavenderdale {
 
-/// Time limits that tests replace to show that a check can fail.
-struct PromotionTimes {
-  Duration FenceWait = failoverlimits::PermissionDuration;
-  Duration ClaimLifetime = failoverlimits::ClaimLifetime;
-  Duration CallTimeout = failoverlimits::CallTimeout;
-  Duration RetryPause = failoverlimits::RetryPause;
-  Duration CompletionDelay = failoverlimits::CompletionDelay;
-};
-
 /// One watcher's part in replacing the primary of one group. It claims the
 /// group's status, fences, waits, changes the term (section 4.3 of the design
 /// page), and completes changes of term, its own and those of others.
@@ -40,14 +29,49 @@
                                       TimePoint Now);
 
   /// Whether an attempt of this watcher is in progress.
-  bool isPromoting() const;
+  bool isPromoting() const { return this->Attempt.has_value(); }
 
-  /// One line for logs and tests: step, claim, fenced members, awaited calls.
-  /// Times are relative to \p Now.
+  /// The newest status that this watcher knows.
+  const std::optional<GroupStatus> &status() const { return this->Status; }
+
+  /// One line for logs and tests: step, claim, fenced members, awaited calls
+  /// as "#id". Times are relative to \p Now.
   std::string describe(TimePoint Now) const;
 
 private:
+  struct Dispatcher;
+
+  PromotionContext context(TimePoint Now,
+                           std::vector<PromotionAction> &Actions);
+  void expire(PromotionContext &Context);
+  void noteStatus(const GroupStatus &Seen, bool Own, PromotionContext &Context);
+  void settleAttempt(PromotionContext &Context);
+  void startIfNeeded(PromotionContext &Context);
+  void release(GroupStatus Unclaimed, PromotionContext &Context);
+  void refresh(PromotionContext &Context);
+  void releaseAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
+  bool isSuspected(TimePoint Now) const;
+
+  std::string Self;
+  std::string Instance;
   PromotionTimes Times;
+  std::vector<std::string> Members;
+  CallId LastCall = 0;
+  unsigned LastAttempt = 0;
+  unsigned Failures = 0; ///< Attempts since the last change of term.
+
+  std::optional<GroupStatus> Status;
+  TimePoint ClaimSeenAt;
+  TimePoint CompleteFrom; ///< When this watcher may complete the status.
+  TimePoint AttemptFrom;  ///< End of the pause after an attempt.
+  EvidenceCombined Evidence;
+  TimePoint EvidenceAt;
+
+  std::optional<PromotionAttempt> Attempt;
+  TermCompletion Completion;
+  std::optional<PendingCall> Release;
+  GroupStatus Released; ///< What Release stores.
+  std::optional<PendingCall> Refresh;
 };
 
 } // namespace lavenderdale
--- /dev/null
+++ b/src/libs/failover/promotionattempt.cpp
@@ -0,0 +1,327 @@
+#include "promotionattempt.h"
+
+#include "relativetime.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderdale {
+
+using namespace failoverlimits;
+
+PromotionAttempt::PromotionAttempt(std::string Id, const std::string &Owner,
+                                   GroupStatus Base,
+                                   const std::vector<std::string> &Members,
+                                   PromotionContext &Context)
+    : Id(std::move(Id)), MemberCount(Members.size()),
+      ClaimDeadline(Context.Now + Context.Times.ClaimLifetime),
+      FenceDeadline(ClaimDeadline - Context.Times.FenceWait -
+                    Context.Times.CallTimeout),
+      Sent(std::move(Base)) {
+  this->Sent.Claim = PromotionClaim{this->Id, Owner};
+  for (const std::string &Name : Members)
+    if (Name != this->Sent.Primary)
+      this->Members.emplace(Name, Member());
+  this->sendUpdate(Context);
+}
+
+bool PromotionAttempt::isOver() const {
+  return this->Changed.has_value() || this->Failure.has_value();
+}
+
+void PromotionAttempt::fail(GiveUpReason Reason) {
+  if (!this->isOver())
+    this->Failure = Reason;
+}
+
+std::optional<GroupStatus> PromotionAttempt::released() const {
+  const bool Release = this->Failure == GiveUpReason::NoQuorum ||
+                       this->Failure == GiveUpReason::FenceChanged ||
+                       this->Failure == GiveUpReason::EvidenceWithdrawn;
+  if (!Release)
+    return std::nullopt;
+  GroupStatus Status = this->Claimed;
+  Status.Claim.reset();
+  return Status;
+}
+
+void PromotionAttempt::expire(PromotionContext &Context) {
+  if (this->isOver())
+    return;
+  if (Context.Now >= this->ClaimDeadline) {
+    this->fail(this->Current == Step::Claiming ? GiveUpReason::PlatformFailed
+                                               : GiveUpReason::ClaimExpired);
+    return;
+  }
+  if (this->Update && Context.Now >= this->Update->Deadline) {
+    this->Update.reset();
+    this->sendReadBack(Context);
+  }
+  if (this->ReadBack && Context.Now >= this->ReadBack->Deadline)
+    this->ReadBack.reset();
+  for (auto &[Name, M] : this->Members)
+    if (M.Pending && Context.Now >= M.Pending->Deadline)
+      M.Pending.reset();
+}
+
+void PromotionAttempt::advance(PromotionContext &Context) {
+  if (this->isOver())
+    return;
+  switch (this->Current) {
+  case Step::Claiming:
+  case Step::Changing:
+    if (!this->Update && !this->ReadBack)
+      this->sendReadBack(Context);
+    return;
+  case Step::Fencing:
+    if (Context.Now >= this->FenceDeadline) {
+      this->fail(GiveUpReason::NoQuorum);
+      return;
+    }
+    break;
+  case Step::Waiting:
+    if (Context.Now < this->WaitUntil)
+      return;
+    this->Current = Step::Checking;
+    break;
+  case Step::Checking:
+    break;
+  }
+  for (auto &[Name, M] : this->Members)
+    if (!M.Pending)
+      this->sendCommand(Name, M, Context);
+}
+
+void PromotionAttempt::sendUpdate(PromotionContext &Context) {
+  const CallId Call = Context.nextCall();
+  this->Update = PendingCall{Call, Context.callDeadline()};
+  if (this->Current == Step::Claiming)
+    Context.emit(ClaimStatus{Call, this->Sent});
+  else
+    Context.emit(ChangeTerm{Call, this->Sent});
+}
+
+void PromotionAttempt::sendReadBack(PromotionContext &Context) {
+  const CallId Call = Context.nextCall();
+  this->ReadBack = PendingCall{Call, Context.callDeadline()};
+  Context.emit(ReadStatus{Call});
+}
+
+void PromotionAttempt::updateAnswered(const UpdateAnswered &Answer,
+                                      PromotionContext &Context) {
+  if (this->isOver() || !this->Update || this->Update->Call != Answer.Call)
+    return;
+  this->Update.reset();
+  if (Answer.Outcome != UpdateOutcome::Done) {
+    // A conflict may be with an earlier copy of this update whose answer was
+    // lost, so both outcomes are resolved by reading.
+    this->sendReadBack(Context);
+    return;
+  }
+  GroupStatus Stored = this->Sent;
+  Stored.Version = Answer.NewVersion;
+  this->observe(Stored, Context);
+}
+
+void PromotionAttempt::statusRead(const StatusRead &Answer,
+                                  PromotionContext &Context) {
+  if (this->isOver() || !this->ReadBack || this->ReadBack->Call != Answer.Call)
+    return;
+  this->ReadBack.reset();
+  if (!Answer.Status)
+    return;
+  const GroupStatus &Read = *Answer.Status;
+  this->observe(Read, Context);
+  const bool InUpdate =
+      this->Current == Step::Claiming || this->Current == Step::Changing;
+  if (this->isOver() || !InUpdate || this->Update)
+    return;
+  // Not stored so far. A copy that is stored later makes the other conflict.
+  if (Read.Version == this->Sent.Version)
+    this->sendUpdate(Context);
+}
+
+void PromotionAttempt::observe(const GroupStatus &Seen,
+                               PromotionContext &Context) {
+  if (this->isOver() || Seen.Version <= this->Sent.Version)
+    return;
+  if (this->Current == Step::Claiming) {
+    if (Seen.Claim && Seen.Claim->AttemptId == this->Id)
+      this->claimed(Seen, Context);
+    else
+      this->fail(GiveUpReason::ClaimConflict);
+    return;
+  }
+  if (Seen.Version <= this->Claimed.Version)
+    return;
+  if (this->Current == Step::Changing && Seen.Current == this->Sent.Current &&
+      Seen.Primary == this->Sent.Primary)
+    this->succeed(Seen);
+  else
+    this->fail(GiveUpReason::ChangeConflict);
+}
+
+void PromotionAttempt::claimed(const GroupStatus &Status,
+                               PromotionContext &Context) {
+  this->Claimed = Status;
+  this->Update.reset();
+  this->ReadBack.reset();
+  this->Current = Step::Fencing;
+  if (!Context.Suspected)
+    this->fail(GiveUpReason::EvidenceWithdrawn);
+}
+
+void PromotionAttempt::sendCommand(const std::string &Name, Member &M,
+                                   PromotionContext &Context) {
+  if (M.Reached == Stage::Checked ||
+      (M.Reached == Stage::Fenced && this->Current != Step::Checking))
+    return;
+  const CallId Call = Context.nextCall();
+  M.Pending = PendingCall{Call, Context.callDeadline()};
+  switch (M.Reached) {
+  case Stage::EndSessions:
+    Context.emit(EndControlSessions{Call, Name});
+    return;
+  case Stage::Fence:
+    Context.emit(FenceMember{Call, Name});
+    return;
+  case Stage::Verify:
+  case Stage::Fenced:
+  case Stage::Checked:
+    Context.emit(PollMember{Call, Name});
+    return;
+  }
+}
+
+PromotionAttempt::Member *PromotionAttempt::findMember(CallId Call) {
+  for (auto &[Name, M] : this->Members)
+    if (M.Pending && M.Pending->Call == Call)
+      return &M;
+  return nullptr;
+}
+
+void PromotionAttempt::memberAnswered(const MemberAnswered &Answer,
+                                      PromotionContext &Context) {
+  Member *M = this->isOver() ? nullptr : this->findMember(Answer.Call);
+  if (M == nullptr)
+    return;
+  M->Pending.reset();
+  if (!Answer.Done) {
+    // The next event tries again, so that a member that refuses is not asked
+    // in a loop.
+    M->Pending = PendingCall{
+        0, std::min(Context.callDeadline(), Context.Now + PollInterval)};
+    return;
+  }
+  if (M->Reached == Stage::EndSessions)
+    M->Reached = Stage::Fence;
+  else if (M->Reached == Stage::Fence)
+    M->Reached = Stage::Verify;
+}
+
+void PromotionAttempt::memberPolled(const MemberPolled &Answer,
+                                    PromotionContext &Context) {
+  Member *M = this->isOver() ? nullptr : this->findMember(Answer.Call);
+  if (M == nullptr)
+    return;
+  M->Pending.reset();
+  if (M->Reached == Stage::Verify)
+    this->verifyFence(*M, Answer.Poll);
+  else if (M->Reached == Stage::Fenced)
+    this->checkFence(*M, Answer.Poll);
+  if (this->isOver())
+    return;
+  if (M->Reached == Stage::Verify)
+    M->Pending = PendingCall{0, Context.Now + FencePollInterval};
+  if (this->Current == Step::Fencing &&
+      this->countReached(Stage::Fenced) >= fenceQuorum(this->MemberCount))
+    this->startWait(Context);
+  if (this->Current == Step::Checking &&
+      this->countReached(Stage::Checked) == this->Members.size())
+    this->changeTerm(Context);
+}
+
+void PromotionAttempt::verifyFence(Member &M, const ReplicaPoll &Poll) {
+  // A configuration reload takes effect later than its command, so a member
+  // that is not fenced yet is polled again.
+  if (!Poll.isFenced() || Poll.Timeline.Value == 0)
+    return;
+  M.Poll = Poll;
+  M.Reached = Stage::Fenced;
+}
+
+void PromotionAttempt::checkFence(Member &M, const ReplicaPoll &Poll) {
+  const bool Same = Poll.isFenced() && Poll.Timeline == M.Poll.Timeline &&
+                    Poll.logEnd() == M.Poll.logEnd();
+  if (Same)
+    M.Reached = Stage::Checked;
+  else
+    this->fail(GiveUpReason::FenceChanged);
+}
+
+void PromotionAttempt::startWait(PromotionContext &Context) {
+  this->Current = Step::Waiting;
+  this->WaitUntil = Context.Now + Context.Times.FenceWait;
+  // Only members that were fenced before the wait count.
+  std::erase_if(this->Members, [](const auto &Entry) {
+    return Entry.second.Reached != Stage::Fenced;
+  });
+}
+
+std::size_t PromotionAttempt::countReached(Stage Reached) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Members.begin(), this->Members.end(),
+      [&](const auto &Entry) { return Entry.second.Reached == Reached; }));
+}
+
+void PromotionAttempt::changeTerm(PromotionContext &Context) {
+  const auto LogEnd = [](const Member &M) {
+    return Position{M.Poll.Timeline, M.Poll.logEnd()};
+  };
+  // Members are ordered by name and max_element returns the first of equals.
+  const auto Chosen =
+      std::max_element(this->Members.begin(), this->Members.end(),
+                       [&](const auto &A, const auto &B) {
+                         return LogEnd(A.second) < LogEnd(B.second);
+                       });
+  this->Sent = this->Claimed;
+  this->Sent.Claim.reset();
+  this->Sent.Current = this->Claimed.Current.next();
+  this->Sent.Primary = Chosen->first;
+  const Result<void> Appended = this->Sent.History.append(
+      this->Sent.Current, Chosen->second.Poll.logEnd());
+  if (!Appended) {
+    this->fail(GiveUpReason::BadLineage);
+    return;
+  }
+  this->Current = Step::Changing;
+  this->sendUpdate(Context);
+}
+
+void PromotionAttempt::succeed(const GroupStatus &Status) {
+  this->Changed = Status;
+}
+
+std::string PromotionAttempt::describe(TimePoint Now) const {
+  std::string Text =
+      this->Id + " step " + std::to_string(static_cast<int>(this->Current)) +
+      " claim v" + std::to_string(this->Claimed.Version) + " sent v" +
+      std::to_string(this->Sent.Version) + " " + this->Sent.Primary;
+  Text += " deadlines " + millisecondsUntil(this->ClaimDeadline, Now) + " " +
+          millisecondsUntil(this->FenceDeadline, Now);
+  if (this->Current == Step::Waiting)
+    Text += " wait " + millisecondsUntil(this->WaitUntil, Now);
+  Text += describeCall("update", this->Update, Now) +
+          describeCall("read", this->ReadBack, Now);
+  for (const auto &[Name, M] : this->Members) {
+    Text += " [" + Name + " " + std::to_string(static_cast<int>(M.Reached)) +
+            describeCall("call", M.Pending, Now);
+    if (M.Reached >= Stage::Fenced)
+      Text += " " + std::to_string(M.Poll.Timeline.Value) + ":" +
+              M.Poll.logEnd().toString();
+    Text += "]";
+  }
+  return Text;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/failover/promotionattempt.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "promotioncontext.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavenderdale {
+
+/// One attempt to replace a primary: steps 2 to 6 of section 4.3 of the design
+/// page. It ends with the change of term, or with a reason why not.
+class PromotionAttempt {
+public:
+  /// Sends the claim.
+  /// \param Base the status to claim; the version that the claim replaces.
+  /// \param Members all members of the group, the primary included.
+  PromotionAttempt(std::string Id, const std::string &Owner, GroupStatus Base,
+                   const std::vector<std::string> &Members,
+                   PromotionContext &Context);
+
+  /// Abandons the attempt if the claim's deadline has passed, and counts calls
+  /// without an answer as failed. Called before every event.
+  void expire(PromotionContext &Context);
+
+  /// Goes on after a pause or a failed call. Called after every event.
+  void advance(PromotionContext &Context);
+
+  /// Takes a status that was read or seen.
+  void observe(const GroupStatus &Seen, PromotionContext &Context);
+
+  /// Answers. Those that are not awaited are ignored.
+  void statusRead(const StatusRead &Answer, PromotionContext &Context);
+  void updateAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
+  void memberAnswered(const MemberAnswered &Answer, PromotionContext &Context);
+  void memberPolled(const MemberPolled &Answer, PromotionContext &Context);
+
+  const std::string &id() const { return this->Id; }
+  bool isOver() const;
+
+  /// The status after the change of term, if the attempt succeeded.
+  const std::optional<GroupStatus> &changed() const { return this->Changed; }
+
+  /// Why the attempt failed, if it did.
+  std::optional<GiveUpReason> failure() const { return this->Failure; }
+
+  /// The status without the claim, to be stored after a failure, if the claim
+  /// may still be there and is not left to expire.
+  std::optional<GroupStatus> released() const;
+
+  /// \see Promotion::describe()
+  std::string describe(TimePoint Now) const;
+
+private:
+  enum class Step { Claiming, Fencing, Waiting, Checking, Changing };
+  enum class Stage { EndSessions, Fence, Verify, Fenced, Checked };
+
+  struct Member {
+    Stage Reached = Stage::EndSessions;
+    std::optional<PendingCall> Pending;
+    ReplicaPoll Poll; ///< Once fenced.
+  };
+
+  void fail(GiveUpReason Reason);
+  void sendUpdate(PromotionContext &Context);
+  void sendReadBack(PromotionContext &Context);
+  void claimed(const GroupStatus &Status, PromotionContext &Context);
+  void sendCommand(const std::string &Name, Member &M,
+                   PromotionContext &Context);
+  void verifyFence(Member &M, const ReplicaPoll &Poll);
+  void checkFence(Member &M, const ReplicaPoll &Poll);
+  void startWait(PromotionContext &Context);
+  void changeTerm(PromotionContext &Context);
+  void succeed(const GroupStatus &Status);
+  std::size_t countReached(Stage Reached) const;
+  Member *findMember(CallId Call);
+
+  std::string Id;
+  Step Current = Step::Claiming;
+  std::size_t MemberCount;
+  TimePoint ClaimDeadline;
+  TimePoint FenceDeadline;
+  TimePoint WaitUntil;
+  GroupStatus Sent;    ///< The claim or change being stored.
+  GroupStatus Claimed; ///< As stored, once claimed.
+  std::optional<PendingCall> Update;
+  std::optional<PendingCall> ReadBack;
+  std::map<std::string, Member> Members; ///< Without the primary.
+  std::optional<GroupStatus> Changed;
+  std::optional<GiveUpReason> Failure;
+};
+
+} // namespace lavenderdale
--- a/src/libs/failover/promotionmessages.h
+++ b/src/libs/failover/promotionmessages.h
@@ -38,8 +38,9 @@
   GroupStatus Status;
 };
 
-/// End all other control sessions on the member and see that they are gone.
-/// Answer: MemberAnswered.
+/// End all control sessions on the member, this host's included, except the
+/// one that runs this command, and see that they are gone. Answer:
+/// MemberAnswered.
 struct EndControlSessions {
   CallId Call;
   std::string Member;
@@ -104,6 +105,8 @@
   NoQuorum,          ///< Too few members could be fenced.
   FenceChanged,      ///< A member was not as it was before the wait.
   ChangeConflict,    ///< The claim was taken over.
+  BadLineage,        ///< The stored lineage has a term above the current one.
+  MembersChanged,    ///< The group's members changed.
   EvidenceWithdrawn, ///< The primary is no longer suspected.
 };
 
--- a/src/libs/failover/replicapoll.h
+++ b/src/libs/failover/replicapoll.h
@@ -12,8 +12,8 @@
 struct ReplicaPoll {
   std::string Upstream;
   TimePoint SentAt;
-  /// Timeline: of its log if it is a primary, else the one that it follows.
-  /// Zero if it is unknown, which gives no permission and no vote.
+  /// Timeline of its log. Also needed from a member whose receiver has stopped:
+  /// zero (unknown) gives no permission, and the member is no candidate.
   Term Timeline;
   LogPosition ReceivePosition;
   LogPosition ReplayPosition;
@@ -21,7 +21,7 @@
   bool PrimaryConninfoSet = false; ///< primary_conninfo is not empty.
   bool ReceiverRunning = false;    ///< pg_stat_wal_receiver has a row.
   /// Name of the upstream that primary_conninfo points at; empty if it is not
-  /// set or names none of the group.
+  /// set or names none of the group. Required for permission.
   std::string Follows;
 
   /// Whether the member can receive nothing more from a primary.
--- /dev/null
+++ b/src/libs/failover/termcompletion.cpp
@@ -0,0 +1,182 @@
+#include "termcompletion.h"
+
+#include "relativetime.h"
+
+#include <algorithm>
+
+namespace lavenderdale {
+
+using namespace failoverlimits;
+
+void TermCompletion::memberSeen(const ReplicaPoll &Poll) {
+  const auto [Entry, Inserted] = this->Seen.try_emplace(Poll.Upstream, Poll);
+  if (!Inserted && Entry->second.SentAt <= Poll.SentAt)
+    Entry->second = Poll;
+}
+
+const ReplicaPoll *TermCompletion::lately(const std::string &Member,
+                                          TimePoint Now) const {
+  const auto Found = this->Seen.find(Member);
+  if (Found == this->Seen.end() ||
+      Now - Found->second.SentAt > MemberPollLifetime)
+    return nullptr;
+  return &Found->second;
+}
+
+std::size_t
+TermCompletion::reachableReplicas(const std::vector<std::string> &Members,
+                                  const std::string &Primary,
+                                  TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [&](const auto &Name) {
+        const ReplicaPoll *Poll = this->lately(Name, Now);
+        return Name != Primary && Poll != nullptr && Poll->InRecovery;
+      }));
+}
+
+void TermCompletion::expire(PromotionContext &Context) {
+  for (auto Entry = this->Running.begin(); Entry != this->Running.end();) {
+    if (Context.Now >= Entry->second.Pending.Deadline)
+      Entry = this->drop(Entry, true, Context);
+    else
+      ++Entry;
+  }
+}
+
+void TermCompletion::cancel(PromotionContext &Context) {
+  while (!this->Running.empty())
+    this->drop(this->Running.begin(), true, Context);
+}
+
+TermCompletion::Jobs::iterator TermCompletion::drop(Jobs::iterator Entry,
+                                                    bool CloseSession,
+                                                    PromotionContext &Context) {
+  if (CloseSession)
+    Context.emit(CloseControlSession{Entry->second.Session});
+  this->NotBefore[Entry->first] = Context.Now + Context.Times.RetryPause;
+  return this->Running.erase(Entry);
+}
+
+void TermCompletion::update(const GroupStatus &Status,
+                            const std::vector<std::string> &Members,
+                            PromotionContext &Context) {
+  const ReplicaPoll *Primary = this->lately(Status.Primary, Context.Now);
+  if (Primary == nullptr || Primary->Timeline.Value == 0)
+    return;
+  if (Primary->InRecovery) {
+    // A fenced member of an older timeline is the chosen one. Others are not
+    // promoted: their timeline could not become the status's term.
+    if (Primary->isFenced() && Primary->Timeline < Status.Current)
+      this->start(Status.Primary, true, Status, Context);
+    return;
+  }
+  // Before the primary has the new timeline, its replicas would report the old
+  // one.
+  if (Primary->Timeline != Status.Current)
+    return;
+  for (const std::string &Name : Members) {
+    const ReplicaPoll *Poll = this->lately(Name, Context.Now);
+    if (Name == Status.Primary || Poll == nullptr || !Poll->InRecovery ||
+        Poll->Follows == Status.Primary)
+      continue;
+    // A member with writes that were lost cannot follow; it has to rejoin.
+    if (Status.History.fate({Poll->Timeline, Poll->logEnd()}) ==
+        WriteFate::Survived)
+      this->start(Name, false, Status, Context);
+  }
+}
+
+void TermCompletion::start(const std::string &Member, bool Promotes,
+                           const GroupStatus &Status,
+                           PromotionContext &Context) {
+  const auto Wait = this->NotBefore.find(Member);
+  if (this->Running.contains(Member) ||
+      (Wait != this->NotBefore.end() && Context.Now < Wait->second))
+    return;
+  Job J;
+  J.Promotes = Promotes;
+  J.InTerm = Status.Current;
+  J.Primary = Status.Primary;
+  J.Session = Context.nextCall();
+  J.Pending = {J.Session, Context.callDeadline()};
+  Context.emit(OpenControlSession{J.Session, Member});
+  this->Running.emplace(Member, J);
+}
+
+TermCompletion::Jobs::iterator TermCompletion::find(CallId Call) {
+  return std::find_if(
+      this->Running.begin(), this->Running.end(),
+      [&](const auto &Entry) { return Entry.second.Pending.Call == Call; });
+}
+
+void TermCompletion::memberAnswered(const MemberAnswered &Answer,
+                                    PromotionContext &Context) {
+  const auto Entry = this->find(Answer.Call);
+  if (Entry == this->Running.end())
+    return;
+  Job &J = Entry->second;
+  if (Answer.Done && J.Reached == Stage::Opening) {
+    J.Reached = Stage::Reading;
+    J.Pending = {Context.nextCall(), Context.callDeadline()};
+    Context.emit(ReadStatus{J.Pending.Call});
+    return;
+  }
+  if (Answer.Done && J.Promotes) {
+    // Known before the next poll, so that the others are pointed at once.
+    ReplicaPoll &Poll = this->Seen[Entry->first];
+    Poll.InRecovery = false;
+    Poll.Timeline = J.InTerm;
+    Poll.SentAt = Context.Now;
+  }
+  this->drop(Entry, false, Context);
+}
+
+void TermCompletion::statusRead(const StatusRead &Answer,
+                                PromotionContext &Context) {
+  const auto Entry = this->find(Answer.Call);
+  if (Entry == this->Running.end())
+    return;
+  const Job &J = Entry->second;
+  const bool Valid = Answer.Status && !Answer.Status->Claim &&
+                     Answer.Status->Current == J.InTerm &&
+                     Answer.Status->Primary == J.Primary;
+  if (Valid)
+    this->act(Entry->first, Entry->second, Context);
+  else
+    this->drop(Entry, true, Context);
+}
+
+void TermCompletion::act(const std::string &Member, Job &J,
+                         PromotionContext &Context) {
+  J.Reached = Stage::Acting;
+  J.Pending = {Context.nextCall(), Context.callDeadline()};
+  if (J.Promotes)
+    Context.emit(PromoteMember{J.Pending.Call, J.Session, Member, J.InTerm});
+  else
+    Context.emit(
+        PointMember{J.Pending.Call, J.Session, Member, J.Primary, J.InTerm});
+}
+
+std::string TermCompletion::describe(TimePoint Now) const {
+  std::string Text;
+  for (const auto &[Name, Poll] : this->Seen) {
+    if (this->lately(Name, Now) == nullptr)
+      continue;
+    Text += " (" + Name + " " + std::to_string(Poll.Timeline.Value) + ":" +
+            Poll.logEnd().toString() + (Poll.InRecovery ? "r" : "p") +
+            (Poll.isFenced() ? "f" : "") + Poll.Follows + " " +
+            millisecondsUntil(Poll.SentAt + MemberPollLifetime, Now) + ")";
+  }
+  for (const auto &[Name, When] : this->NotBefore)
+    if (When > Now)
+      Text += " after " + Name + millisecondsUntil(When, Now);
+  for (const auto &[Name, J] : this->Running)
+    Text += " {" + Name + (J.Promotes ? " promote " : " point ") + J.Primary +
+            std::to_string(J.InTerm.Value) + " " +
+            std::to_string(static_cast<int>(J.Reached)) +
+            describeCall("call", J.Pending, Now) + " #" +
+            std::to_string(J.Session) + "}";
+  return Text;
+}
+
+} // namespace lavenderdale
--- a/src/libs/failover/writepermission.h
+++ b/src/libs/failover/writepermission.h
@@ -26,8 +26,10 @@
   /// is ignored; a new term starts without permission.
   void setView(const GroupView &View);
 
-  /// Takes the answer of a replica. Answers to polls that were sent before
-  /// the newest one known are ignored.
+  /// Takes the answer of a replica. Permission comes from the newest poll of
+  /// each: it has to be in recovery, on the current timeline and following the
+  /// current primary by name. The name is needed because a replica that is
+  /// pointed at a new primary reports its old timeline until it streams.
   void replicaPolled(const ReplicaPoll &Poll);
 
   /// \returns the time until which a write of \p InTerm may be acknowledged,
@@ -41,22 +43,28 @@
   /// Decides about a write whose commit was answered.
   /// \param AnswerTerm timeline of the answer.
   /// \param Commit end of the commit in the log.
+  /// \param SentAt when the commit was sent. Permission must not have lapsed
+  /// since: during a lapse the primary may have been replaced, and may have
+  /// become the primary of a later term with the same replicas.
   AckDecision decide(Term AnswerTerm, LogPosition Commit, AcknowledgeMode Mode,
-                     TimePoint Now) const;
+                     TimePoint SentAt, TimePoint Now) const;
 
   const GroupView &view() const { return this->View; }
 
 private:
   struct Replica {
-    TimePoint SentAt; ///< Newest poll that was answered.
+    std::optional<TimePoint> SentAt; ///< Newest poll that was answered.
     bool GivesPermission = false;
     LogPosition Received; ///< Highest in the current term.
   };
 
   std::size_t replicasWith(LogPosition Commit) const;
+  void updateDeadline();
 
   GroupView View;
   std::map<std::string, Replica> Replicas;
+  std::optional<TimePoint> Until; ///< Permission for the current term.
+  TimePoint Since;                ///< Permission has not lapsed since.
 };
 
 } // namespace lavenderdale
--- /dev/null
+++ b/tests/auto/failover/tst_writepermission.cpp
@@ -0,0 +1,122 @@
+#include "failover/failoverlimits.h"
+#include "failover/writepermission.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lavenderdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start = TimePoint() + 1h;
+const GroupView Three{Term{2}, "db-a", {"db-a", "db-b", "db-c"}};
+
+ReplicaPoll replicaPoll(const char *Name, Duration SentAt, Term Timeline = {2},
+                        std::uint64_t Received = 0) {
+  ReplicaPoll Poll;
+  Poll.Upstream = Name;
+  Poll.SentAt = Start + SentAt;
+  Poll.Timeline = Timeline;
+  Poll.ReceivePosition = {Received};
+  Poll.InRecovery = true;
+  Poll.PrimaryConninfoSet = true;
+  Poll.Follows = "db-a";
+  return Poll;
+}
+
+ReplicaPoll fencedPoll(const char *Name, Duration SentAt) {
+  ReplicaPoll Poll = replicaPoll(Name, SentAt);
+  Poll.PrimaryConninfoSet = false;
+  Poll.Follows.clear();
+  return Poll;
+}
+
+WritePermission permissionOf(const GroupView &View,
+                             const std::vector<ReplicaPoll> &Polls) {
+  WritePermission Permission;
+  Permission.setView(View);
+  for (const ReplicaPoll &Poll : Polls)
+    Permission.replicaPolled(Poll);
+  return Permission;
+}
+
+} // namespace
+
+// Guards against permission from too few replicas or for too long.
+TEST_CASE("permission ends L after the poll that completes a majority",
+          "[fencing]") {
+  const auto One = permissionOf(Three, {replicaPoll("db-b", 10ms)});
+  CHECK(One.deadline(Term{2}) == Start + 410ms);
+  CHECK_FALSE(One.deadline(Term{1}).has_value());
+  CHECK(One.mayStart(Start + 409ms));
+  CHECK_FALSE(One.mayStart(Start + 410ms));
+
+  GroupView Five = Three;
+  Five.Members.insert(Five.Members.end(), {"db-d", "db-e"});
+  CHECK_FALSE(permissionOf(Five, {replicaPoll("db-b", 10ms)})
+                  .deadline(Term{2})
+                  .has_value());
+  CHECK(
+      permissionOf(Five, {replicaPoll("db-b", 10ms), replicaPoll("db-d", 50ms),
+                          replicaPoll("db-c", 30ms)})
+          .deadline(Term{2}) == Start + 430ms);
+}
+
+// Guards against permission from members that cannot give it.
+TEST_CASE("only replicas of the term and its primary give permission",
+          "[fencing]") {
+  ReplicaPoll NotInRecovery = replicaPoll("db-b", 0ms);
+  NotInRecovery.InRecovery = false;
+  ReplicaPoll FollowsOther = replicaPoll("db-b", 0ms);
+  FollowsOther.Follows = "db-c";
+  for (const ReplicaPoll &Poll :
+       {NotInRecovery, FollowsOther, fencedPoll("db-b", 0ms),
+        replicaPoll("db-b", 0ms, Term{1}), replicaPoll("db-b", 0ms, Term{0}),
+        replicaPoll("db-a", 0ms), replicaPoll("db-x", 0ms)})
+    CHECK_FALSE(permissionOf(Three, {Poll}).deadline(Term{2}).has_value());
+}
+
+// Guards against an old answer, or an old term, that extends permission.
+TEST_CASE("old polls and old terms never extend permission", "[fencing]") {
+  auto Permission = permissionOf(
+      Three, {fencedPoll("db-b", 20ms), replicaPoll("db-b", 10ms)});
+  CHECK_FALSE(Permission.mayStart(Start + 20ms));
+  Permission.replicaPolled(replicaPoll("db-b", 30ms, Term{2}, 7));
+  CHECK(Permission.mayStart(Start + 30ms));
+
+  GroupView Newer = Three;
+  Newer.Current = Term{3};
+  Permission.setView(Newer);
+  Permission.replicaPolled(replicaPoll("db-b", 40ms, Term{2}, 9));
+  Permission.setView(Three);
+  CHECK(Permission.view() == Newer);
+  CHECK_FALSE(Permission.mayStart(Start + 40ms));
+  Permission.replicaPolled(replicaPoll("db-c", 50ms, Term{3}, 5));
+  CHECK(Permission.decide(Term{3}, {7}, AcknowledgeMode::Replica, Start + 50ms,
+                          Start + 50ms) == AckDecision::WaitForReplica);
+}
+
+// Guards against acknowledging late, in another term, before a replica has the
+// write, or after permission lapsed in between.
+TEST_CASE("a write is acknowledged under unbroken permission", "[fencing]") {
+  auto Permission =
+      permissionOf(Three, {replicaPoll("db-b", 0ms, Term{2}, 100)});
+  const auto Decide = [&](Term Answer, std::uint64_t Commit,
+                          AcknowledgeMode Mode, Duration SentAt, Duration Now) {
+    return Permission.decide(Answer, {Commit}, Mode, Start + SentAt,
+                             Start + Now);
+  };
+  const auto Primary = AcknowledgeMode::Primary;
+  const auto Replica = AcknowledgeMode::Replica;
+  CHECK(Decide(Term{2}, 101, Primary, 1ms, 5ms) == AckDecision::Acknowledge);
+  CHECK(Decide(Term{1}, 99, Primary, 1ms, 5ms) == AckDecision::Withhold);
+  CHECK(Decide(Term{2}, 99, Primary, 1ms, 400ms) == AckDecision::Withhold);
+  CHECK(Decide(Term{2}, 100, Replica, 1ms, 5ms) == AckDecision::Acknowledge);
+  CHECK(Decide(Term{2}, 101, Replica, 1ms, 5ms) == AckDecision::WaitForReplica);
+
+  Permission.replicaPolled(replicaPoll("db-b", 399ms, Term{2}, 100));
+  CHECK(Decide(Term{2}, 99, Primary, 1ms, 410ms) == AckDecision::Acknowledge);
+  Permission.replicaPolled(replicaPoll("db-b", 800ms, Term{2}, 100));
+  CHECK(Decide(Term{2}, 99, Primary, 1ms, 810ms) == AckDecision::Withhold);
+  CHECK(Decide(Term{2}, 99, Primary, 801ms, 810ms) == AckDecision::Acknowledge);
+}
