--- a/src/libs/limits/ratedrawer.cpp
+++ b/src/libs/limits/ratedrawer.cpp
@@ -79,7 +79,8 @@
                          TimePoint Now) {
   this->giveUpPending(Now);
   if (!this->Pending || this->Pending->Owner != Owner ||
-      this->Pending->Sequence != Answer.Sequence)
+      this->Pending->Sequence != Answer.Sequence ||
+      this->Incarnation != Answer.Incarnation)
     return;
   const PendingDraw Draw = *this->Pending;
   this->Pending.reset();
@@ -137,7 +138,7 @@
 /// Reports what was spent. Without demand, unused tokens are given back.
 std::optional<DrawRequest> RateDrawer::report(TimePoint Now) {
   for (Source &From : this->Sources) {
-    if (From.ReportAt > Now)
+    if (From.ReportAt > Now || From.NotBefore > Now)
       continue;
     if (this->Demand.perWindow(Now) == 0)
       std::erase_if(this->Lots, [&From](const Lot &Each) {
@@ -170,7 +171,7 @@
     return;
   if (Source *From = this->find(this->Pending->Owner)) {
     From->NotBefore = Now + this->Times.OwnerAvoidance;
-    From->ReportAt = std::min(From->ReportAt, From->NotBefore);
+    From->ReportAt = From->NotBefore;
   }
   this->Pending.reset();
 }
--- a/src/libs/limits/ratemessages.h
+++ b/src/libs/limits/ratemessages.h
@@ -32,7 +32,9 @@
 /// became of the earlier ones.
 struct GrantRequest {
   std::string Workspace;
-  std::uint64_t Epoch = 0; ///< Host set epoch known to the entry host.
+  /// Host set epoch known to the entry host. The lease, not the epoch, decides
+  /// whether an owner may grant; a difference tells who has to catch up.
+  std::uint64_t Epoch = 0;
   std::string Host;
   /// Random number chosen at the start of the process, so that a restarted
   /// host is not mistaken for the earlier one.
@@ -48,13 +50,14 @@
 
 enum class GrantStatus {
   Granted,  ///< Tokens may be fewer than wanted, also none.
-  NotOwner, ///< The host does not own the workspace in this epoch.
+  NotOwner, ///< The host does not own the workspace.
   NotReady, ///< New owner that still waits, or its lease has expired.
   Stale,    ///< A request with a greater sequence was answered before.
 };
 
 struct GrantAnswer {
   std::string Workspace;
+  std::uint64_t Incarnation = 0; ///< Of the request.
   std::uint64_t Sequence = 0;
   GrantStatus Status = GrantStatus::NotOwner;
   std::uint32_t Tokens = 0;
@@ -70,11 +73,15 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0; ///< As in GrantRequest.
   Microtokens Wanted = 0;
+  /// Requests wait or soon will. Otherwise only what the lender would lose by
+  /// a full bucket is asked for.
+  bool Urgent = false;
   auto operator<=>(const LoanRequest &) const = default;
 };
 
 struct LoanAnswer {
   std::string Workspace;
+  std::uint64_t Incarnation = 0; ///< Of the request.
   std::uint64_t Sequence = 0;
   GrantStatus Status = GrantStatus::NotOwner;
   Microtokens Amount = 0;
--- a/src/libs/limits/rateowner.cpp
+++ b/src/libs/limits/rateowner.cpp
@@ -1,5 +1,7 @@
 #include "rateowner.h"
 
+#include "base/softassert.h"
+
 #include <algorithm>
 
 namespace lavenderdale {
@@ -11,7 +13,8 @@
 /// Unused ledgers are removed after this time, which is longer than any grant
 /// is valid.
 constexpr Duration LedgerLifetime = std::chrono::seconds(10);
-/// Bounds the product in accrue(); a longer idle time accrues no more.
+/// Bounds the product in accrue(), which is then exact for rates up to 90
+/// million a second; a longer idle time accrues no more.
 constexpr Duration LongestAccrual = std::chrono::seconds(100);
 /// A rate of one token a second is one microtoken in this many nanoseconds.
 constexpr std::int64_t NanosecondsPerMicrotoken = 1000;
@@ -20,6 +23,8 @@
 constexpr Duration LongestLoanPause = milliseconds(80);
 /// Pause after a lender did not answer.
 constexpr Duration SilentLenderPause = milliseconds(250);
+/// After this time without an answer, others are asked for the same tokens.
+constexpr Duration LoanPatience = milliseconds(10);
 
 Microtokens expireEntries(RateLedgers &Ledgers, TimePoint Now) {
   Microtokens Sum = 0;
@@ -71,7 +76,8 @@
       static_cast<Microtokens>(Request.Spent - Ledger.SpentBefore) *
       MicrotokensPerToken;
   const Microtokens Unused = Ledger.Given - Ledger.Expired - Spent - After;
-  Owned.Bucket += std::clamp<Microtokens>(Unused, 0, Before - After);
+  if (softAssert(Spent >= 0, "the count of spent tokens never goes back"))
+    Owned.Bucket += std::clamp<Microtokens>(Unused, 0, Before - After);
   Ledger.SpentBefore = Request.Spent;
   Ledger.Given = After;
   Ledger.Expired = 0;
@@ -200,9 +206,10 @@
 
 GrantAnswer RateOwner::grant(const GrantRequest &Request, TimePoint Now) {
   GrantAnswer Answer{.Workspace = Request.Workspace,
+                     .Incarnation = Request.Incarnation,
                      .Sequence = Request.Sequence};
   OwnedRate *Owned = this->find(Request.Workspace);
-  if (Owned == nullptr || Request.Epoch > Owned->Epoch)
+  if (Owned == nullptr)
     return Answer;
   this->settle(*Owned, Now);
   Answer.Status = GrantStatus::NotReady;
@@ -231,21 +238,26 @@
   const Duration Validity =
       std::min(this->Times.GrantValidity, this->LeaseUntil - Now);
   Owned.Bucket -= Amount;
-  addEntry(Ledger, Amount, Now + Validity * this->Times.OutstandingFactor);
+  addEntry(Ledger, Amount, Now + Validity * this->Times.GrantCounting);
   Ledger.Given += Amount;
   Ledger.Unmet = Microtokens(Request.Wanted) * MicrotokensPerToken - Amount;
   Ledger.Sequence = Request.Sequence;
   Ledger.UsedAt = Now;
-  Ledger.LastGrant = {Request.Workspace, Request.Sequence, GrantStatus::Granted,
-                      static_cast<std::uint32_t>(Tokens), Validity};
+  Ledger.LastGrant = {Request.Workspace,
+                      Request.Incarnation,
+                      Request.Sequence,
+                      GrantStatus::Granted,
+                      static_cast<std::uint32_t>(Tokens),
+                      Validity};
   Owned.Demand.add(Amount, Now);
 }
 
 LoanAnswer RateOwner::lend(const LoanRequest &Request, TimePoint Now) {
   LoanAnswer Answer{.Workspace = Request.Workspace,
+                    .Incarnation = Request.Incarnation,
                     .Sequence = Request.Sequence};
   OwnedRate *Owned = this->find(Request.Workspace);
-  if (Owned == nullptr || Request.Epoch > Owned->Epoch)
+  if (Owned == nullptr)
     return Answer;
   this->settle(*Owned, Now);
   Answer.Status = GrantStatus::NotReady;
@@ -267,18 +279,24 @@
                         const LoanRequest &Request, TimePoint Now) const {
   // Earlier loans were added by the borrower, or its request was given up.
   Ledger.Entries.clear();
-  const Microtokens Kept = 2 * Owned.Demand.perWindow(Now) + Owned.unmet(Now);
+  Microtokens Kept = 2 * Owned.Demand.perWindow(Now) + Owned.unmet(Now);
+  if (!Request.Urgent)
+    Kept = std::max(Kept, Owned.capacity() / 4 * 3);
   const Microtokens Spare = std::max<Microtokens>(0, Owned.Bucket - Kept);
   const Microtokens Amount = std::clamp<Microtokens>(Request.Wanted, 0, Spare);
   const Duration Validity =
       std::min(this->Times.LoanValidity, this->LeaseUntil - Now);
   Owned.Bucket -= Amount;
-  addEntry(Ledger, Amount, Now + Validity * this->Times.OutstandingFactor);
+  addEntry(Ledger, Amount, Now + Validity * this->Times.LoanCounting);
   Ledger.Sequence = Request.Sequence;
   Ledger.UsedAt = Now;
-  Ledger.LastLoan = {Request.Workspace,    Request.Sequence,
-                     GrantStatus::Granted, Amount,
-                     Spare - Amount,       Validity};
+  Ledger.LastLoan = {Request.Workspace,
+                     Request.Incarnation,
+                     Request.Sequence,
+                     GrantStatus::Granted,
+                     Amount,
+                     Spare - Amount,
+                     Validity};
 }
 
 std::vector<LoanDraw> RateOwner::loansWanted(const std::string &Workspace,
@@ -293,27 +311,32 @@
 
   const Microtokens Demand = Owned->Demand.perWindow(Now);
   const Microtokens Unmet = Owned->unmet(Now);
-  if (Owned->Bucket >= Demand + Unmet)
+  const bool Urgent = Owned->Bucket < Demand + Unmet;
+  if (Demand + Unmet == 0 ||
+      (!Urgent && Owned->Bucket >= Owned->capacity() / 2))
     return {};
-  Microtokens Need =
-      std::min(Owned->room(), 2 * Demand + Unmet - Owned->Bucket);
+  Microtokens Need = Owned->room();
+  if (Urgent)
+    Need = std::min(Need, 2 * Demand + Unmet - Owned->Bucket);
   Microtokens SpareSum = 0;
   std::vector<RateLender *> Askable;
   for (RateLender &Lender : Owned->Lenders) {
-    Need -= Lender.Asked;
+    if (Lender.Asked > 0 && Now - Lender.SentAt < LoanPatience)
+      Need -= Lender.Asked;
     if (Lender.Asked > 0 || Lender.NextAt > Now)
       continue;
     Askable.push_back(&Lender);
     SpareSum += Lender.Spare;
   }
-  std::vector<LoanDraw> Draws;
   if (Need <= 0)
-    return Draws;
+    return {};
+  std::vector<LoanDraw> Draws;
   for (RateLender *Lender : Askable) {
     const Microtokens Part =
         partOf(Need, *Lender, SpareSum, std::ssize(Askable));
-    Draws.push_back({Lender->Host, this->makeLoanRequest(Workspace, *Owned,
-                                                         *Lender, Part, Now)});
+    Draws.push_back(
+        {Lender->Host,
+         this->makeLoanRequest(Workspace, *Owned, *Lender, Part, Urgent, Now)});
   }
   return Draws;
 }
@@ -321,12 +344,12 @@
 LoanRequest RateOwner::makeLoanRequest(const std::string &Workspace,
                                        const OwnedRate &Owned,
                                        RateLender &Lender, Microtokens Wanted,
-                                       TimePoint Now) {
+                                       bool Urgent, TimePoint Now) {
   Lender.Sequence = ++this->LoanSequence;
   Lender.SentAt = Now;
   Lender.Asked = Wanted;
-  return {Workspace,         Owned.Epoch,     this->Host,
-          this->Incarnation, Lender.Sequence, Wanted};
+  return {Workspace,       Owned.Epoch, this->Host, this->Incarnation,
+          Lender.Sequence, Wanted,      Urgent};
 }
 
 void RateOwner::giveUpLoans(OwnedRate &Owned, TimePoint Now) const {
@@ -350,7 +373,8 @@
       std::find_if(Owned->Lenders.begin(), Owned->Lenders.end(),
                    [&](const RateLender &Each) { return Each.Host == Lender; });
   if (From == Owned->Lenders.end() || From->Asked == 0 ||
-      From->Sequence != Answer.Sequence)
+      From->Sequence != Answer.Sequence ||
+      this->Incarnation != Answer.Incarnation)
     return;
   const bool Full = Answer.Amount >= From->Asked;
   From->Asked = 0;
--- a/src/libs/limits/rateowner.h
+++ b/src/libs/limits/rateowner.h
@@ -19,9 +19,11 @@
   Duration GrantValidity = std::chrono::milliseconds(500);
   /// How long a loan may be added, counted from its request.
   Duration LoanValidity = std::chrono::milliseconds(100);
-  /// Outstanding tokens are counted for this multiple of their validity. Only
-  /// tests set it to 0, to show that their checks find the fault.
-  int OutstandingFactor = 1;
+  /// Outstanding grants and loans are counted for this multiple of their
+  /// validity. Only tests set it to 0, to show that their checks find the
+  /// fault.
+  int GrantCounting = 1;
+  int LoanCounting = 1;
   auto operator<=>(const RateOwnerTimes &) const = default;
 };
 
@@ -140,7 +142,8 @@
   GrantAnswer grant(const GrantRequest &Request, TimePoint Now);
 
   /// Answers the owner of another domain. The own demand of two windows is
-  /// kept back.
+  /// kept back, and three quarters of the capacity from a request that is not
+  /// urgent.
   LoanAnswer lend(const LoanRequest &Request, TimePoint Now);
 
   /// Returns the loan requests to send at \p Now. Called after each grant() and
@@ -173,7 +176,7 @@
   LoanRequest makeLoanRequest(const std::string &Workspace,
                               const detail::OwnedRate &Owned,
                               detail::RateLender &Lender, Microtokens Wanted,
-                              TimePoint Now);
+                              bool Urgent, TimePoint Now);
 
   std::string Host;
   std::uint64_t Incarnation;
