Add the distribution library

Hosts need the same configuration within seconds, and need to know when they can no longer trust it. `ConfigurationState` decides what to pull from which relay or peer, and when keys may be accepted. Objects are opaque and ordered by version, so that a delta, a whole configuration and its parts are the same kind of answer; parts of a newer and an older version are never combined. Evidence for freshness is dated by when the question was sent, so a paused relay cannot pass off old answers as new. Keyed routes stop 10 s after the last evidence.

--- /dev/null
+++ b/src/libs/distribution/freshness.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "configurationmessages.h"
+
+#include <set>
+
+namespace lavenderdale {
+
+/// Whether the configuration in force is known to be current: the platform
+/// has confirmed it lately, or most failure domains cannot reach the platform
+/// either, so that nothing can change.
+///
+/// All times are counted from when a question was sent, so an answer that
+/// was delayed, or waited for a paused process, does not count as new.
+class Freshness {
+public:
+  static constexpr std::chrono::seconds ConfirmationValid{5};
+  static constexpr std::chrono::seconds ReportValid{2};
+  /// Keyed routes stop this time after the last evidence, which is the time
+  /// within which a withdrawn key stops working everywhere.
+  static constexpr std::chrono::seconds KeysValid{10};
+
+  /// \param Own the own failure domain.
+  explicit Freshness(std::string Own);
+
+  /// All failure domains of the fleet, whether reachable or not.
+  void setDomains(std::set<std::string> Domains);
+
+  /// The platform had \p PlatformVersion at \p At or later.
+  void confirm(std::uint64_t PlatformVersion, TimePoint At,
+               std::uint64_t VersionInForce);
+
+  /// The version in force has changed.
+  void versionChanged(std::uint64_t VersionInForce);
+
+  /// The relays of a domain could not reach the platform at \p At.
+  void reportUnreachable(const std::string &Domain, TimePoint At);
+  /// A relay of the domain can reach the platform.
+  void reportReachable(const std::string &Domain);
+
+  /// Evaluates the reports.
+  /// \param UpToDate whether no host is known to have a newer version.
+  void update(TimePoint Now, bool UpToDate);
+
+  bool isFresh(TimePoint Now) const;
+  bool mayServeKeyed(TimePoint Now) const;
+
+  /// Whether the last evidence is so old that other hosts should be asked.
+  bool isDoubtful(TimePoint Now) const;
+
+  std::optional<TimePoint> confirmedAt() const { return this->ConfirmedAt; }
+  std::uint64_t confirmedVersion() const { return this->ConfirmedVersion; }
+  const std::map<std::string, TimePoint> &unreachable() const {
+    return this->Unreachable;
+  }
+
+private:
+  const std::string Own;
+  std::set<std::string> Domains;
+  std::optional<TimePoint> ConfirmedAt;
+  std::uint64_t ConfirmedVersion = 0;
+  /// A confirmation of a version that is not in force here yet.
+  std::optional<TimePoint> AwaitedAt;
+  std::uint64_t AwaitedVersion = 0;
+  std::map<std::string, TimePoint> Unreachable;
+  std::optional<TimePoint> OutageAt;
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/tests/auto/distribution/tst_configurationstate.cpp
@@ -0,0 +1,372 @@
+#include "base/strictjson.h"
+#include "distribution/configurationcodec.h"
+#include "distribution/configurationstate.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+using namespace lavenderdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Hosts of several domains, a platform and a clock.
+class Network {
+public:
+  struct Host {
+    PlacementHost Self;
+    std::unique_ptr<ConfigurationState> State;
+    int Side = 0;
+    bool SeesPlatform = true;
+    bool Watches = false;
+    TimePoint PausedUntil;
+    std::uint64_t BytesSent = 0;
+  };
+
+  Network(std::uint64_t Seed, int HostCount, int DomainCount) : Random(Seed) {
+    for (int I = 0; I < HostCount; ++I) {
+      const std::string Domain = "d" + std::to_string(I % DomainCount);
+      this->Domains.insert(Domain);
+      this->Hosts.emplace_back().Self = {"h" + std::to_string(I), Domain};
+    }
+    for (Host &Each : this->Hosts)
+      this->start(Each);
+  }
+
+  void start(Host &Which) {
+    Which.State = std::make_unique<ConfigurationState>(
+        Which.Self.Name, Which.Self.FailureDomain,
+        std::mt19937_64(this->Random()));
+    Which.Watches = false;
+    std::vector<PlacementHost> Live;
+    Live.reserve(this->Hosts.size());
+    for (const Host &Each : this->Hosts)
+      Live.push_back(Each.Self);
+    Which.State->setHosts(Live, this->Domains);
+  }
+
+  void change(const std::string &Name) {
+    this->Platform.applyChange(
+        {Name, this->Platform.version() + 1, false, "p"});
+  }
+
+  void run(Duration Time) {
+    for (const TimePoint End = this->Now + Time; this->Now < End;
+         this->Now += 50ms) {
+      this->deliverDue();
+      for (Host &Each : this->Hosts)
+        if (this->Now >= Each.PausedUntil)
+          this->step(Each);
+    }
+  }
+
+  void setPlatform(bool Reachable) {
+    for (Host &Each : this->Hosts)
+      Each.SeesPlatform = Reachable;
+  }
+
+  long served() const {
+    return std::ranges::count_if(this->Hosts, [this](const Host &Each) {
+      return Each.State->mayServeKeyed(this->Now);
+    });
+  }
+
+  /// The most bytes that a host sends in a second.
+  std::uint64_t highestRate() {
+    for (Host &Each : this->Hosts)
+      Each.BytesSent = 0;
+    constexpr int Seconds = 10;
+    this->run(std::chrono::seconds(Seconds));
+    return std::ranges::max_element(this->Hosts, {}, &Host::BytesSent)
+               ->BytesSent /
+           Seconds;
+  }
+
+  long informed() const {
+    return std::ranges::count_if(this->Hosts, [this](const Host &Each) {
+      return Each.State->version() == this->Platform.version();
+    });
+  }
+
+  std::vector<Host> Hosts;
+  std::set<std::string> Domains;
+  ConfigurationStore Platform;
+  TimePoint Now{std::chrono::hours(1)};
+
+private:
+  struct Event {
+    TimePoint Due;
+    Host *To;
+    std::function<void()> Run;
+  };
+
+  void count(Host &From, const Json::Value &Message) const {
+    // HTTP headers and the JSON-RPC envelope of a request or an answer.
+    constexpr std::size_t EnvelopeBytes = 170;
+    From.BytesSent += writeCompactJson(Message).size() + EnvelopeBytes;
+  }
+
+  void post(Host &To, std::function<void()> Run) {
+    this->Events.push_back(
+        {this->Now + 1ms * (1 + this->Random() % 40), &To, std::move(Run)});
+  }
+
+  void deliverDue() {
+    std::vector<Event> Due;
+    std::erase_if(this->Events, [&](Event &Each) {
+      if (Each.Due > this->Now || this->Now < Each.To->PausedUntil)
+        return false;
+      Due.push_back(std::move(Each));
+      return true;
+    });
+    for (Event &Each : Due)
+      Each.Run();
+  }
+
+  void step(Host &Each) {
+    if (Each.Watches && Each.SeesPlatform &&
+        Each.State->version() < this->Platform.version()) {
+      std::vector<ConfigurationObject> List;
+      for (const auto &[Name, Object] : this->Platform.objects())
+        List.push_back(Object);
+      Each.State->onPlatformList(this->Platform.version(), List);
+    }
+    for (const ConfigurationAction &Action : Each.State->tick(this->Now))
+      std::visit([&](const auto &Do) { this->perform(Each, Do); }, Action);
+  }
+
+  void perform(Host &From, const WatchPlatform &Action) {
+    From.Watches = Action.Watch;
+  }
+
+  void perform(Host &From, const CheckPlatform &) {
+    if (!From.SeesPlatform)
+      return;
+    const std::uint64_t Version = this->Platform.version();
+    this->post(From, [this, &From, Version, SentAt = this->Now] {
+      From.State->onPlatformVersion(Version, SentAt, this->Now);
+    });
+  }
+
+  void perform(Host &From, const QueryVersion &Action) {
+    Host &To = this->byName(Action.To);
+    this->count(From, Json::Value(Json::objectValue));
+    if (To.Side != From.Side)
+      return;
+    this->post(To, [this, &From, &To, SentAt = this->Now] {
+      const auto Report = versionReportFromJson(
+          toJson(To.State->report(From.Self.FailureDomain, this->Now)));
+      this->count(To, toJson(Report.value()));
+      this->post(From, [this, &From, Report, SentAt] {
+        From.State->onVersionReport(Report.value(), SentAt, this->Now);
+      });
+    });
+  }
+
+  void perform(Host &From, const PullConfiguration &Action) {
+    Host &To = this->byName(Action.To);
+    if (To.Side == From.Side)
+      this->serve(From, To, Action.Message, this->Now + Action.Wait);
+    else
+      this->fail(From, To.Self.Name);
+  }
+
+  void fail(Host &From, const std::string &To) {
+    this->post(From,
+               [this, &From, To] { From.State->onPullFailed(To, this->Now); });
+  }
+
+  void serve(Host &From, Host &To, const PullRequest &Request,
+             TimePoint Until) {
+    this->post(To, [=, this, &From, &To] {
+      if (To.Side != From.Side)
+        return;
+      const auto Answer = To.State->answerPull(Request);
+      if (!Answer && this->Now < Until)
+        return this->serve(From, To, Request, Until);
+      if (!Answer)
+        return this->fail(From, To.Self.Name);
+      this->post(From, [this, &From, &To, Answer] {
+        From.State->onPullAnswer(To.Self.Name, *Answer, this->Now);
+      });
+    });
+  }
+
+  Host &byName(const std::string &Name) {
+    return *std::ranges::find_if(
+        this->Hosts, [&](const Host &Each) { return Each.Self.Name == Name; });
+  }
+
+  std::mt19937_64 Random;
+  std::vector<Event> Events;
+};
+
+Network startedNetwork(std::uint64_t Seed) { return {Seed, 12, 3}; }
+
+} // namespace
+
+// Guards against configuration that does not arrive everywhere in time.
+TEST_CASE("a change is in force on all hosts within 2 s", "[configuration]") {
+  Network Fleet = startedNetwork(1);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  CHECK(Fleet.informed() == 12);
+  CHECK(Fleet.served() == 12);
+  for (int I = 0; I < 5; ++I) {
+    Fleet.change("keys/a");
+    Fleet.run(2s);
+    CHECK(Fleet.informed() == 12);
+  }
+}
+
+// Guards against a fleet that stops because the platform is down.
+TEST_CASE("all hosts go on while the platform is down for everyone",
+          "[configuration][keys]") {
+  Network Fleet = startedNetwork(2);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  Fleet.setPlatform(false);
+  for (int I = 0; I < 60; ++I) {
+    Fleet.run(1s);
+    REQUIRE(Fleet.served() == 12);
+  }
+  Network::Host &Restarted = Fleet.Hosts[4];
+  Fleet.start(Restarted);
+  CHECK_FALSE(Restarted.State->mayServeKeyed(Fleet.Now));
+  Fleet.run(8s);
+  CHECK(Restarted.State->version() == Fleet.Platform.version());
+  CHECK(Restarted.State->mayServeKeyed(Fleet.Now));
+}
+
+// Guards against a withdrawn key that goes on working where the withdrawal
+// cannot be learned.
+TEST_CASE("a domain that is cut off stops keyed routes within 10 s", "[keys]") {
+  Network Fleet = startedNetwork(3);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  const auto Cut = [&](bool IsCut) {
+    for (Network::Host &Each : Fleet.Hosts)
+      if (Each.Self.FailureDomain == "d1") {
+        Each.Side = IsCut ? 1 : 0;
+        Each.SeesPlatform = !IsCut;
+      }
+  };
+  Cut(true);
+  Fleet.change("keys/a");
+  Fleet.run(10s);
+  for (const Network::Host &Each : Fleet.Hosts)
+    CHECK(Each.State->mayServeKeyed(Fleet.Now) ==
+          (Each.Self.FailureDomain != "d1"));
+  Cut(false);
+  Fleet.run(6s);
+  CHECK(Fleet.informed() == 12);
+  CHECK(Fleet.served() == 12);
+}
+
+// Guards against a domain that loses the platform but not its peers.
+TEST_CASE("a domain without the platform learns from other domains",
+          "[configuration][keys]") {
+  Network Fleet = startedNetwork(4);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  for (Network::Host &Each : Fleet.Hosts)
+    Each.SeesPlatform = Each.Self.FailureDomain != "d2";
+  Fleet.change("keys/a");
+  Fleet.run(10s);
+  CHECK(Fleet.informed() == 12);
+  for (int I = 0; I < 20; ++I) {
+    Fleet.run(1s);
+    REQUIRE(Fleet.served() == 12);
+  }
+}
+
+// Guards against a paused relay that holds up its domain, and against one
+// that takes answers from before the pause for new.
+TEST_CASE("a relay that pauses holds up nobody", "[configuration][keys]") {
+  Network Fleet = startedNetwork(5);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  for (Network::Host &Each : Fleet.Hosts)
+    if (Each.State->isRelay()) {
+      Each.PausedUntil = Fleet.Now + 15s;
+      break;
+    }
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  CHECK(Fleet.informed() == 11);
+  Fleet.run(9900ms);
+  CHECK(Fleet.served() == 11);
+  Fleet.run(3s);
+  CHECK(Fleet.informed() == 12);
+  CHECK(Fleet.served() == 12);
+}
+
+// Guards against relays that are overloaded by their domain's questions. With
+// heartbeats (under 5 KB/s), 9 KB/s are allowed, and 18 KB/s at all times.
+TEST_CASE("version queries of 490 hosts stay within the control traffic") {
+  Network Fleet(9, 490, 7);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  REQUIRE(Fleet.served() == 490);
+  const std::uint64_t Normal = Fleet.highestRate();
+  Fleet.setPlatform(false);
+  Fleet.run(5s);
+  const std::uint64_t Outage = Fleet.highestRate();
+  REQUIRE(Fleet.served() == 490);
+  std::cout << "version queries and reports sent by one host: at most "
+            << Normal << " B/s, " << Outage << " B/s without the platform\n";
+  CHECK(Normal < 5000);
+  CHECK(Outage < 13000);
+}
+
+// Guards against a start with a configuration older than one in force.
+TEST_CASE("a host that starts does not use an older version than seen",
+          "[configuration]") {
+  const TimePoint Now{1h};
+  ConfigurationState State("a", "d", std::mt19937_64(6));
+  State.onPeerVersion("b", 12);
+  State.onPlatformList(11, {});
+  CHECK_FALSE(State.isUsable());
+  State.onPlatformVersion(11, Now, Now);
+  CHECK_FALSE(State.mayServeKeyed(Now));
+  State.onPullAnswer("b", {12, 0, 12, false, true, {}}, Now);
+  CHECK(State.isUsable());
+  CHECK(State.mayServeKeyed(Now));
+}
+
+// Guards against trust in a confirmation of a version that is not here.
+TEST_CASE("a confirmation counts only with the version that it confirms",
+          "[keys]") {
+  const TimePoint Now{1h};
+  ConfigurationState State("a", "d", std::mt19937_64(7));
+  State.onPlatformList(11, {});
+  State.onPlatformVersion(12, Now, Now);
+  CHECK_FALSE(State.isFresh(Now));
+  State.onPlatformChange({"keys/a", 12, false, "p"});
+  CHECK(State.isFresh(Now + 4999ms));
+  CHECK_FALSE(State.isFresh(Now + 5s));
+  CHECK(State.mayServeKeyed(Now + 9999ms));
+  CHECK_FALSE(State.mayServeKeyed(Now + 10s));
+}
+
+// Guards against a relay that goes on watching, or a new one that does not.
+TEST_CASE("a relay role is taken and given up", "[configuration]") {
+  const TimePoint Now{1h};
+  ConfigurationState State("a", "d", std::mt19937_64(8));
+  const auto Watched = [&](std::vector<PlacementHost> Live) {
+    State.setHosts(std::move(Live), {"d"});
+    std::optional<bool> Watch;
+    for (const ConfigurationAction &Action : State.tick(Now))
+      if (const auto *Found = std::get_if<WatchPlatform>(&Action))
+        Watch = Found->Watch;
+    return Watch;
+  };
+  CHECK(Watched({}) == true); // Nobody else is known.
+  CHECK(Watched({{"b", "d"}, {"c", "d"}}) == false);
+  CHECK_FALSE(Watched({{"b", "d"}, {"c", "d"}}).has_value());
+  CHECK(Watched({{"a", "d"}, {"c", "d"}}) == true);
+}
