--- a/src/libs/consistency/readrouter.cpp
+++ b/src/libs/consistency/readrouter.cpp
@@ -23,7 +23,8 @@
                       std::mt19937_64 *Ties) {
   Views Replicas;
   for (const UpstreamView &U : Group.Upstreams)
-    if (U.Role == UpstreamRole::Replica && U.State == UpstreamState::Serving)
+    if (U.Role == UpstreamRole::Replica &&
+        U.State == UpstreamAvailability::Serving)
       Replicas.push_back(&U);
   std::sort(Replicas.begin(), Replicas.end(),
             [](const auto *A, const auto *B) { return A->Name < B->Name; });
@@ -63,7 +64,8 @@
 
 void appendPrimary(ReadPlan &Plan, const ReadGroupView &Group) {
   for (const UpstreamView &U : Group.Upstreams)
-    if (U.Role == UpstreamRole::Primary && U.State == UpstreamState::Serving)
+    if (U.Role == UpstreamRole::Primary &&
+        U.State == UpstreamAvailability::Serving)
       Plan.Candidates.push_back({U.Name, UpstreamRole::Primary, std::nullopt});
 }
 
--- a/src/libs/consistency/readrouter.h
+++ b/src/libs/consistency/readrouter.h
@@ -11,7 +11,7 @@
 
 enum class UpstreamRole { Primary, Replica };
 
-enum class UpstreamState {
+enum class UpstreamAvailability {
   Serving,
   Leaving,     ///< Gets no new work.
   Unreachable, ///< Known to be down or cut off.
@@ -22,7 +22,7 @@
   std::string Name;
   std::string FailureDomain;
   UpstreamRole Role = UpstreamRole::Replica;
-  UpstreamState State = UpstreamState::Serving;
+  UpstreamAvailability State = UpstreamAvailability::Serving;
   Term Timeline;
   LogPosition Replayed;
   std::optional<Duration> Age; ///< At the time of routing.
--- a/src/libs/failover/groupstatus.h
+++ b/src/libs/failover/groupstatus.h
@@ -17,14 +17,14 @@
 };
 
 /// The status of a group as the platform stores it.
-struct GroupStatus {
+struct TermStatus {
   std::uint64_t Version = 0; ///< Version of the object that it was read from.
   Term Current;
   std::string Primary;
   Lineage History;
   std::optional<PromotionClaim> Claim;
 
-  bool operator==(const GroupStatus &) const = default;
+  bool operator==(const TermStatus &) const = default;
 };
 
 } // namespace lavenderdale
--- a/src/libs/failover/promotionattempt.cpp
+++ b/src/libs/failover/primaryreplacement.cpp
@@ -1,4 +1,4 @@
-#include "promotionattempt.h"
+#include "primaryreplacement.h"
 
 #include "relativetime.h"
 
@@ -9,10 +9,10 @@
 
 using namespace failoverlimits;
 
-PromotionAttempt::PromotionAttempt(std::string Id, const std::string &Owner,
-                                   GroupStatus Base,
-                                   const std::vector<std::string> &Members,
-                                   PromotionContext &Context)
+PrimaryReplacement::PrimaryReplacement(std::string Id, const std::string &Owner,
+                                       TermStatus Base,
+                                       const std::vector<std::string> &Members,
+                                       PromotionContext &Context)
     : Id(std::move(Id)), MemberCount(Members.size()),
       ClaimDeadline(Context.Now + Context.Times.ClaimLifetime),
       FenceDeadline(ClaimDeadline - Context.Times.FenceWait -
@@ -25,27 +25,27 @@
   this->sendUpdate(Context);
 }
 
-bool PromotionAttempt::isOver() const {
+bool PrimaryReplacement::isOver() const {
   return this->Changed.has_value() || this->Failure.has_value();
 }
 
-void PromotionAttempt::fail(GiveUpReason Reason) {
+void PrimaryReplacement::fail(GiveUpReason Reason) {
   if (!this->isOver())
     this->Failure = Reason;
 }
 
-std::optional<GroupStatus> PromotionAttempt::released() const {
+std::optional<TermStatus> PrimaryReplacement::released() const {
   const bool Release = this->Failure == GiveUpReason::NoQuorum ||
                        this->Failure == GiveUpReason::FenceChanged ||
                        this->Failure == GiveUpReason::EvidenceWithdrawn;
   if (!Release)
     return std::nullopt;
-  GroupStatus Status = this->Claimed;
+  TermStatus Status = this->Claimed;
   Status.Claim.reset();
   return Status;
 }
 
-void PromotionAttempt::expire(PromotionContext &Context) {
+void PrimaryReplacement::expire(PromotionContext &Context) {
   if (this->isOver())
     return;
   if (Context.Now >= this->ClaimDeadline) {
@@ -64,7 +64,7 @@
       M.Pending.reset();
 }
 
-void PromotionAttempt::advance(PromotionContext &Context) {
+void PrimaryReplacement::advance(PromotionContext &Context) {
   if (this->isOver())
     return;
   switch (this->Current) {
@@ -92,7 +92,7 @@
       this->sendCommand(Name, M, Context);
 }
 
-void PromotionAttempt::sendUpdate(PromotionContext &Context) {
+void PrimaryReplacement::sendUpdate(PromotionContext &Context) {
   const CallId Call = Context.nextCall();
   this->Update = PendingCall{Call, Context.callDeadline()};
   if (this->Current == Step::Claiming)
@@ -101,14 +101,14 @@
     Context.emit(ChangeTerm{Call, this->Sent});
 }
 
-void PromotionAttempt::sendReadBack(PromotionContext &Context) {
+void PrimaryReplacement::sendReadBack(PromotionContext &Context) {
   const CallId Call = Context.nextCall();
   this->ReadBack = PendingCall{Call, Context.callDeadline()};
   Context.emit(ReadStatus{Call});
 }
 
-void PromotionAttempt::updateAnswered(const UpdateAnswered &Answer,
-                                      PromotionContext &Context) {
+void PrimaryReplacement::updateAnswered(const UpdateAnswered &Answer,
+                                        PromotionContext &Context) {
   if (this->isOver() || !this->Update || this->Update->Call != Answer.Call)
     return;
   this->Update.reset();
@@ -118,19 +118,19 @@
     this->sendReadBack(Context);
     return;
   }
-  GroupStatus Stored = this->Sent;
+  TermStatus Stored = this->Sent;
   Stored.Version = Answer.NewVersion;
   this->observe(Stored, Context);
 }
 
-void PromotionAttempt::statusRead(const StatusRead &Answer,
-                                  PromotionContext &Context) {
+void PrimaryReplacement::statusRead(const StatusRead &Answer,
+                                    PromotionContext &Context) {
   if (this->isOver() || !this->ReadBack || this->ReadBack->Call != Answer.Call)
     return;
   this->ReadBack.reset();
   if (!Answer.Status)
     return;
-  const GroupStatus &Read = *Answer.Status;
+  const TermStatus &Read = *Answer.Status;
   this->observe(Read, Context);
   const bool InUpdate =
       this->Current == Step::Claiming || this->Current == Step::Changing;
@@ -141,8 +141,8 @@
     this->sendUpdate(Context);
 }
 
-void PromotionAttempt::observe(const GroupStatus &Seen,
-                               PromotionContext &Context) {
+void PrimaryReplacement::observe(const TermStatus &Seen,
+                                 PromotionContext &Context) {
   if (this->isOver() || Seen.Version <= this->Sent.Version)
     return;
   if (this->Current == Step::Claiming) {
@@ -161,8 +161,8 @@
     this->fail(GiveUpReason::ChangeConflict);
 }
 
-void PromotionAttempt::claimed(const GroupStatus &Status,
-                               PromotionContext &Context) {
+void PrimaryReplacement::claimed(const TermStatus &Status,
+                                 PromotionContext &Context) {
   this->Claimed = Status;
   this->Update.reset();
   this->ReadBack.reset();
@@ -171,8 +171,8 @@
     this->fail(GiveUpReason::EvidenceWithdrawn);
 }
 
-void PromotionAttempt::sendCommand(const std::string &Name, Member &M,
-                                   PromotionContext &Context) {
+void PrimaryReplacement::sendCommand(const std::string &Name, Member &M,
+                                     PromotionContext &Context) {
   if (M.Reached == Stage::Checked ||
       (M.Reached == Stage::Fenced && this->Current != Step::Checking))
     return;
@@ -193,15 +193,15 @@
   }
 }
 
-PromotionAttempt::Member *PromotionAttempt::findMember(CallId Call) {
+PrimaryReplacement::Member *PrimaryReplacement::findMember(CallId Call) {
   for (auto &[Name, M] : this->Members)
     if (M.Pending && M.Pending->Call == Call)
       return &M;
   return nullptr;
 }
 
-void PromotionAttempt::memberAnswered(const MemberAnswered &Answer,
-                                      PromotionContext &Context) {
+void PrimaryReplacement::memberAnswered(const MemberAnswered &Answer,
+                                        PromotionContext &Context) {
   Member *M = this->isOver() ? nullptr : this->findMember(Answer.Call);
   if (M == nullptr)
     return;
@@ -219,8 +219,8 @@
     M->Reached = Stage::Verify;
 }
 
-void PromotionAttempt::memberPolled(const MemberPolled &Answer,
-                                    PromotionContext &Context) {
+void PrimaryReplacement::memberPolled(const MemberPolled &Answer,
+                                      PromotionContext &Context) {
   Member *M = this->isOver() ? nullptr : this->findMember(Answer.Call);
   if (M == nullptr)
     return;
@@ -241,7 +241,7 @@
     this->changeTerm(Context);
 }
 
-void PromotionAttempt::verifyFence(Member &M, const ReplicaPoll &Poll) {
+void PrimaryReplacement::verifyFence(Member &M, const ReplicaPoll &Poll) {
   // A configuration reload takes effect later than its command, so a member
   // that is not fenced yet is polled again.
   if (!Poll.isFenced() || Poll.Timeline.Value == 0)
@@ -250,7 +250,7 @@
   M.Reached = Stage::Fenced;
 }
 
-void PromotionAttempt::checkFence(Member &M, const ReplicaPoll &Poll) {
+void PrimaryReplacement::checkFence(Member &M, const ReplicaPoll &Poll) {
   const bool Same = Poll.isFenced() && Poll.Timeline == M.Poll.Timeline &&
                     Poll.logEnd() == M.Poll.logEnd();
   if (Same)
@@ -259,7 +259,7 @@
     this->fail(GiveUpReason::FenceChanged);
 }
 
-void PromotionAttempt::startWait(PromotionContext &Context) {
+void PrimaryReplacement::startWait(PromotionContext &Context) {
   this->Current = Step::Waiting;
   this->WaitUntil = Context.Now + Context.Times.FenceWait;
   // Only members that were fenced before the wait count.
@@ -268,13 +268,13 @@
   });
 }
 
-std::size_t PromotionAttempt::countReached(Stage Reached) const {
+std::size_t PrimaryReplacement::countReached(Stage Reached) const {
   return static_cast<std::size_t>(std::count_if(
       this->Members.begin(), this->Members.end(),
       [&](const auto &Entry) { return Entry.second.Reached == Reached; }));
 }
 
-void PromotionAttempt::changeTerm(PromotionContext &Context) {
+void PrimaryReplacement::changeTerm(PromotionContext &Context) {
   const auto LogEnd = [](const Member &M) {
     return Position{M.Poll.Timeline, M.Poll.logEnd()};
   };
@@ -298,11 +298,11 @@
   this->sendUpdate(Context);
 }
 
-void PromotionAttempt::succeed(const GroupStatus &Status) {
+void PrimaryReplacement::succeed(const TermStatus &Status) {
   this->Changed = Status;
 }
 
-std::string PromotionAttempt::describe(TimePoint Now) const {
+std::string PrimaryReplacement::describe(TimePoint Now) const {
   std::string Text =
       this->Id + " step " + std::to_string(static_cast<int>(this->Current)) +
       " claim v" + std::to_string(this->Claimed.Version) + " sent v" +
--- a/src/libs/failover/promotionattempt.h
+++ b/src/libs/failover/primaryreplacement.h
@@ -11,14 +11,14 @@
 
 /// One attempt to replace a primary: steps 2 to 6 of section 4.3 of the design
 /// page. It ends with the change of term, or with a reason why not.
-class PromotionAttempt {
+class PrimaryReplacement {
 public:
   /// Sends the claim.
   /// \param Base the status to claim; the version that the claim replaces.
   /// \param Members all members of the group, the primary included.
-  PromotionAttempt(std::string Id, const std::string &Owner, GroupStatus Base,
-                   const std::vector<std::string> &Members,
-                   PromotionContext &Context);
+  PrimaryReplacement(std::string Id, const std::string &Owner, TermStatus Base,
+                     const std::vector<std::string> &Members,
+                     PromotionContext &Context);
 
   /// Abandons the attempt if the claim's deadline has passed, and counts calls
   /// without an answer as failed. Called before every event.
@@ -28,7 +28,7 @@
   void advance(PromotionContext &Context);
 
   /// Takes a status that was read or seen.
-  void observe(const GroupStatus &Seen, PromotionContext &Context);
+  void observe(const TermStatus &Seen, PromotionContext &Context);
 
   /// Answers. Those that are not awaited are ignored.
   void statusRead(const StatusRead &Answer, PromotionContext &Context);
@@ -40,14 +40,14 @@
   bool isOver() const;
 
   /// The status after the change of term, if the attempt succeeded.
-  const std::optional<GroupStatus> &changed() const { return this->Changed; }
+  const std::optional<TermStatus> &changed() const { return this->Changed; }
 
   /// Why the attempt failed, if it did.
   std::optional<GiveUpReason> failure() const { return this->Failure; }
 
   /// The status without the claim, to be stored after a failure, if the claim
   /// may still be there and is not left to expire.
-  std::optional<GroupStatus> released() const;
+  std::optional<TermStatus> released() const;
 
   /// \see Promotion::describe()
   std::string describe(TimePoint Now) const;
@@ -65,14 +65,14 @@
   void fail(GiveUpReason Reason);
   void sendUpdate(PromotionContext &Context);
   void sendReadBack(PromotionContext &Context);
-  void claimed(const GroupStatus &Status, PromotionContext &Context);
+  void claimed(const TermStatus &Status, PromotionContext &Context);
   void sendCommand(const std::string &Name, Member &M,
                    PromotionContext &Context);
   void verifyFence(Member &M, const ReplicaPoll &Poll);
   void checkFence(Member &M, const ReplicaPoll &Poll);
   void startWait(PromotionContext &Context);
   void changeTerm(PromotionContext &Context);
-  void succeed(const GroupStatus &Status);
+  void succeed(const TermStatus &Status);
   std::size_t countReached(Stage Reached) const;
   Member *findMember(CallId Call);
 
@@ -82,12 +82,12 @@
   TimePoint ClaimDeadline;
   TimePoint FenceDeadline;
   TimePoint WaitUntil;
-  GroupStatus Sent;    ///< The claim or change being stored.
-  GroupStatus Claimed; ///< As stored, once claimed.
+  TermStatus Sent;    ///< The claim or change being stored.
+  TermStatus Claimed; ///< As stored, once claimed.
   std::optional<PendingCall> Update;
   std::optional<PendingCall> ReadBack;
   std::map<std::string, Member> Members; ///< Without the primary.
-  std::optional<GroupStatus> Changed;
+  std::optional<TermStatus> Changed;
   std::optional<GiveUpReason> Failure;
 };
 
--- a/src/libs/failover/promotion.cpp
+++ b/src/libs/failover/promotion.cpp
@@ -119,7 +119,7 @@
     this->Refresh.reset();
 }
 
-void Promotion::noteStatus(const GroupStatus &Seen, bool Own,
+void Promotion::noteStatus(const TermStatus &Seen, bool Own,
                            PromotionContext &Context) {
   if (this->Status && Seen.Version <= this->Status->Version)
     return;
@@ -140,10 +140,10 @@
 void Promotion::settleAttempt(PromotionContext &Context) {
   if (!this->Attempt || !this->Attempt->isOver())
     return;
-  const PromotionAttempt Ended = std::move(*this->Attempt);
+  const PrimaryReplacement Ended = std::move(*this->Attempt);
   this->Attempt.reset();
   if (Ended.changed()) {
-    const GroupStatus &Status = *Ended.changed();
+    const TermStatus &Status = *Ended.changed();
     this->noteStatus(Status, true, Context);
     this->CompleteFrom = Context.Now;
     Context.emit(Finished{Ended.id(), Status.Current, Status.Primary});
@@ -152,7 +152,7 @@
   const unsigned Doublings = std::min(this->Failures++, MaxRetryDoublings);
   this->AttemptFrom = Context.Now + this->Times.RetryPause * (1U << Doublings);
   Context.emit(GiveUp{Ended.id(), *Ended.failure()});
-  if (const std::optional<GroupStatus> Unclaimed = Ended.released())
+  if (const std::optional<TermStatus> Unclaimed = Ended.released())
     this->release(*Unclaimed, Context);
   else
     this->refresh(Context);
@@ -181,12 +181,12 @@
     return;
   // Nobody will finish it, and its fence would keep the primary without
   // permission.
-  GroupStatus Unclaimed = *this->Status;
+  TermStatus Unclaimed = *this->Status;
   Unclaimed.Claim.reset();
   this->release(std::move(Unclaimed), Context);
 }
 
-void Promotion::release(GroupStatus Unclaimed, PromotionContext &Context) {
+void Promotion::release(TermStatus Unclaimed, PromotionContext &Context) {
   this->Released = std::move(Unclaimed);
   this->Release = PendingCall{Context.nextCall(), Context.callDeadline()};
   Context.emit(ReleaseClaim{this->Release->Call, this->Released});
--- a/src/libs/failover/promotion.h
+++ b/src/libs/failover/promotion.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "promotionattempt.h"
+#include "primaryreplacement.h"
 #include "promotioncontext.h"
 #include "termcompletion.h"
 
@@ -32,7 +32,7 @@
   bool isPromoting() const { return this->Attempt.has_value(); }
 
   /// The newest status that this watcher knows.
-  const std::optional<GroupStatus> &status() const { return this->Status; }
+  const std::optional<TermStatus> &status() const { return this->Status; }
 
   /// One line for logs and tests: step, claim, fenced members, awaited calls
   /// as "#id". Times are relative to \p Now.
@@ -44,10 +44,10 @@
   PromotionContext context(TimePoint Now,
                            std::vector<PromotionAction> &Actions);
   void expire(PromotionContext &Context);
-  void noteStatus(const GroupStatus &Seen, bool Own, PromotionContext &Context);
+  void noteStatus(const TermStatus &Seen, bool Own, PromotionContext &Context);
   void settleAttempt(PromotionContext &Context);
   void startIfNeeded(PromotionContext &Context);
-  void release(GroupStatus Unclaimed, PromotionContext &Context);
+  void release(TermStatus Unclaimed, PromotionContext &Context);
   void refresh(PromotionContext &Context);
   void releaseAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
   bool isSuspected(TimePoint Now) const;
@@ -60,17 +60,17 @@
   unsigned LastAttempt = 0;
   unsigned Failures = 0; ///< Attempts since the last change of term.
 
-  std::optional<GroupStatus> Status;
+  std::optional<TermStatus> Status;
   TimePoint ClaimSeenAt;
   TimePoint CompleteFrom; ///< When this watcher may complete the status.
   TimePoint AttemptFrom;  ///< End of the pause after an attempt.
   EvidenceCombined Evidence;
   TimePoint EvidenceAt;
 
-  std::optional<PromotionAttempt> Attempt;
+  std::optional<PrimaryReplacement> Attempt;
   TermCompletion Completion;
   std::optional<PendingCall> Release;
-  GroupStatus Released; ///< What Release stores.
+  TermStatus Released; ///< What Release stores.
   std::optional<PendingCall> Refresh;
 };
 
--- a/src/libs/failover/promotionmessages.h
+++ b/src/libs/failover/promotionmessages.h
@@ -27,15 +27,15 @@
 /// Status.Version. Answer: UpdateAnswered.
 struct ClaimStatus {
   CallId Call;
-  GroupStatus Status;
+  TermStatus Status;
 };
 struct ReleaseClaim {
   CallId Call;
-  GroupStatus Status;
+  TermStatus Status;
 };
 struct ChangeTerm {
   CallId Call;
-  GroupStatus Status;
+  TermStatus Status;
 };
 
 /// End all control sessions on the member, this host's included, except the
@@ -136,7 +136,7 @@
 
 /// The status as a watch or another reader saw it. May be old.
 struct StatusSeen {
-  GroupStatus Status;
+  TermStatus Status;
 };
 
 /// A member's answer to a regular poll of the watcher.
@@ -147,7 +147,7 @@
 /// Answer to ReadStatus; nothing if it failed.
 struct StatusRead {
   CallId Call;
-  std::optional<GroupStatus> Status;
+  std::optional<TermStatus> Status;
 };
 
 enum class UpdateOutcome {
--- a/src/libs/failover/termcompletion.cpp
+++ b/src/libs/failover/termcompletion.cpp
@@ -57,7 +57,7 @@
   return this->Running.erase(Entry);
 }
 
-void TermCompletion::update(const GroupStatus &Status,
+void TermCompletion::update(const TermStatus &Status,
                             const std::vector<std::string> &Members,
                             PromotionContext &Context) {
   const ReplicaPoll *Primary = this->lately(Status.Primary, Context.Now);
@@ -87,7 +87,7 @@
 }
 
 void TermCompletion::start(const std::string &Member, bool Promotes,
-                           const GroupStatus &Status,
+                           const TermStatus &Status,
                            PromotionContext &Context) {
   const auto Wait = this->NotBefore.find(Member);
   if (this->Running.contains(Member) ||
--- a/src/libs/failover/termcompletion.h
+++ b/src/libs/failover/termcompletion.h
@@ -26,8 +26,7 @@
 
   /// Starts what \p Status needs. Called after every event while there is no
   /// claim.
-  void update(const GroupStatus &Status,
-              const std::vector<std::string> &Members,
+  void update(const TermStatus &Status, const std::vector<std::string> &Members,
               PromotionContext &Context);
 
   /// Drops everything that was started.
@@ -60,8 +59,8 @@
   using Jobs = std::map<std::string, Job>;
 
   const ReplicaPoll *lately(const std::string &Member, TimePoint Now) const;
-  void start(const std::string &Member, bool Promotes,
-             const GroupStatus &Status, PromotionContext &Context);
+  void start(const std::string &Member, bool Promotes, const TermStatus &Status,
+             PromotionContext &Context);
   Jobs::iterator drop(Jobs::iterator Entry, bool CloseSession,
                       PromotionContext &Context);
   Jobs::iterator find(CallId Call);
--- a/src/libs/server/statementrunner.h
+++ b/src/libs/server/statementrunner.h
@@ -87,8 +87,9 @@
                                                 ExecutionRequest &Request);
   boost::asio::awaitable<ExecutionResult> runInside(ExecutionRequest &Request);
   boost::asio::awaitable<ExecutionResult> end(ExecutionRequest &Request);
-  boost::asio::awaitable<ExecutionResult> acknowledge(ExecutionRequest &Request, ExecutionAnswer Answer,
-              TimePoint SentAt);
+  boost::asio::awaitable<ExecutionResult> acknowledge(ExecutionRequest &Request,
+                                                      ExecutionAnswer Answer,
+                                                      TimePoint SentAt);
 
   boost::asio::awaitable<Result<GroupResults>>
   run(TargetPointer Target, UpstreamService::Lease Held, Groups Statements,
--- a/tests/auto/consistency/tst_readrouter.cpp
+++ b/tests/auto/consistency/tst_readrouter.cpp
@@ -20,7 +20,7 @@
     Group.Upstreams.push_back({Name,
                                Domain,
                                Role,
-                               UpstreamState::Serving,
+                               UpstreamAvailability::Serving,
                                Term{2},
                                {Replayed},
                                Age,
@@ -93,7 +93,7 @@
 
   ReadGroupView Leaving = Group;
   for (UpstreamView &U : Leaving.Upstreams)
-    U.State = UpstreamState::Leaving;
+    U.State = UpstreamAvailability::Leaving;
   Plan = ReadRouter::plan(Leaving, request(), Now);
   CHECK(Plan.Candidates.empty());
   CHECK(Plan.Reason == PrimaryReason::NoReplica);
--- a/tests/auto/failover/promotionmodel.cpp
+++ b/tests/auto/failover/promotionmodel.cpp
@@ -34,7 +34,7 @@
   Text = std::move(Out);
 }
 
-std::string statusText(const GroupStatus &S) {
+std::string statusText(const TermStatus &S) {
   return "v" + std::to_string(S.Version) + "t" +
          std::to_string(S.Current.Value) + S.Primary +
          (S.Claim ? S.Claim->AttemptId : "");
@@ -164,7 +164,7 @@
     }
     return Answer;
   }
-  UpdateAnswered store(CallId Call, const GroupStatus &New) const {
+  UpdateAnswered store(CallId Call, const TermStatus &New) const {
     if (New.Version != W.Status.Version && !W.Faults.VersionsIgnored)
       return {Call, UpdateOutcome::Conflict};
     const std::uint64_t Version = W.Status.Version + 1;
--- a/tests/auto/failover/promotionmodel.h
+++ b/tests/auto/failover/promotionmodel.h
@@ -123,7 +123,7 @@
   Bounds Left;
   Defects Faults;
   TimePoint Now;
-  GroupStatus Status;
+  TermStatus Status;
   std::vector<Member> Members;
   std::vector<Promotion> Watchers;
   std::vector<std::string> Texts; ///< Descriptions of the watchers.
