--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -113,8 +113,13 @@
   const std::string *Parent = Request.Fields.find("traceparent");
   HopSpan Hop(this->Context, Parent ? *Parent : std::string(), "entry");
   const Result<CallerRequest> Caller = readCallerRequest(Request);
-  HttpResponse Response = Caller ? co_await this->serve(Caller.value(), Hop)
-                                 : problemResponse(Caller.error());
+  // Not as a conditional expression: g++ 12 destroys its temporaries twice when
+  // it contains co_await.
+  HttpResponse Response;
+  if (Caller)
+    Response = co_await this->serve(Caller.value(), Hop);
+  else
+    Response = problemResponse(Caller.error());
   Response.Fields.add("traceparent", Hop.traceParent());
   Hop.set("status", std::to_string(Response.Status));
   this->Context.Metrics
