--- a/src/libs/administration/administrator.cpp
+++ b/src/libs/administration/administrator.cpp
@@ -58,6 +58,12 @@
   return success();
 }
 
+Json::Value shownObject(CatalogueObject Object) {
+  if (Object.Kind == ObjectKind::Secret && Object.Spec.isMember("hex"))
+    Object.Spec["hex"] = "(not shown)";
+  return Object.toJson();
+}
+
 /// Refuses a plan when a desired object names a version that is not stored.
 Result<void> checkVersions(const ObjectList &Stored,
                            const std::vector<CatalogueObject> &Desired) {
@@ -76,7 +82,10 @@
           ErrorKind::VersionConflict,
           Object.label() + ": the change is for version " +
               std::to_string(Object.Version) + ", stored is " +
-              (Version == 0 ? "none" : "version " + std::to_string(Version)));
+              (Version == 0 ? "none" : "version " + std::to_string(Version)) +
+              "; nothing was written\nwanted: " +
+              writeCompactJson(shownObject(Object)) + "\nstored: " +
+              (Version == 0 ? "none" : writeCompactJson(shownObject(*Found))));
   }
   return success();
 }
@@ -88,12 +97,6 @@
   Answer.emplace(co_await std::move(Call));
 }
 
-Json::Value shownObject(CatalogueObject Object) {
-  if (Object.Kind == ObjectKind::Secret && Object.Spec.isMember("hex"))
-    Object.Spec["hex"] = "(not shown)";
-  return Object.toJson();
-}
-
 } // namespace
 
 struct Administrator::Planned {
--- a/tests/auto/administration/tst_administrator.cpp
+++ b/tests/auto/administration/tst_administrator.cpp
@@ -107,6 +107,8 @@
       Admin.apply(workspace("4", Version), MissingObjects::Keep, false);
   CHECK(Lost.Code == ExitCode::LostRace);
   CHECK(Lost.Text.find("version " + Version) != std::string::npos);
+  CHECK(Lost.Text.find("\nwanted: ") != std::string::npos);
+  CHECK(Lost.Text.find("\nstored: ") != std::string::npos);
   CHECK(Admin.get(ObjectKind::Workspace, "w").Data["spec"]["rate"] ==
         Json::Value(3));
 }
--- a/tests/standins/faultproxy/main.cpp
+++ b/tests/standins/faultproxy/main.cpp
@@ -21,7 +21,8 @@
     "Admin calls (JSON): GET /links, POST /fault {\"link\":NAME,\n"
     "  \"fault\":\"delay|cut|blackhole-old|blackhole|half-close|throttle|\n"
     "  reorder|clear\",\"direction\":\"up|down|both\",\"ms\":N,\"rate\":N,\n"
-    "  \"accept\":bool}; without \"link\" all links are meant.\n";
+    "  \"accept\":bool}; without \"link\" all links are meant.\n"
+    "\"clear\" leaves silenced connections silent unless \"revive\" is true.\n";
 
 struct LinkOption {
   std::string Name;
