--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -29,6 +29,8 @@
 // Calls to peers block a thread each; pending ones are few.
 constexpr std::size_t RpcThreads = 12;
 constexpr milliseconds StopPollInterval{20};
+// Handover wait of rate owners and the time to learn the host set.
+constexpr milliseconds RateReadyWait{1500};
 // Peers keep connections open for longer than their clients do.
 constexpr milliseconds PeerIdleTimeout{120000};
 
@@ -97,7 +99,10 @@
         Platform(Workers.worker(0), endpointsOf(Config.Platform.Endpoints)),
         Statuses(Workers.worker(0), Platform), Groups(Context, Statuses, Views),
         Rates(std::make_shared<RateService>(
-            Context, [this] { return this->Members->rateFleet(); })),
+            Context, [this] { return this->Members->rateFleet(); },
+            [this](const std::string &Name) {
+              return this->Members->mayGrant(Name);
+            })),
         Members(std::make_shared<MembershipService>(
             Context, Platform, endpointOf(Config.Listen.Peers),
             MembershipService::Listeners{
@@ -213,8 +218,10 @@
     co_return problemResponse(failure(ErrorKind::NotFound, Request.Target));
   }
 
+  // A new fleet grants no rates before its owners' handover wait is over.
   bool isReady() const {
-    return !this->Stopping && this->Configuration->snapshot() != nullptr;
+    return !this->Stopping && this->Configuration->snapshot() != nullptr &&
+           now() >= this->ReadyFrom.load();
   }
 
   std::string exposition() {
@@ -269,6 +276,9 @@
     const SnapshotPointer Snapshot = this->Configuration->snapshot();
     if (!Snapshot)
       return;
+    if (this->Members->rateFleet()->epoch() > 0 &&
+        this->ReadyFrom.load() == TimePoint::max())
+      this->ReadyFrom = now() + RateReadyWait;
     this->Groups.reconcile(Snapshot, Fleet);
     this->Rates->configure(ratesOf(*Snapshot));
   }
@@ -293,6 +303,7 @@
   HttpServer PeerServer;
   HttpServer AdminServer;
   std::atomic<bool> Stopping{false};
+  std::atomic<TimePoint> ReadyFrom{TimePoint::max()};
 };
 
 Daemon::Daemon(Settings Config)
--- a/src/libs/server/membershipservice.cpp
+++ b/src/libs/server/membershipservice.cpp
@@ -300,6 +300,11 @@
   this->Told.FleetChanged();
 }
 
+bool MembershipService::mayGrant(const std::string &Name) const {
+  const std::lock_guard Guard(this->Lock);
+  return this->State.mayGrant(Name, now());
+}
+
 FleetPointer MembershipService::liveFleet() const {
   const std::lock_guard Guard(this->Lock);
   return this->Live;
--- a/src/libs/server/membershipservice.h
+++ b/src/libs/server/membershipservice.h
@@ -44,6 +44,9 @@
   /// Takes hosts and host set of a new configuration.
   void configure(const SnapshotPointer &Snapshot, std::uint64_t Version);
 
+  /// Whether this host owns the rate \p Name in its domain and may use it now.
+  bool mayGrant(const std::string &Name) const;
+
   /// Hosts that are alive, for everything but rates.
   FleetPointer liveFleet() const;
 
--- a/src/libs/server/rateservice.cpp
+++ b/src/libs/server/rateservice.cpp
@@ -74,6 +74,7 @@
 Json::Value toJson(const GrantAnswer &Answer) {
   Json::Value Value(Json::objectValue);
   Value["workspace"] = Answer.Workspace;
+  Value["incarnation"] = number(Answer.Incarnation);
   Value["sequence"] = number(Answer.Sequence);
   Value["status"] = static_cast<int>(Answer.Status);
   Value["tokens"] = Answer.Tokens;
@@ -87,6 +88,7 @@
   ObjectReader Reader(Value, "grant");
   GrantAnswer Answer;
   Answer.Workspace = Reader.requiredString("workspace");
+  Answer.Incarnation = Reader.requiredUnsigned("incarnation", 0, UINT64_MAX);
   Answer.Sequence = Reader.requiredUnsigned("sequence", 0, UINT64_MAX);
   Answer.Status =
       static_cast<GrantStatus>(Reader.requiredUnsigned("status", 0, 3));
@@ -126,6 +128,7 @@
 Json::Value toJson(const LoanAnswer &Answer) {
   Json::Value Value(Json::objectValue);
   Value["workspace"] = Answer.Workspace;
+  Value["incarnation"] = number(Answer.Incarnation);
   Value["sequence"] = number(Answer.Sequence);
   Value["status"] = static_cast<int>(Answer.Status);
   Value["amount"] = number(static_cast<std::uint64_t>(Answer.Amount));
@@ -138,6 +141,7 @@
   ObjectReader Reader(Value, "loan");
   LoanAnswer Answer;
   Answer.Workspace = Reader.requiredString("workspace");
+  Answer.Incarnation = Reader.requiredUnsigned("incarnation", 0, UINT64_MAX);
   Answer.Sequence = Reader.requiredUnsigned("sequence", 0, UINT64_MAX);
   Answer.Status =
       static_cast<GrantStatus>(Reader.requiredUnsigned("status", 0, 3));
@@ -151,10 +155,22 @@
   return Answer;
 }
 
+/// The answer of a host that may not use its share now.
+template <typename Answer, typename Request>
+Answer refusalOf(const Request &Asked) {
+  Answer Refusal;
+  Refusal.Workspace = Asked.Workspace;
+  Refusal.Incarnation = Asked.Incarnation;
+  Refusal.Sequence = Asked.Sequence;
+  Refusal.Status = GrantStatus::NotReady;
+  return Refusal;
+}
+
 } // namespace
 
-RateService::RateService(const DaemonContext &Context, FleetSource Fleet)
-    : Context(Context), Fleet(std::move(Fleet)),
+RateService::RateService(const DaemonContext &Context, FleetSource Fleet,
+                         OwnerCheck MayGrant)
+    : Context(Context), Fleet(std::move(Fleet)), MayGrant(std::move(MayGrant)),
       Incarnation(std::random_device{}()),
       Owner(Context.hostName(), this->Incarnation) {}
 
@@ -315,8 +331,8 @@
 }
 
 GrantAnswer RateService::grantLocally(const GrantRequest &Request) {
-  GrantAnswer Answer;
-  {
+  GrantAnswer Answer = refusalOf<GrantAnswer>(Request);
+  if (this->MayGrant(Request.Workspace)) {
     const std::lock_guard Guard(this->OwnerLock);
     Answer = this->Owner.grant(Request, now());
   }
--- a/src/libs/server/rateservice.h
+++ b/src/libs/server/rateservice.h
@@ -29,7 +29,11 @@
 public:
   using FleetSource = std::function<FleetPointer()>;
 
-  RateService(const DaemonContext &Context, FleetSource Fleet);
+  /// Whether this host may use its share of a rate at this moment.
+  using OwnerCheck = std::function<bool(const std::string &Name)>;
+
+  RateService(const DaemonContext &Context, FleetSource Fleet,
+              OwnerCheck MayGrant);
 
   /// Registers "rate.draw" and "rate.borrow".
   void addMethods(RpcServer &Server);
@@ -75,6 +79,7 @@
 
   const DaemonContext &Context;
   FleetSource Fleet;
+  OwnerCheck MayGrant;
   std::uint64_t Incarnation;
   std::array<Shard, 16> Shards;
   std::mutex OwnerLock;
