Test the confirmation of a withdrawal by hosts

One host shows the new version from its third answer on and one never does, so that both sides of the wait are run. tst_administration: 6 cases pass, release and asan.

--- a/tests/auto/administration/tst_administrator.cpp
+++ b/tests/auto/administration/tst_administrator.cpp
@@ -13,27 +13,31 @@
 
 namespace {
 
-CatalogueObject silentHost() {
-  Host Silent;
-  Silent.Name = "h";
-  Silent.FailureDomain = "east";
-  Silent.PeerAddress = "127.0.0.1";
-  Silent.PeerPort = 1;
+/// \param AdminPort 0 for a host without an admin listener.
+CatalogueObject hostObject(const std::string &Name, std::uint16_t AdminPort) {
+  Host Listed;
+  Listed.Name = Name;
+  Listed.FailureDomain = "east";
+  Listed.PeerAddress = "127.0.0.1";
+  Listed.PeerPort = 1;
+  Listed.AdminAddress = AdminPort == 0 ? "" : "127.0.0.1";
+  Listed.AdminPort = AdminPort;
   CatalogueObject Object;
   Object.Kind = ObjectKind::Host;
-  Object.Name = Silent.Name;
-  Object.Spec = Silent.toJson();
+  Object.Name = Name;
+  Object.Spec = Listed.toJson();
   return Object;
 }
 
 /// The stand-in's object API on its own thread.
 class PlatformThread {
 public:
-  /// \param HasHost whether the list of hosts has one that does not answer.
-  explicit PlatformThread(bool HasHost = false)
-      : Endpoint(this->Listener.local_endpoint()), Thread([this, HasHost] {
-          if (HasHost)
-            this->Platform.Store.create("hosts", silentHost().toJson());
+  /// \param HasHosts whether the list of hosts has one that shows the newest
+  /// version from its third answer on, and one that never does.
+  explicit PlatformThread(bool HasHosts = false)
+      : Endpoint(this->Listener.local_endpoint()), Thread([this, HasHosts] {
+          if (HasHosts)
+            this->addHosts();
           standins::startApi(std::move(this->Listener), this->Platform);
           this->Io.run();
         }) {}
@@ -55,6 +59,24 @@
       {}};
 
 private:
+  void addHosts() {
+    auto Admin = standins::listenOnLoopback(this->Io, 0);
+    const std::uint16_t Port = Admin.local_endpoint().port();
+    this->Platform.Store.create("hosts", hostObject("current", Port).toJson());
+    this->Platform.Store.create("hosts", hostObject("h", 0).toJson());
+    standins::startAdminServer(
+        std::move(Admin),
+        [this](const std::string &, const std::string &, const Json::Value &) {
+          constexpr int FirstCurrentAnswer = 3;
+          standins::AdminAnswer Answer;
+          const bool IsCurrent = ++this->StatusCalls >= FirstCurrentAnswer;
+          Answer.Body["configurationVersion"] =
+              IsCurrent ? this->Platform.Store.version() : 1;
+          return Answer;
+        });
+  }
+
+  int StatusCalls = 0;
   boost::asio::io_context Io{1};
   boost::asio::ip::tcp::acceptor Listener =
       standins::listenOnLoopback(this->Io, 0);
@@ -117,7 +139,8 @@
 // withdrawal that is reported as in force although a host did not confirm.
 TEST_CASE("keys are granted and withdrawn", "[keys]") {
   PlatformThread Platform(true);
-  Administrator Admin(Platform.Endpoint, std::chrono::steady_clock::now() + 3s);
+  Administrator Admin(Platform.Endpoint,
+                      std::chrono::steady_clock::now() + 60s);
   REQUIRE(Admin.apply(workspace("1"), MissingObjects::Keep, false).Code ==
           ExitCode::Done);
   const Report Granted = Admin.grantKey("w");
@@ -132,6 +155,7 @@
 
   const Report Withdrawn = Admin.withdrawKey(Text->Id, true);
   CHECK(Withdrawn.Code == ExitCode::NotInForce);
+  CHECK(Withdrawn.Data["unconfirmed"].size() == 1);
   CHECK(Withdrawn.Text.find("The withdrawal is stored. Host h did not "
                             "confirm. It stops accepting keys 10 s after") !=
         std::string::npos);
