--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -151,6 +151,9 @@
     return;
   const bool Changed = Seen.Current != this->Status.Current;
   const bool First = this->Status.Current.Value == 0;
+  const auto Replaced = this->Upstreams.find(this->Status.Primary);
+  if (Changed && Replaced != this->Upstreams.end())
+    Replaced->second->refuseWaiting();
   this->Status = Seen;
   if (!Changed)
     return;
@@ -208,6 +211,7 @@
     } else {
       this->SuspectedTerm = 0;
     }
+    this->refuseStrandedWrites();
     this->TickTimer.expires_after(failoverlimits::PollInterval / 2);
     boost::system::error_code Ignored;
     co_await this->TickTimer.async_wait(
@@ -215,6 +219,14 @@
   }
 }
 
+// Requests that wait at a primary without permission would wait until their
+// deadline, past the promotion of another one.
+void GroupService::refuseStrandedWrites() {
+  const auto Held = this->Upstreams.find(this->Status.Primary);
+  if (Held != this->Upstreams.end() && !this->mayWrite(now()))
+    Held->second->refuseWaiting();
+}
+
 void GroupService::askForEvidence() {
   const Term Current = this->Status.Current;
   const bool Suspects = this->Detector.suspects(now());
--- a/src/libs/server/groupservice.h
+++ b/src/libs/server/groupservice.h
@@ -87,6 +87,7 @@
   void primaryPolled(const PollReport &Report);
   void publish();
   void askForEvidence();
+  void refuseStrandedWrites();
   UpstreamView viewOf(const Upstream &Member, TimePoint Now) const;
 
   const DaemonContext &Context;
--- a/src/libs/server/rateservice.cpp
+++ b/src/libs/server/rateservice.cpp
@@ -183,8 +183,12 @@
   Server.add(
       "rate.borrow", [this](const Json::Value &Params) -> Result<Json::Value> {
         BOOST_OUTCOME_TRY(const LoanRequest Request, loanRequestFrom(Params));
-        const std::lock_guard Guard(this->OwnerLock);
-        return toJson(this->Owner.lend(Request, now()));
+        LoanAnswer Answer = refusalOf<LoanAnswer>(Request);
+        if (this->MayGrant(Request.Workspace)) {
+          const std::lock_guard Guard(this->OwnerLock);
+          Answer = this->Owner.lend(Request, now());
+        }
+        return toJson(Answer);
       });
 }
 
--- a/src/libs/server/upstreamservice.cpp
+++ b/src/libs/server/upstreamservice.cpp
@@ -71,16 +71,20 @@
 void UpstreamService::stop() {
   this->Stopped = true;
   this->PoolTimer.cancel();
-  for (const auto &[Id, Waiting] : this->Waiters) {
-    Waiting->Refused = true;
-    Waiting->Timer.cancel();
-  }
+  this->refuseWaiting();
   for (asio::steady_timer *Timer : this->StatementWaiters)
     Timer->cancel();
   for (const auto &[Id, Connection] : this->Connections)
     Connection->close();
 }
 
+void UpstreamService::refuseWaiting() {
+  for (const auto &[Id, Waiting] : this->Waiters) {
+    Waiting->Refused = !Waiting->Granted;
+    Waiting->Timer.cancel();
+  }
+}
+
 void UpstreamService::update(const Upstream &NewConfig) {
   this->Config = NewConfig;
   const PoolLimits Limits = poolLimitsOf(NewConfig);
@@ -130,6 +134,8 @@
     this->Pool.openFailed(
         Id, Full ? OpenFailure::LimitReached : OpenFailure::Unreachable, now(),
         this->Random);
+    if (this->Connections.empty())
+      this->refuseWaiting();
   } else if (this->Pool.opened(Id, now())) {
     this->Connections[Id] = std::move(Opened.value());
   }
--- a/src/libs/server/upstreamservice.h
+++ b/src/libs/server/upstreamservice.h
@@ -52,6 +52,10 @@
 
   void update(const Upstream &Config);
 
+  /// Fails all waiting requests with Unavailable, so that they can be tried
+  /// elsewhere instead of waiting for an upstream that is down.
+  void refuseWaiting();
+
   /// A connection taken for one exchange or one transaction.
   struct Lease {
     ConnectionId Id = 0;
