Do not count members with lost writes as fenced

The platform may rebuild a member that holds lost writes at any time and then points it at the current primary, which lifts a fence that an attempt relies on. Only members whose log is part of the current lineage count now.

--- a/src/libs/failover/promotionattempt.cpp
+++ b/src/libs/failover/promotionattempt.cpp
@@ -244,7 +244,12 @@
 void PromotionAttempt::verifyFence(Member &M, const ReplicaPoll &Poll) {
   // A configuration reload takes effect later than its command, so a member
   // that is not fenced yet is polled again.
-  if (!Poll.isFenced() || Poll.Timeline.Value == 0)
+  if (!Poll.isFenced())
+    return;
+  // A member with lost writes, or of an unknown timeline, may be rebuilt by the
+  // platform at any time, which lifts its fence.
+  const Position End{Poll.Timeline, Poll.logEnd()};
+  if (this->Claimed.History.fate(End) != WriteFate::Survived)
     return;
   M.Poll = Poll;
   M.Reached = Stage::Fenced;
--- a/tests/auto/failover/promotionmodel.cpp
+++ b/tests/auto/failover/promotionmodel.cpp
@@ -289,6 +289,18 @@
   M.Timeline = From.Timeline;
 }
 
+/// Whether the member holds writes that were lost, or is a replaced primary:
+/// it cannot follow the current primary, and the platform rebuilds it.
+bool World::needsRejoin(const Member &M) const {
+  const Member &Primary = this->member(this->Status.Primary);
+  if (Primary.InRecovery || Primary.Timeline != this->Status.Current ||
+      M.Timeline >= Primary.Timeline)
+    return false;
+  const WriteFate Fate =
+      this->Status.History.fate({M.Timeline, {M.Log.size()}});
+  return !M.InRecovery || Fate == WriteFate::Lost;
+}
+
 void World::rejoin(Member &M) {
   const Member &From = this->member(this->Status.Primary);
   M.InRecovery = true;
@@ -348,10 +360,7 @@
       Steps.push_back({Write, I});
     if (this->Left.Pulls > 0 && this->canPull(M))
       Steps.push_back({Pull, I});
-    const Member &Primary = this->member(this->Status.Primary);
-    if (this->Left.Rejoins > 0 && !M.InRecovery &&
-        Primary.Timeline == this->Status.Current &&
-        M.Timeline < Primary.Timeline)
+    if (this->Left.Rejoins > 0 && this->needsRejoin(M))
       Steps.push_back({Rejoin, I});
   }
   if (this->Left.TimeSteps > 0)
@@ -443,9 +452,12 @@
       while (this->hasRequests(I))
         this->apply({Step::Kind::Execute, I});
     }
-    for (Member &M : this->Members)
+    for (Member &M : this->Members) {
+      if (this->needsRejoin(M))
+        this->rejoin(M);
       if (this->canPull(M))
         this->pull(M);
+    }
     this->apply({Step::Kind::Time});
     this->observe();
   }
--- a/tests/auto/failover/promotionmodel.h
+++ b/tests/auto/failover/promotionmodel.h
@@ -71,7 +71,8 @@
   /// The one after them is delayed.
   void runPrefix(std::size_t Watcher, unsigned Requests);
 
-  /// Ends all faults: everything is delivered, nobody is suspected.
+  /// Ends all faults: everything is delivered, nobody is suspected, and the
+  /// platform rebuilds the members that cannot follow.
   void settle(unsigned TimeSteps);
 
   /// Equal for worlds that behave alike.
@@ -114,6 +115,7 @@
   void dropAbandoned();
   void pull(Member &M);
   bool canPull(const Member &M) const;
+  bool needsRejoin(const Member &M) const;
   void rejoin(Member &M);
   void observe();
   void observe(WritePermission &Holder);
