--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -36,7 +36,7 @@
   add_executable(tst_${Name} ${ARG_SOURCES})
   target_link_libraries(tst_${Name} PRIVATE lavenderdale_options testmain ${ARG_LINK})
   add_test(NAME ${Name} COMMAND tst_${Name})
-  set_tests_properties(${Name} PROPERTIES TIMEOUT 120)
+  set_tests_properties(${Name} PROPERTIES TIMEOUT 300)
 endfunction()
 
 # g++ 12 reports false uninitialized uses inside libstdc++ under the address
