--- a/src/libs/server/rateservice.cpp
+++ b/src/libs/server/rateservice.cpp
@@ -108,6 +108,7 @@
   Value["incarnation"] = number(Request.Incarnation);
   Value["sequence"] = number(Request.Sequence);
   Value["wanted"] = number(static_cast<std::uint64_t>(Request.Wanted));
+  Value["urgent"] = Request.Urgent;
   return Value;
 }
 
