Refuse a transaction header outside statements; count reads when served

Also: a full database no longer counts as silent, rates below 1 are refused instead of rounded up, reads at the primary are counted once and when served, lint findings.

--- a/src/libs/catalogue/route.cpp
+++ b/src/libs/catalogue/route.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint64_t MaxDeadlineMs = 600000;
 constexpr std::uint64_t MaxMaxAgeMs = 86400000;
 constexpr std::uint64_t MaxQueueLength = 100000;
-constexpr double MinRate = 0.001;    // Statements per second.
+// Rates are counted in whole statements per second.
+constexpr double MinRate = 1;
 constexpr double MaxRate = 10000000; // Statements per second.
 constexpr double MinBurst = 1;       // Statements.
 constexpr double MaxBurst = 100000000;
--- a/src/libs/catalogue/workspace.cpp
+++ b/src/libs/catalogue/workspace.cpp
@@ -5,7 +5,8 @@
 namespace lavenderdale {
 namespace {
 
-constexpr double MinRate = 0.001;    // Statements per second.
+// Rates are counted in whole statements per second.
+constexpr double MinRate = 1;
 constexpr double MaxRate = 10000000; // Statements per second.
 constexpr double MinBurst = 1;       // Statements.
 constexpr double MaxBurst = 100000000;
--- a/src/libs/server/callerrequest.cpp
+++ b/src/libs/server/callerrequest.cpp
@@ -112,8 +112,13 @@
     Caller.SessionText = *Text;
   if (const std::string *Text = Request.Fields.find("traceparent"))
     Caller.TraceParent = *Text;
-  if (const std::string *Text = Request.Fields.find("Lavenderdale-Transaction"))
+  if (const std::string *Text =
+          Request.Fields.find("Lavenderdale-Transaction")) {
+    if (Caller.Action != Operation::Run)
+      return failure(ErrorKind::BadRequest,
+                     "Lavenderdale-Transaction: used with statements only");
     Caller.Transaction = *Text;
+  }
   if (const std::string *Text = Request.Fields.find("Idempotency-Key")) {
     if (Text->empty() || Text->size() > MaxIdempotencyKeyBytes)
       return failure(ErrorKind::BadRequest,
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -42,6 +42,7 @@
 
 std::vector<Endpoint> endpointsOf(const std::vector<IpEndpoint> &List) {
   std::vector<Endpoint> Endpoints;
+  Endpoints.reserve(List.size());
   for (const IpEndpoint &Each : List)
     Endpoints.push_back(endpointOf(Each));
   return Endpoints;
--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -276,15 +276,15 @@
       ErrorKind::Unavailable, "no view of group " + Message.Group,
       AttemptOutcome::NotSent);
   bool Refresh = false;
+  std::optional<PrimaryReason> Reason;
   while (now() < Request.Deadline) {
     const GroupViewPointer View =
         co_await this->freshView(Message.Group, Refresh);
     Refresh = true;
     std::vector<Attempt> Attempts;
     if (View) {
-      bool TermUnknown = false;
       Result<std::vector<Attempt>> Planned =
-          this->planAttempts(Caller, Request, *View, TermUnknown);
+          this->planAttempts(Caller, Request, *View, Reason);
       if (!Planned)
         co_return ExecutionResult::failed(Planned.error(),
                                           AttemptOutcome::NotSent);
@@ -297,6 +297,8 @@
       Message.Role = Next.Role;
       Message.WaitUntil = Next.WaitUntil;
       Last = co_await this->Run.execute(Next.Host, Message);
+      if (Last.Answer)
+        this->countServed(Caller, *Last.Answer, Reason);
       if (Last.Answer || isFinal(Last.Failure.Reason.Kind))
         co_return Last;
       const AttemptOutcome Outcome = Last.Failure.Outcome;
@@ -316,13 +318,14 @@
       break;
     co_await sleepUntil(Again);
   }
-  co_return finalFailure(std::move(Last),
-                         stepWithoutRetry(Last.Failure.Outcome, Mark));
+  const NextStep Step = stepWithoutRetry(Last.Failure.Outcome, Mark);
+  co_return finalFailure(std::move(Last), Step);
 }
 
 Result<std::vector<Entry::Attempt>>
 Entry::planAttempts(const CallerRequest &Caller, const Admitted &Request,
-                    const PublishedGroupView &View, bool &Refresh) {
+                    const PublishedGroupView &View,
+                    std::optional<PrimaryReason> &Reason) {
   std::vector<Attempt> Attempts;
   const std::string &Group = Request.Target->Group;
   if (!Caller.ReadOnly) {
@@ -344,19 +347,33 @@
   const ReadPlan Plan = ReadRouter::plan(Routing, Read, now());
   if (Plan.Result == ReadPlan::Outcome::SessionLost)
     return failure(ErrorKind::SessionLost, "group " + Group);
-  Refresh = Plan.Result == ReadPlan::Outcome::RefreshView;
-  if (Plan.Reason)
-    this->Context.Metrics
-        .counter("lavenderdale_primary_reads_total",
-                 "Reads planned for the primary, by reason",
-                 {{"reason", std::string(toString(*Plan.Reason))}})
-        .add();
+  Reason = Plan.Reason;
   for (const ReadCandidate &Candidate : Plan.Candidates)
     this->addHolders(Request, Candidate.Upstream, Candidate.Role,
                      Candidate.WaitUntil, Attempts);
   return Attempts;
 }
 
+void Entry::countServed(const CallerRequest &Caller,
+                        const ExecutionAnswer &Answer,
+                        std::optional<PrimaryReason> Reason) const {
+  const bool Replica = Answer.Role == UpstreamRole::Replica;
+  this->Context.Metrics
+      .counter("lavenderdale_served_total", "Requests served by role",
+               {{"role", Replica ? "replica" : "primary"},
+                {"access", Caller.ReadOnly ? "read" : "write"}})
+      .add();
+  if (!Caller.ReadOnly || Replica)
+    return;
+  // The plan had a replica, but none answered in time.
+  const PrimaryReason Counted = Reason.value_or(PrimaryReason::Behind);
+  this->Context.Metrics
+      .counter("lavenderdale_primary_reads_total",
+               "Reads served by the primary, by reason",
+               {{"reason", std::string(toString(Counted))}})
+      .add();
+}
+
 void Entry::addHolders(const Admitted &Request, const std::string &Upstream,
                        UpstreamRole Role, std::optional<TimePoint> WaitUntil,
                        std::vector<Attempt> &Attempts) const {
@@ -407,10 +424,6 @@
   const bool Replica = Result.Answer->Role == UpstreamRole::Replica;
   Response.Fields.add("Lavenderdale-Served-By",
                       Replica ? "replica" : "primary");
-  this->Context.Metrics
-      .counter("lavenderdale_served_total", "Requests served by role",
-               {{"role", Replica ? "replica" : "primary"}})
-      .add();
   SessionToken Session = Request.Session;
   if (Result.Answer->Reached)
     Session.advance(Request.Target->Group, *Result.Answer->Reached);
--- a/src/libs/server/entry.h
+++ b/src/libs/server/entry.h
@@ -71,10 +71,12 @@
   boost::asio::awaitable<ExecutionResult>
   runWithRetries(const CallerRequest &Caller, const Admitted &Request,
                  ExecutionRequest Message);
-  Result<std::vector<Attempt>> planAttempts(const CallerRequest &Caller,
-                                            const Admitted &Request,
-                                            const PublishedGroupView &View,
-                                            bool &Refresh);
+  Result<std::vector<Attempt>>
+  planAttempts(const CallerRequest &Caller, const Admitted &Request,
+               const PublishedGroupView &View,
+               std::optional<PrimaryReason> &Reason);
+  void countServed(const CallerRequest &Caller, const ExecutionAnswer &Answer,
+                   std::optional<PrimaryReason> Reason) const;
   void addHolders(const Admitted &Request, const std::string &Upstream,
                   UpstreamRole Role, std::optional<TimePoint> WaitUntil,
                   std::vector<Attempt> &Attempts) const;
--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -101,7 +101,7 @@
 GroupDirectory::ServicePointer GroupDirectory::create(const Group &Members) {
   asio::io_context &Home = this->Context.Workers.worker(
       std::hash<std::string>()(Members.Name) % this->Context.Workers.size());
-  const auto Service = std::make_shared<GroupService>(
+  auto Service = std::make_shared<GroupService>(
       this->Context, Home, Members, this->Store, this->Views,
       [this](const std::string &Group, Term Current,
              const std::vector<Watcher> &Watchers) {
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -1,5 +1,6 @@
 #include "groupservice.h"
 
+#include "base/softassert.h"
 #include "failover/failoverlimits.h"
 #include "telemetry/logging.h"
 
@@ -22,6 +23,7 @@
 
 std::vector<std::string> namesOf(const Group &Members) {
   std::vector<std::string> Names;
+  Names.reserve(Members.Upstreams.size());
   for (const Upstream &Member : Members.Upstreams)
     Names.push_back(Member.Name);
   return Names;
@@ -189,6 +191,9 @@
     return this->Detector.pollRefused(Report.SentAt, now());
   case PollEnd::TimedOut:
     return this->Detector.pollTimedOut(Report.SentAt, now());
+  case PollEnd::Full:
+    // A full database is alive: it must not be replaced for that.
+    return this->Detector.pollAnswered(Report.SentAt, now());
   case PollEnd::Answered:
     break;
   }
@@ -259,6 +264,10 @@
                                       Request.Upstream + " is not the primary",
                                       AttemptOutcome::RefusedBeforeRun);
   const auto Target = Found == this->Upstreams.end() ? nullptr : Found->second;
+  if (!softAssert(Target || Request.Action != Operation::Begin,
+                  "a transaction begins at an upstream"))
+    co_return ExecutionResult::failed(ErrorKind::BadRequest, "no upstream",
+                                      AttemptOutcome::RefusedBeforeRun);
   co_return co_await this->Runner.execute(Target, std::move(Request));
 }
 
--- a/src/libs/server/membermonitor.cpp
+++ b/src/libs/server/membermonitor.cpp
@@ -95,9 +95,10 @@
             connectOptionsOf(this->Members, *Target, "lavenderdale-monitor"),
             Deadline);
     if (!Opened) {
-      // Full is not down: the database answered.
       if (Opened.error().Kind == ErrorKind::Unavailable)
         Report.End = PollEnd::Refused;
+      if (Opened.error().Kind == ErrorKind::TooManyConnections)
+        Report.End = PollEnd::Full;
       co_return Report;
     }
     this->Connection = std::move(Opened.value());
--- a/src/libs/server/membermonitor.h
+++ b/src/libs/server/membermonitor.h
@@ -15,7 +15,12 @@
 namespace lavenderdale {
 
 /// How one poll of a member ended.
-enum class PollEnd { Answered, Refused, TimedOut };
+enum class PollEnd {
+  Answered,
+  Full, ///< The database answered that its connection limit is reached.
+  Refused,
+  TimedOut,
+};
 
 struct PollReport {
   std::string Upstream;
--- a/src/libs/server/membershipservice.h
+++ b/src/libs/server/membershipservice.h
@@ -78,7 +78,6 @@
   FleetPointer Live;
   FleetPointer ForRates;
   std::uint64_t FleetVersion = 0;
-  std::uint64_t HostSetVersion = 0; ///< resourceVersion of the stored set.
   bool Stopped = false;
 };
 
--- a/src/libs/server/promotiondriver.cpp
+++ b/src/libs/server/promotiondriver.cpp
@@ -22,6 +22,7 @@
 
 std::vector<std::string> namesOf(const Group &Members) {
   std::vector<std::string> Names;
+  Names.reserve(Members.Upstreams.size());
   for (const Upstream &Member : Members.Upstreams)
     Names.push_back(Member.Name);
   return Names;
@@ -86,7 +87,7 @@
 };
 
 PromotionDriver::PromotionDriver(
-    asio::io_context &Home, std::string Host, Group Members,
+    asio::io_context &Home, std::string Host, const Group &Members,
     GroupStatusStore &Store, PollFunction Poll,
     std::function<void(const TermStatus &)> OnStatus)
     : Home(Home), Host(Host), Members(Members), Store(Store),
@@ -111,7 +112,7 @@
   this->OnStatus(*Known);
 }
 
-void PromotionDriver::perform(std::vector<PromotionAction> Actions) {
+void PromotionDriver::perform(const std::vector<PromotionAction> &Actions) {
   for (const PromotionAction &Action : Actions)
     std::visit(Performer{*this}, Action);
 }
@@ -158,6 +159,7 @@
     co_return false;
   // ALTER SYSTEM cannot run inside a transaction, so each statement is a group.
   std::vector<std::vector<Statement>> Groups;
+  Groups.reserve(Statements.size());
   for (Statement &Each : Statements)
     Groups.push_back({std::move(Each)});
   const auto Results =
--- a/src/libs/server/promotiondriver.h
+++ b/src/libs/server/promotiondriver.h
@@ -24,7 +24,8 @@
 
   /// \param OnStatus called when a newer status is known.
   PromotionDriver(boost::asio::io_context &Home, std::string Host,
-                  Group Members, GroupStatusStore &Store, PollFunction Poll,
+                  const Group &Members, GroupStatusStore &Store,
+                  PollFunction Poll,
                   std::function<void(const TermStatus &)> OnStatus);
 
   /// Passes an event to the promotion.
@@ -38,7 +39,7 @@
   using Sessions = std::map<CallId, std::shared_ptr<PostgresConnection>>;
 
   struct Performer;
-  void perform(std::vector<PromotionAction> Actions);
+  void perform(const std::vector<PromotionAction> &Actions);
   void spawn(boost::asio::awaitable<void> Work);
 
   boost::asio::awaitable<void> readStatus(CallId Call);
