--- a/src/libs/base/strictjson.cpp
+++ b/src/libs/base/strictjson.cpp
@@ -26,9 +26,26 @@
   return Text;
 }
 
+// jsoncpp accepts comments beside values in objects and arrays even in strict
+// mode. Outside strings, no JSON text contains a slash.
+bool hasComment(std::string_view Text) {
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    if (InString && Text[I] == '\\')
+      ++I;
+    else if (Text[I] == '"')
+      InString = !InString;
+    else if (Text[I] == '/' && !InString)
+      return true;
+  }
+  return false;
+}
+
 } // namespace
 
 Result<Json::Value> parseStrictJson(std::string_view Text) {
+  if (hasComment(Text))
+    return failure(ErrorKind::BadRequest, "invalid JSON: '/' outside a string");
   static const Json::CharReaderBuilder Builder = makeReaderBuilder();
   const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
   Json::Value Value;
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -26,6 +26,8 @@
 // How often expired connections are looked for. A timer per connection would
 // cost several hundred bytes for each idle client.
 constexpr std::chrono::milliseconds SweepInterval{250};
+// Time for a request on an open connection after the listener has closed.
+constexpr std::chrono::milliseconds LastRequestWait{500};
 
 // Pause after accept() failed, for example for lack of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryPause{100};
@@ -133,11 +135,8 @@
 
   void closeIdle() {
     this->Stopped = true;
-    asio::post(this->Workers.worker(0), [Self = this->shared_from_this()] {
-      error_code Ignored;
-      if (Self->Acceptor)
-        Self->Acceptor->close(Ignored);
-    });
+    asio::post(this->Workers.worker(0),
+               [Self = this->shared_from_this()] { Self->stopListening(); });
     for (const auto &State : this->States)
       asio::post(State->Context,
                  [Self = this->shared_from_this(), Raw = State.get()] {
@@ -153,11 +152,33 @@
   std::atomic<std::uint64_t> Refused{0};
 
 private:
-  // A connection with unread bytes has a request under way.
+  // Leaves time for a request that was sent before the listener closed.
   static void closeIfIdle(Connection &Open) {
-    error_code Ignored;
-    if (!Open.Busy && Open.Socket.available(Ignored) == 0)
-      Open.Socket.close(Ignored);
+    if (!Open.Busy)
+      Open.Deadline = std::min(Open.Deadline, deadline(LastRequestWait));
+  }
+
+  // Closing the listener resets connections that nobody has accepted, so all
+  // that wait are accepted first.
+  void stopListening() {
+    if (!this->Acceptor)
+      return;
+    error_code Failure;
+    this->Acceptor->non_blocking(true, Failure);
+    while (!Failure) {
+      WorkerState &State = *this->States.front();
+      tcp::socket Socket = this->Acceptor->accept(State.Context, Failure);
+      if (!Failure)
+        this->startServing(State, std::move(Socket));
+    }
+    this->Acceptor->close(Failure);
+  }
+
+  void startServing(WorkerState &State, tcp::socket Socket) {
+    asio::co_spawn(
+        State.Context,
+        this->serve(this->shared_from_this(), State, std::move(Socket)),
+        asio::detached);
   }
 
   asio::awaitable<void> acceptLoop(std::shared_ptr<Private>) {
@@ -167,7 +188,7 @@
       error_code Failure;
       tcp::socket Socket = co_await this->Acceptor->async_accept(
           State.Context, resumeWith(Failure));
-      if (Failure == asio::error::operation_aborted || this->Stopped)
+      if (Failure == asio::error::operation_aborted)
         co_return;
       if (Failure) {
         asio::steady_timer Pause(this->Workers.worker(0));
@@ -175,10 +196,7 @@
         co_await Pause.async_wait(resumeWith(Failure));
         continue;
       }
-      asio::co_spawn(
-          State.Context,
-          this->serve(this->shared_from_this(), State, std::move(Socket)),
-          asio::detached);
+      this->startServing(State, std::move(Socket));
     }
   }
 
@@ -228,7 +246,8 @@
       if (!Buffer || Buffer->size() == 0) {
         Buffer.reset();
         Open.Busy = false;
-        Open.Deadline = this->deadline(this->Limits.IdleTimeout);
+        Open.Deadline = deadline(this->Stopped ? LastRequestWait
+                                               : this->Limits.IdleTimeout);
         error_code Failure;
         co_await Open.Socket.async_wait(tcp::socket::wait_read,
                                         resumeWith(Failure));
--- a/src/libs/server/callerrequest.cpp
+++ b/src/libs/server/callerrequest.cpp
@@ -108,8 +108,12 @@
   BOOST_OUTCOME_TRY(
       Caller.Deadline,
       readMilliseconds(Request, "Lavenderdale-Deadline", 1, DeadlineLimitMs));
-  if (const std::string *Text = Request.Fields.find("Lavenderdale-Session"))
+  if (const std::string *Text = Request.Fields.find("Lavenderdale-Session")) {
+    // An empty token would otherwise count as the start of a new session.
+    if (Text->empty())
+      return failure(ErrorKind::BadSession, "Lavenderdale-Session: empty");
     Caller.SessionText = *Text;
+  }
   if (const std::string *Text = Request.Fields.find("traceparent"))
     Caller.TraceParent = *Text;
   if (const std::string *Text = Request.Fields.find("Lavenderdale-Transaction"))
--- a/src/libs/server/configurationservice.cpp
+++ b/src/libs/server/configurationservice.cpp
@@ -7,6 +7,7 @@
 #include "telemetry/logging.h"
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -105,9 +106,10 @@
 void ConfigurationService::start() { this->spawn(this->tickLoop()); }
 
 void ConfigurationService::stop() {
-  const std::lock_guard Guard(this->Lock);
   this->Stopped = true;
-  this->Platform.stopWatch();
+  // The platform client belongs to the home worker.
+  asio::post(this->Home,
+             [Self = this->shared_from_this()] { Self->Platform.stopWatch(); });
 }
 
 void ConfigurationService::spawn(asio::awaitable<void> Work) {
--- a/src/libs/server/configurationservice.h
+++ b/src/libs/server/configurationservice.h
@@ -12,6 +12,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -84,7 +85,7 @@
   std::size_t ObjectCount = 0;
   bool Watching = false;
   bool WatchLoopRuns = false;
-  bool Stopped = false;
+  std::atomic<bool> Stopped{false};
 };
 
 } // namespace lavenderdale
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -170,14 +170,20 @@
     this->CallerServer.closeIdle();
     bool Ended = false;
     while (!Ended && now() < Limit) {
-      Ended = this->CallerServer.requestsInFlight() == 0 &&
+      Ended = this->CallerServer.connections() == 0 &&
               this->PeerServer.requestsInFlight() == 0 &&
               this->Groups.transactions() == 0;
       if (!Ended)
         std::this_thread::sleep_for(StopPollInterval);
     }
+    const std::string Left =
+        std::to_string(this->CallerServer.connections()) + " callers, " +
+        std::to_string(this->PeerServer.requestsInFlight()) +
+        " requests of peers, " + std::to_string(this->Groups.transactions()) +
+        " transactions";
     this->shutDown();
-    logInfo(Ended ? "stopped" : "stopped at the limit with work in flight");
+    logInfo(Ended ? "stopped"
+                  : "stopped at the limit with work in flight: " + Left);
     return Ended;
   }
 
--- a/src/libs/server/membermonitor.cpp
+++ b/src/libs/server/membermonitor.cpp
@@ -17,7 +17,11 @@
 constexpr std::size_t PollResultBytes = 4096;
 // A poll without an answer is given up after this time and its connection is
 // replaced, since it may be silent while new ones work.
-constexpr std::chrono::milliseconds PollDeadline{300};
+constexpr std::chrono::milliseconds PollDeadline{200};
+// Otherwise the gap after each timed-out poll counts as a pause of this host,
+// and a primary that is silent on all connections is never suspected.
+static_assert(PollDeadline + failoverlimits::PollInterval <=
+              failoverlimits::MaxPollGap);
 // Shortest interval of polls while a write waits for a replica.
 constexpr std::chrono::milliseconds MinPollInterval{5};
 
