Answer writes that wait for a replica when a daemon stops

A daemon that left dropped its polls, and a write that waited for the next poll hung past its deadline, so the stop ran into its limit. Polls go on until no write waits for them.

--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -80,6 +80,7 @@
     for (const auto &[Name, Monitor] : this->Monitors)
       Monitor->stop();
     this->Monitors.clear();
+    this->PollSignal.cancel();
   }
   this->applyDuties();
 }
@@ -114,6 +115,9 @@
 
 void GroupService::startMonitors() {
   const bool Needed = this->Duties.polls(this->Status.Primary);
+  // Writes that wait for a replica need the polls until they are answered.
+  if (!Needed && this->PollWaiters > 0)
+    return;
   if (!Needed) {
     for (const auto &[Name, Monitor] : this->Monitors)
       Monitor->stop();
@@ -282,8 +286,20 @@
     if (Name != this->Status.Primary)
       Monitor->hasten();
   boost::system::error_code Ignored;
+  if (this->Monitors.empty()) {
+    asio::steady_timer Pause(this->Home);
+    Pause.expires_at(std::min(Limit, now() + failoverlimits::PollInterval));
+    co_await Pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_return;
+  }
+  const auto Self = this->shared_from_this();
+  ++this->PollWaiters;
   co_await this->PollSignal.async_wait(
       asio::redirect_error(asio::use_awaitable, Ignored));
+  --this->PollWaiters;
+  if (this->PollWaiters == 0 && !this->Stopped)
+    this->startMonitors();
 }
 
 std::optional<Duration> GroupService::ageOf(const Position &Replayed,
--- a/tests/process/test_badinput.py
+++ b/tests/process/test_badinput.py
@@ -140,11 +140,28 @@
 
     def test_statement_that_fails(self):
         """Guards against a faulty statement that leaves its connection unusable."""
-        for sql in ("SELEC", "SELECT * FROM missing", "BEGIN", "SELECT 1; SELECT 2"):
+        for sql in ("SELEC", "SELECT * FROM missing", "INSERT INTO stock VALUES (1)"):
             for _ in range(4):
                 answer = self.cluster.execute(self.daemon, "cuts", sql, key=self.key)
                 self.assertNotEqual(200, answer.status, sql)
 
+    def test_several_statements_in_one(self):
+        """Guards against a text of two statements of which only one runs."""
+        answer = self.cluster.execute(self.daemon, "cuts", "SELECT 1; SELECT 2", key=self.key)
+        self.assertEqual("statement-failed", answer.kind)
+
+    def test_transaction_without_the_transaction_call(self):
+        """Guards against a BEGIN that leaves an open transaction to the next request on
+        its connection, whose write would then be rolled back."""
+        for number in range(8):
+            self.cluster.execute(self.daemon, "cuts", "BEGIN", key=self.key)
+            done = self.cluster.execute(self.daemon, "cuts", "INSERT INTO writes VALUES ($1, 'b')",
+                                        [number], key=self.key)
+            self.assertEqual(200, done.status, done)
+        rows = self.cluster.execute(self.cluster.daemons["h2"], "cuts", "SELECT id FROM writes "
+                                    "WHERE note = 'b' ORDER BY id", key=self.key).body["rows"]
+        self.assertEqual(list(range(8)), [int(row[0]) for row in rows])
+
     def settings_exit(self, text: str) -> subprocess.CompletedProcess:
         path = self.cluster.dir / "bad.toml"
         path.write_text(text)
