--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -221,9 +221,11 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--skip-fleet", action="store_true", help="measure the libraries only")
-    parser.add_argument("--skip-libraries", action="store_true")
+    parser.add_argument("--skip-libraries", action="store_true", help="measure the fleets only")
+    parser.add_argument("--output", type=Path, default=OUTPUT, help="folder of plots and results")
     arguments = parser.parse_args()
-    OUTPUT.mkdir(exist_ok=True)
+    globals()["OUTPUT"] = arguments.output
+    OUTPUT.mkdir(parents=True, exist_ok=True)
     results = []
     tool = [cluster.program("src/tools/slopes/lavenderdale-slopes"), "--json"]
     if not arguments.skip_libraries:
