--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -8,6 +8,7 @@
 import os
 import re
 import resource
+import signal
 import socket
 import subprocess
 import sys
@@ -226,6 +227,8 @@
     arguments = parser.parse_args()
     globals()["OUTPUT"] = arguments.output
     OUTPUT.mkdir(parents=True, exist_ok=True)
+    # Ends like an error, so that the processes of the fleet are ended too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("stopped by SIGTERM"))
     results = []
     tool = [cluster.program("src/tools/slopes/lavenderdale-slopes"), "--json"]
     if not arguments.skip_libraries:
