--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -29,6 +29,8 @@
 // Calls to peers block a thread each; pending ones are few.
 constexpr std::size_t RpcThreads = 12;
 constexpr milliseconds StopPollInterval{20};
+// Handover wait of rate owners and the time to learn the host set.
+constexpr milliseconds RateReadyWait{1500};
 // Peers keep connections open for longer than their clients do.
 constexpr milliseconds PeerIdleTimeout{120000};
 
@@ -40,6 +42,7 @@
 
 std::vector<Endpoint> endpointsOf(const std::vector<IpEndpoint> &List) {
   std::vector<Endpoint> Endpoints;
+  Endpoints.reserve(List.size());
   for (const IpEndpoint &Each : List)
     Endpoints.push_back(endpointOf(Each));
   return Endpoints;
@@ -97,7 +100,10 @@
         Platform(Workers.worker(0), endpointsOf(Config.Platform.Endpoints)),
         Statuses(Workers.worker(0), Platform), Groups(Context, Statuses, Views),
         Rates(std::make_shared<RateService>(
-            Context, [this] { return this->Members->rateFleet(); })),
+            Context, [this] { return this->Members->rateFleet(); },
+            [this](const std::string &Name) {
+              return this->Members->mayGrant(Name);
+            })),
         Members(std::make_shared<MembershipService>(
             Context, Platform, endpointOf(Config.Listen.Peers),
             MembershipService::Listeners{
@@ -165,14 +171,20 @@
     this->CallerServer.closeIdle();
     bool Ended = false;
     while (!Ended && now() < Limit) {
-      Ended = this->CallerServer.requestsInFlight() == 0 &&
+      Ended = this->CallerServer.connections() == 0 &&
               this->PeerServer.requestsInFlight() == 0 &&
               this->Groups.transactions() == 0;
       if (!Ended)
         std::this_thread::sleep_for(StopPollInterval);
     }
+    const std::string Left =
+        std::to_string(this->CallerServer.connections()) + " callers, " +
+        std::to_string(this->PeerServer.requestsInFlight()) +
+        " requests of peers, " + std::to_string(this->Groups.transactions()) +
+        " transactions";
     this->shutDown();
-    logInfo(Ended ? "stopped" : "stopped at the limit with work in flight");
+    logInfo(Ended ? "stopped"
+                  : "stopped at the limit with work in flight: " + Left);
     return Ended;
   }
 
@@ -213,8 +225,10 @@
     co_return problemResponse(failure(ErrorKind::NotFound, Request.Target));
   }
 
+  // A new fleet grants no rates before its owners' handover wait is over.
   bool isReady() const {
-    return !this->Stopping && this->Configuration->snapshot() != nullptr;
+    return !this->Stopping && this->Configuration->snapshot() != nullptr &&
+           now() >= this->ReadyFrom.load();
   }
 
   std::string exposition() {
@@ -269,6 +283,9 @@
     const SnapshotPointer Snapshot = this->Configuration->snapshot();
     if (!Snapshot)
       return;
+    if (this->Members->rateFleet()->epoch() > 0 &&
+        this->ReadyFrom.load() == TimePoint::max())
+      this->ReadyFrom = now() + RateReadyWait;
     this->Groups.reconcile(Snapshot, Fleet);
     this->Rates->configure(ratesOf(*Snapshot));
   }
@@ -293,6 +310,7 @@
   HttpServer PeerServer;
   HttpServer AdminServer;
   std::atomic<bool> Stopping{false};
+  std::atomic<TimePoint> ReadyFrom{TimePoint::max()};
 };
 
 Daemon::Daemon(Settings Config)
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -1,5 +1,6 @@
 #include "groupservice.h"
 
+#include "base/softassert.h"
 #include "failover/failoverlimits.h"
 #include "telemetry/logging.h"
 
@@ -22,6 +23,7 @@
 
 std::vector<std::string> namesOf(const Group &Members) {
   std::vector<std::string> Names;
+  Names.reserve(Members.Upstreams.size());
   for (const Upstream &Member : Members.Upstreams)
     Names.push_back(Member.Name);
   return Names;
@@ -151,6 +153,9 @@
     return;
   const bool Changed = Seen.Current != this->Status.Current;
   const bool First = this->Status.Current.Value == 0;
+  const auto Replaced = this->Upstreams.find(this->Status.Primary);
+  if (Changed && Replaced != this->Upstreams.end())
+    Replaced->second->refuseWaiting();
   this->Status = Seen;
   if (!Changed)
     return;
@@ -186,6 +191,9 @@
     return this->Detector.pollRefused(Report.SentAt, now());
   case PollEnd::TimedOut:
     return this->Detector.pollTimedOut(Report.SentAt, now());
+  case PollEnd::Full:
+    // A full database is alive: it must not be replaced for that.
+    return this->Detector.pollAnswered(Report.SentAt, now());
   case PollEnd::Answered:
     break;
   }
@@ -208,6 +216,7 @@
     } else {
       this->SuspectedTerm = 0;
     }
+    this->refuseStrandedWrites();
     this->TickTimer.expires_after(failoverlimits::PollInterval / 2);
     boost::system::error_code Ignored;
     co_await this->TickTimer.async_wait(
@@ -215,6 +224,14 @@
   }
 }
 
+// Requests that wait at a primary without permission would wait until their
+// deadline, past the promotion of another one.
+void GroupService::refuseStrandedWrites() {
+  const auto Held = this->Upstreams.find(this->Status.Primary);
+  if (Held != this->Upstreams.end() && !this->mayWrite(now()))
+    Held->second->refuseWaiting();
+}
+
 void GroupService::askForEvidence() {
   const Term Current = this->Status.Current;
   const bool Suspects = this->Detector.suspects(now());
@@ -247,6 +264,10 @@
                                       Request.Upstream + " is not the primary",
                                       AttemptOutcome::RefusedBeforeRun);
   const auto Target = Found == this->Upstreams.end() ? nullptr : Found->second;
+  if (!softAssert(Target || Request.Action != Operation::Begin,
+                  "a transaction begins at an upstream"))
+    co_return ExecutionResult::failed(ErrorKind::BadRequest, "no upstream",
+                                      AttemptOutcome::RefusedBeforeRun);
   co_return co_await this->Runner.execute(Target, std::move(Request));
 }
 
