Count the platform as down only when all domains report it

A host took the platform as down, and its configuration as current, when a majority of all failure domains reported that they could not reach it. In a cut between regions that majority can be the side without the platform, which then accepted withdrawn keys for as long as the cut lasted.

All failure domains of the fleet now have to report it within the last 2 s, the own one included; a domain that is not heard from may be able to reach the platform. Domains of the host set count as domains of the fleet too, besides those of the list of hosts.

New tests: a cut of 4 domains without the platform from 3 with it, an outage that all 7 domains see and that stops counting when one of them is lost, and the limits of the reports.

--- a/src/libs/distribution/freshness.cpp
+++ b/src/libs/distribution/freshness.cpp
@@ -1,7 +1,7 @@
 #include "freshness.h"
 
 #include <algorithm>
-#include <functional>
+#include <ranges>
 
 namespace lavenderdale {
 namespace {
@@ -59,18 +59,10 @@
 }
 
 void Freshness::update(TimePoint Now, bool UpToDate) {
-  const auto OwnReport = this->Unreachable.find(this->Own);
-  if (!UpToDate || OwnReport == this->Unreachable.end())
+  // The reports are of known domains only, so equal sizes mean all of them.
+  if (!UpToDate || this->Unreachable.size() != this->Domains.size())
     return;
-  std::vector<TimePoint> Times;
-  Times.reserve(this->Unreachable.size());
-  for (const auto &[Domain, At] : this->Unreachable)
-    Times.push_back(At);
-  std::ranges::sort(Times, std::greater());
-  const std::size_t Majority = this->Domains.size() / 2 + 1;
-  if (Times.size() < Majority)
-    return;
-  const TimePoint At = std::min(Times[Majority - 1], OwnReport->second);
+  const TimePoint At = std::ranges::min(this->Unreachable | std::views::values);
   if (isWithin(At, ReportValid, Now))
     this->OutageAt = std::max(this->OutageAt.value_or(At), At);
 }
--- a/src/libs/distribution/freshness.h
+++ b/src/libs/distribution/freshness.h
@@ -7,8 +7,11 @@
 namespace lavenderdale {
 
 /// Whether the configuration in force is known to be current: the platform
-/// has confirmed it lately, or most failure domains cannot reach the platform
-/// either, so that nothing can change.
+/// has confirmed it lately, or all failure domains report that they cannot
+/// reach the platform, so that nothing can change. A majority is not enough: in
+/// a cut between regions it can be the side without the platform, while a key
+/// is withdrawn on the other side. A domain that is not heard from may be able
+/// to reach the platform.
 ///
 /// All times are counted from when a question was sent, so an answer that
 /// was delayed, or waited for a paused process, does not count as new.
@@ -38,7 +41,8 @@
   /// A relay of the domain can reach the platform.
   void reportReachable(const std::string &Domain);
 
-  /// Evaluates the reports.
+  /// Takes the time of the oldest report as that of an outage if there are
+  /// valid reports of all domains, the own one included.
   /// \param UpToDate whether no host is known to have a newer version.
   void update(TimePoint Now, bool UpToDate);
 
--- a/src/libs/server/configurationservice.cpp
+++ b/src/libs/server/configurationservice.cpp
@@ -297,9 +297,13 @@
 void ConfigurationService::setFleet(const FleetPointer &View) {
   std::set<std::string> Domains(View->domains().begin(), View->domains().end());
   const std::lock_guard Guard(this->Lock);
-  if (this->Current)
+  if (this->Current) {
     for (const auto &[Name, Each] : this->Current->hosts())
       Domains.insert(Each->FailureDomain);
+    if (const HostSet *Set = this->Current->hostSet())
+      for (const HostSetMember &Each : Set->Members)
+        Domains.insert(Each.FailureDomain);
+  }
   this->State.setHosts(View->hosts(), std::move(Domains));
 }
 
--- a/tests/auto/distribution/tst_configurationstate.cpp
+++ b/tests/auto/distribution/tst_configurationstate.cpp
@@ -267,6 +267,78 @@
   CHECK(Fleet.served() == 12);
 }
 
+// Guards against a majority without the platform that takes a cut between
+// regions for an outage, and accepts keys withdrawn on the other side.
+TEST_CASE("in a cut between regions, the larger side without the platform "
+          "stops keyed routes",
+          "[keys]") {
+  Network Fleet(11, 28, 7);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  REQUIRE(Fleet.served() == 28);
+  const auto IsCutOff = [](const Network::Host &Each) {
+    return Each.Self.FailureDomain < "d4"; // d0 to d3 of d0 to d6.
+  };
+  for (Network::Host &Each : Fleet.Hosts) {
+    Each.Side = IsCutOff(Each) ? 1 : 0;
+    Each.SeesPlatform = !IsCutOff(Each);
+  }
+  Fleet.change("keys/a");
+  Fleet.run(10s);
+  for (int I = 0; I < 30; ++I) {
+    for (const Network::Host &Each : Fleet.Hosts)
+      REQUIRE(Each.State->mayServeKeyed(Fleet.Now) != IsCutOff(Each));
+    Fleet.run(1s);
+  }
+  for (Network::Host &Each : Fleet.Hosts) {
+    Each.Side = 0;
+    Each.SeesPlatform = true;
+  }
+  Fleet.run(6s);
+  CHECK(Fleet.informed() == 28);
+  CHECK(Fleet.served() == 28);
+}
+
+// Guards against a fleet of all domains that does not agree on an outage that
+// each of them sees, and against one that takes a silent domain for agreement.
+TEST_CASE("an outage counts while all domains report it",
+          "[configuration][keys]") {
+  Network Fleet(12, 28, 7);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  Fleet.setPlatform(false);
+  for (int I = 0; I < 60; ++I) {
+    Fleet.run(1s);
+    REQUIRE(Fleet.served() == 28);
+  }
+  for (Network::Host &Each : Fleet.Hosts)
+    if (Each.Self.FailureDomain == "d6")
+      Each.Side = 1;
+  Fleet.run(10s);
+  CHECK(Fleet.served() == 0);
+}
+
+// Guards against reports of some domains, or old ones, taken for an outage.
+TEST_CASE("each domain has to report within 2 s", "[keys]") {
+  const TimePoint Now{1h};
+  Freshness Fresh("a");
+  Fresh.setDomains({"a", "b", "c"});
+  Fresh.reportUnreachable("a", Now);
+  Fresh.reportUnreachable("b", Now);
+  Fresh.reportUnreachable("unknown", Now);
+  Fresh.update(Now, true);
+  CHECK_FALSE(Fresh.mayServeKeyed(Now));
+  Fresh.reportUnreachable("c", Now - 2s);
+  Fresh.update(Now, true);
+  CHECK_FALSE(Fresh.mayServeKeyed(Now));
+  Fresh.reportUnreachable("c", Now - 1999ms);
+  Fresh.update(Now, false);
+  CHECK_FALSE(Fresh.mayServeKeyed(Now));
+  Fresh.update(Now, true);
+  CHECK(Fresh.mayServeKeyed(Now + 8000ms));
+  CHECK_FALSE(Fresh.mayServeKeyed(Now + 8001ms));
+}
+
 // Guards against a domain that loses the platform but not its peers.
 TEST_CASE("a domain without the platform learns from other domains",
           "[configuration][keys]") {
