Take a key out of force while its newest version is invalid

An invalid version of an object leaves the last valid one in force. For a key this left it granted when the invalid version was meant as a withdrawal.

New tests: an invalid withdrawal of a key, and that a burst below 1 is refused for workspaces and routes (the check exists already).

--- a/src/libs/catalogue/snapshotbuilder.cpp
+++ b/src/libs/catalogue/snapshotbuilder.cpp
@@ -31,6 +31,11 @@
     this->InForce = this->Newest;
     this->Spec = this->CheckedSpec;
   }
+
+  void drop() {
+    this->InForce.reset();
+    this->Spec.reset();
+  }
 };
 
 namespace {
@@ -133,10 +138,14 @@
   for (auto &[Name, Item] : this->entries(Kind)) {
     if (Item->Deleted)
       continue;
-    if (Item->template checkedSpec<T>())
+    if (Item->template checkedSpec<T>()) {
       Item->take();
-    else
+    } else {
       this->report(*Item, Item->SpecFault);
+      // The invalid version may be meant as a withdrawal.
+      if (Kind == ObjectKind::Key)
+        Item->drop();
+    }
     if (!Item->InForce)
       continue;
     Target.emplace(Name, Item->template spec<T>());
--- a/src/libs/catalogue/snapshotbuilder.h
+++ b/src/libs/catalogue/snapshotbuilder.h
@@ -22,9 +22,11 @@
 /// Collects objects and changes and makes snapshots of them. An object is never
 /// replaced by an older version, a deleted object does not come back through a
 /// late message, and the snapshot's version never goes back. An invalid object
-/// keeps its last valid version in force and is listed as a fault. Spec and
-/// status of a group are judged apart, so that an invalid spec does not hold
-/// back a change of primary.
+/// keeps its last valid version in force and is listed as a fault. A key is the
+/// exception: it is not in force while its newest version is invalid, because
+/// that version may be meant as a withdrawal. Spec and status of a group are
+/// judged apart, so that an invalid spec does not hold back a change of
+/// primary.
 ///
 /// Checks between objects: the owner and the group of a route exist, names of
 /// upstreams are unique over all groups, and the primary named by a group's
--- a/tests/auto/catalogue/tst_snapshotbuilder.cpp
+++ b/tests/auto/catalogue/tst_snapshotbuilder.cpp
@@ -127,6 +127,48 @@
   CHECK(Builder.faults().empty());
 }
 
+// Guards against a withdrawal with a wrong member that leaves the key granted.
+TEST_CASE("an invalid version of a key takes it out of force", "[keys]") {
+  const auto Stored = [](std::uint64_t Version, const std::string &State) {
+    return object(ObjectKind::Key, "k", Version,
+                  R"({"workspace":"w","hash":")" + std::string(64, 'a') +
+                      R"(","state":")" + State + "\"}");
+  };
+  SnapshotBuilder Builder;
+  Builder.apply(workspace("w", 1, 50));
+  Builder.apply(Stored(2, "granted"));
+  REQUIRE(Builder.build()->key("k") != nullptr);
+  Builder.apply(Stored(3, "withdrawm"));
+  for (int Build = 0; Build < 2; ++Build) {
+    const SnapshotPointer Snapshot = Builder.build();
+    CHECK(Snapshot->key("k") == nullptr);
+    CHECK(Snapshot->object(ObjectKind::Key, "k") == nullptr);
+    REQUIRE(Builder.faults().size() == 1);
+    CHECK(Builder.faults().front().Version == 3);
+    CHECK(Builder.faults().front().Detail.find("keys/k: spec.state") == 0);
+  }
+  CHECK(
+      Builder.replaceAll({4, {workspace("w", 1, 50), Stored(3, "withdrawm")}}));
+  CHECK(Builder.build()->key("k") == nullptr);
+  Builder.apply(Stored(5, "withdrawn"));
+  REQUIRE(Builder.build()->key("k") != nullptr);
+  CHECK(Builder.build()->key("k")->State == KeyState::Withdrawn);
+  CHECK(Builder.faults().empty());
+}
+
+// Guards against limits of which a failure domain's share grants nothing.
+TEST_CASE("a burst below one token is refused", "[rate]") {
+  const Json::Value Low = parseStrictJson(R"({"rate":5,"burst":0.99})").value();
+  const Json::Value Least = parseStrictJson(R"({"rate":5,"burst":1})").value();
+  CHECK_FALSE(Workspace::fromJson("w", Low));
+  CHECK(Workspace::fromJson("w", Least));
+  Json::Value Spec = route("r", 1, "w", "g").Spec;
+  Spec["limits"] = Low;
+  CHECK_FALSE(Route::fromJson("r", Spec));
+  Spec["limits"] = Least;
+  CHECK(Route::fromJson("r", Spec));
+}
+
 // Guards against routes that lead nowhere, and against hiding them for good.
 TEST_CASE("a route needs its owner and its group", "[configuration]") {
   SnapshotBuilder Builder;
