--- a/src/libs/scheduling/connectionpool.cpp
+++ b/src/libs/scheduling/connectionpool.cpp
@@ -120,8 +120,7 @@
 
 bool ConnectionPool::beginStatement(ConnectionId Id, TimePoint Deadline) {
   Connection *Holder = this->find(Id, Pinned);
-  if (Holder == nullptr || Holder->StatementRunning ||
-      this->inFlight() >= this->Limits.InFlight)
+  if (Holder == nullptr || Holder->StatementRunning)
     return false;
   Holder->StatementRunning = true;
   Holder->StatementDeadline = std::min(Deadline, Holder->Deadline);
--- a/src/libs/scheduling/connectionpool.h
+++ b/src/libs/scheduling/connectionpool.h
@@ -98,9 +98,10 @@
 
   /// Takes an idle connection for a transaction.
   std::optional<ConnectionId> pin(TimePoint TransactionDeadline);
-  /// Starts a statement on a pinned connection.
-  /// \returns false if the connection is not pinned any more, has a statement
-  /// already, or the limit of statements in flight is reached.
+  /// Starts a statement on a pinned connection. It does not wait for the limit
+  /// of statements in flight: those may wait for a lock of this transaction.
+  /// \returns false if the connection is not pinned any more or has a
+  /// statement already.
   bool beginStatement(ConnectionId Id, TimePoint Deadline);
   /// Ends it. \returns false if the answer is late, as release() does.
   bool endStatement(ConnectionId Id, TimePoint Now);
--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -119,33 +119,46 @@
     const GroupDuties NewDuties =
         NewFleet->dutiesOf(this->Context.hostName(), *Members);
     this->Duties[Name] = NewDuties;
+    const GroupStatus *Stored = Snapshot->groupStatus(Name);
+    if (Stored)
+      this->Primaries[Name] = Stored->Primary;
+    // A service costs processor time and memory also without duties, and a
+    // large fleet has several hundred groups.
+    if (!NewDuties.any()) {
+      this->retire(Name);
+      continue;
+    }
     ServicePointer &Service = this->Services[Name];
     if (!Service)
       Service = this->create(*Members);
     asio::post(Service->home(), [Service, Members = Members, NewDuties] {
       Service->update(*Members, NewDuties);
     });
-    const GroupStatus *Stored = Snapshot->groupStatus(Name);
     const CatalogueObject *Object = Snapshot->object(ObjectKind::Group, Name);
     if (!Stored || !Object)
       continue;
     const Result<TermStatus> Status = termStatusOf(*Stored, Object->Version);
     if (!Status)
       continue;
-    this->Primaries[Name] = Stored->Primary;
     asio::post(Service->home(), [Service, Status = Status.value()] {
       Service->statusSeen(Status);
     });
   }
-  for (auto Entry = this->Services.begin(); Entry != this->Services.end();) {
-    if (Snapshot->group(Entry->first)) {
-      ++Entry;
-      continue;
-    }
-    asio::post(Entry->second->home(),
-               [Service = Entry->second] { Service->stop(); });
-    Entry = this->Services.erase(Entry);
-  }
+  std::vector<std::string> Removed;
+  for (const auto &[Name, Service] : this->Services)
+    if (!Snapshot->group(Name))
+      Removed.push_back(Name);
+  for (const std::string &Name : Removed)
+    this->retire(Name);
+}
+
+void GroupDirectory::retire(const std::string &Name) {
+  const auto Found = this->Services.find(Name);
+  if (Found == this->Services.end())
+    return;
+  asio::post(Found->second->home(),
+             [Service = Found->second] { Service->stop(); });
+  this->Services.erase(Found);
 }
 
 void GroupDirectory::askEvidence(const std::string &Group, Term Current,
--- a/src/libs/server/groupdirectory.h
+++ b/src/libs/server/groupdirectory.h
@@ -44,6 +44,7 @@
   using ServicePointer = std::shared_ptr<GroupService>;
 
   ServicePointer create(const Group &Members);
+  void retire(const std::string &Name); ///< Called under the lock.
   void askEvidence(const std::string &Group, Term Current,
                    const std::vector<Watcher> &Watchers);
   boost::asio::awaitable<void> askOne(std::string Group, Term Current,
--- a/src/libs/server/groupservice.h
+++ b/src/libs/server/groupservice.h
@@ -24,6 +24,8 @@
   bool Watches = false;          ///< First holder of a member.
   std::vector<Watcher> Watchers; ///< All watchers, this host included.
 
+  bool any() const { return this->Watches || !this->Held.empty(); }
+
   /// Whether the host polls all members.
   bool polls(const std::string &Primary) const {
     return this->Watches || this->Held.contains(Primary);
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -494,8 +494,7 @@
       co_await Target->pin(demandOf(Request), now() + TransactionLimit);
   if (!Held)
     co_return runFailure(Held.error());
-  const auto Started =
-      co_await Target->beginStatement(Held.value(), Request.Deadline);
+  const auto Started = Target->beginStatement(Held.value(), Request.Deadline);
   if (!Started) {
     Target->unpin(Held.value());
     co_return runFailure(Started.error());
@@ -531,7 +530,7 @@
                                       AttemptOutcome::RefusedBeforeRun);
   const Transaction Current = Found->second;
   const auto Started =
-      co_await Current.Target->beginStatement(Current.Held, Request.Deadline);
+      Current.Target->beginStatement(Current.Held, Request.Deadline);
   if (!Started) {
     if (Started.error().Kind == ErrorKind::TransactionLost) {
       if (this->forget(Request.Transaction))
@@ -577,7 +576,7 @@
   const bool Commits = Request.Action == Operation::Commit;
   const bool Allowed = !Commits || this->State.mayWrite(now());
   const auto Started =
-      co_await Current.Target->beginStatement(Current.Held, Request.Deadline);
+      Current.Target->beginStatement(Current.Held, Request.Deadline);
   if (!Started && Started.error().Kind != ErrorKind::TransactionLost)
     co_return runFailure(Started.error());
   if (!this->forget(Request.Transaction))
--- a/src/libs/server/upstreamservice.cpp
+++ b/src/libs/server/upstreamservice.cpp
@@ -72,8 +72,6 @@
   this->Stopped = true;
   this->PoolTimer.cancel();
   this->refuseWaiting();
-  for (asio::steady_timer *Timer : this->StatementWaiters)
-    Timer->cancel();
   for (const auto &[Id, Connection] : this->Connections)
     Connection->close();
 }
@@ -177,8 +175,6 @@
     else
       this->grant(*Found->second);
   }
-  if (!this->StatementWaiters.empty())
-    this->StatementWaiters.front()->cancel();
 }
 
 void UpstreamService::grant(Waiter &Next) {
@@ -262,26 +258,13 @@
   this->kick();
 }
 
-asio::awaitable<Result<void>>
-UpstreamService::beginStatement(Lease Held, TimePoint Deadline) {
-  const auto Self = this->shared_from_this();
-  while (!this->Pool.beginStatement(Held.Id, Deadline)) {
-    if (this->Pool.state(Held.Id) != ConnectionState::Pinned)
-      co_return failure(ErrorKind::TransactionLost, "its connection is gone");
-    if (this->Pool.inFlight() < poolLimitsOf(this->Config).InFlight)
-      co_return failure(ErrorKind::TransactionBusy,
-                        "a statement of the transaction is still running");
-    if (now() >= Deadline || this->Stopped)
-      co_return failure(ErrorKind::QueueDeadline,
-                        "no slot before the deadline");
-    asio::steady_timer Timer(this->Home);
-    Timer.expires_at(Deadline);
-    const auto Place =
-        this->StatementWaiters.insert(this->StatementWaiters.end(), &Timer);
-    co_await waitQuietly(Timer);
-    this->StatementWaiters.erase(Place);
-  }
-  co_return success();
+Result<void> UpstreamService::beginStatement(Lease Held, TimePoint Deadline) {
+  if (this->Pool.beginStatement(Held.Id, Deadline))
+    return success();
+  if (this->Pool.state(Held.Id) != ConnectionState::Pinned)
+    return failure(ErrorKind::TransactionLost, "its connection is gone");
+  return failure(ErrorKind::TransactionBusy,
+                 "a statement of the transaction is still running");
 }
 
 void UpstreamService::endStatement(Lease Held) {
--- a/src/libs/server/upstreamservice.h
+++ b/src/libs/server/upstreamservice.h
@@ -10,7 +10,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <list>
 #include <map>
 #include <memory>
 #include <random>
@@ -79,11 +78,10 @@
   /// statement left no state behind in the session.
   void release(Lease Held, bool PlainStatement);
 
-  /// Waits until a statement may run on a pinned connection.
-  /// \returns TransactionLost if the connection is gone, TransactionBusy if
-  /// another statement runs on it, or QueueDeadline.
-  boost::asio::awaitable<Result<void>> beginStatement(Lease Held,
-                                                      TimePoint Deadline);
+  /// Starts a statement on a pinned connection.
+  /// \returns TransactionLost if the connection is gone, or TransactionBusy if
+  /// another statement runs on it.
+  Result<void> beginStatement(Lease Held, TimePoint Deadline);
   void endStatement(Lease Held);
   void unpin(Lease Held);
 
@@ -116,7 +114,6 @@
   boost::asio::steady_timer PoolTimer;
   std::map<ConnectionId, std::unique_ptr<PostgresConnection>> Connections;
   std::map<QueueItemId, Waiter *> Waiters;
-  std::list<boost::asio::steady_timer *> StatementWaiters;
   QueueItemId LastItem = 0;
   bool Stopped = false;
 };
