--- a/src/tools/loadtool/loadrunner.cpp
+++ b/src/tools/loadtool/loadrunner.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <iostream>
-
 namespace lavenderdale {
 namespace {
 
@@ -18,6 +16,11 @@
 // Time in which all connections are opened before the first statement is due.
 constexpr std::chrono::milliseconds OpeningTime{300};
 
+// Idle connections are opened one after another. Thousands at once overflow
+// the listener's backlog, and a repeated SYN takes longer than the limit of
+// connecting.
+constexpr std::chrono::microseconds HoldSpacing{200};
+
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
 asio::awaitable<void> waitUntil(asio::io_context &Context, TimePoint When) {
@@ -83,11 +86,9 @@
 
 asio::awaitable<void> LoadRunner::hold(std::size_t Index) {
   const std::unique_ptr<StatementSender> Sender = this->makeSender(Index);
-  if (!co_await Sender->open(now() + this->Load.Timeout)) {
-    ++this->Failed;
-  } else if (++this->Held == this->Load.Connections) {
-    std::cout << "holding " << this->Held << std::endl;
-  }
+  co_await waitUntil(this->Context, this->Start + HoldSpacing * Index);
+  const bool Open = co_await Sender->open(now() + this->Load.Timeout);
+  ++(Open ? this->Held : this->Failed);
   co_await waitUntil(this->Context, this->End);
 }
 
