Add secrets, groups init and a check of bursts to lavenderctl

Operators had no command for session signing secrets or for the first status of a group. A burst below the number of failure domains was accepted although each domain's share of it is below one token and grants nothing.

- "secrets create" stores 256 random bits as an object of kind Secret.
Its name is the UTC time, so that the newest, which signs, sorts last; it is refused when a stored name sorts after it.
The secret is never shown.
"secrets list" lists the names.
- plan and apply refuse a workspace's or route's burst below the number of failure domains in the list of hosts and say why.

--- a/src/app/lavenderctl/commandline.cpp
+++ b/src/app/lavenderctl/commandline.cpp
@@ -18,10 +18,12 @@
   KeyIdCode,
   ReadOnlyCode,
   MaxAgeCode,
+  PrimaryCode,
+  TermCode,
   HelpCode,
 };
 
-constexpr std::array<option, 10> Options = {{
+constexpr std::array<option, 12> Options = {{
     {"platform", required_argument, nullptr, PlatformCode},
     {"timeout", required_argument, nullptr, TimeoutCode},
     {"json", no_argument, nullptr, JsonCode},
@@ -30,11 +32,15 @@
     {"key-id", required_argument, nullptr, KeyIdCode},
     {"read-only", no_argument, nullptr, ReadOnlyCode},
     {"max-age", required_argument, nullptr, MaxAgeCode},
+    {"primary", required_argument, nullptr, PrimaryCode},
+    {"term", required_argument, nullptr, TermCode},
     {"help", no_argument, nullptr, HelpCode},
     {nullptr, 0, nullptr, 0},
 }};
 
 constexpr std::chrono::milliseconds LongestTime{86400000};
+// A PostgreSQL timeline has 32 bits.
+constexpr std::uint64_t MaxTerm = 0xffffffffU;
 
 std::optional<std::chrono::milliseconds> parseTime(const char *Name,
                                                    const std::string &Text) {
@@ -49,6 +55,18 @@
   return std::nullopt;
 }
 
+std::optional<std::uint64_t> parseTerm(const std::string &Text) {
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Number);
+  if (Parsed.ec == std::errc() && Parsed.ptr == End && Number >= 1 &&
+      Number <= MaxTerm)
+    return Number;
+  std::cerr << "lavenderctl: --term: expected a number from 1 to " << MaxTerm
+            << ", found \"" << Text << "\"\n";
+  return std::nullopt;
+}
+
 /// \returns whether the option's value is valid.
 bool applyOption(CommandLine &Line, int Code, const char *Value) {
   switch (Code) {
@@ -78,6 +96,14 @@
   case MaxAgeCode:
     Line.MaxAge = parseTime("--max-age", Value);
     return Line.MaxAge.has_value();
+  case PrimaryCode:
+    Line.Primary = Value;
+    return true;
+  case TermCode: {
+    const auto Term = parseTerm(Value);
+    Line.Term = Term.value_or(Line.Term);
+    return Term.has_value();
+  }
   case HelpCode:
     Line.Help = true;
     return true;
@@ -109,6 +135,11 @@
          "  keys grant WORKSPACE  create a key and print it once\n"
          "  keys withdraw ID      withdraw a key\n"
          "  keys list             list keys without their secrets\n"
+         "  secrets create        create a session signing secret and print\n"
+         "                        its name\n"
+         "  secrets list          list the names of the signing secrets\n"
+         "  groups init NAME      store the first status of a group; needs\n"
+         "                        --primary\n"
          "  status                show groups, hosts, workspaces and limits\n"
          "  explain ROUTE         show what a request on a route would meet\n"
          "  completion bash       print a completion script\n"
@@ -124,6 +155,8 @@
          "  --key-id ID           explain: id of the key sent\n"
          "  --read-only           explain: the request is a read\n"
          "  --max-age MS          explain: stated age of the read\n"
+         "  --primary UPSTREAM    groups init: primary of the first term\n"
+         "  --term N              groups init: timeline of the primary (1)\n"
          "  --help                show this text\n"
          "\n"
          "Files are JSON (.json) or TOML (.toml). An object with a\n"
--- a/src/app/lavenderctl/commandline.h
+++ b/src/app/lavenderctl/commandline.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   bool Help = false;
   std::string KeyId;
   std::optional<std::chrono::milliseconds> MaxAge;
+  std::string Primary;    ///< Upstream; empty when not given.
+  std::uint64_t Term = 1; ///< PostgreSQL timeline.
 };
 
 /// Parses the arguments.
--- a/src/app/lavenderctl/main.cpp
+++ b/src/app/lavenderctl/main.cpp
@@ -70,6 +70,21 @@
       "expected keys grant WORKSPACE, keys withdraw ID or keys list");
 }
 
+Report runSecrets(Administrator &Admin, const CommandLine &Line) {
+  if (Line.Words.size() == 2 && Line.Words[1] == "create")
+    return Admin.createSecret(std::chrono::system_clock::now());
+  if (Line.Words.size() == 2 && Line.Words[1] == "list")
+    return Admin.listSecrets();
+  return usageReport("expected secrets create or secrets list");
+}
+
+Report runGroups(Administrator &Admin, const CommandLine &Line) {
+  if (Line.Words.size() == 3 && Line.Words[1] == "init" &&
+      isObjectName(Line.Words[2]) && !Line.Primary.empty())
+    return Admin.initGroup(Line.Words[2], Line.Primary, Line.Term);
+  return usageReport("expected groups init NAME --primary UPSTREAM [--term N]");
+}
+
 Report runCommand(const CommandLine &Line) {
   const auto Platform = parseEndpoint(Line.Platform);
   if (!Platform)
@@ -87,6 +102,10 @@
     return runGet(Admin, Line);
   if (Command == "keys" && Size >= 2)
     return runKeys(Admin, Line);
+  if (Command == "secrets" && Size >= 2)
+    return runSecrets(Admin, Line);
+  if (Command == "groups" && Size >= 2)
+    return runGroups(Admin, Line);
   if (Command == "status" && Size == 1)
     return Admin.status();
   if (Command == "explain" && Size == 2)
--- a/src/libs/administration/administrator.cpp
+++ b/src/libs/administration/administrator.cpp
@@ -9,7 +9,12 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <ctime>
+#include <iomanip>
 #include <set>
+#include <sstream>
 
 namespace lavenderdale {
 namespace {
@@ -90,6 +95,66 @@
   return success();
 }
 
+/// The shortest digits that give the same number: 1.9, not 1.8999999999999999.
+std::string shortestText(double Number) {
+  std::array<char, 32> Digits{};
+  const auto Written =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Number);
+  return {Digits.data(), Written.ptr};
+}
+
+Result<void> checkBurst(const CatalogueObject &Object, double Burst,
+                        const char *Path, std::size_t Domains) {
+  if (Burst >= static_cast<double>(Domains))
+    return success();
+  return failure(
+      ErrorKind::InvalidCatalogue,
+      Object.label() + ": " + Path + ": expected at least " +
+          std::to_string(Domains) + ", found " + shortestText(Burst) +
+          "; each of the " + std::to_string(Domains) +
+          " failure domains of the hosts gets an equal share of the burst, "
+          "and a share below 1 grants nothing");
+}
+
+/// Refuses a burst of which a failure domain's share is below one token.
+Result<void> checkBursts(const ObjectList &Stored,
+                         const std::vector<CatalogueObject> &Desired) {
+  std::set<std::string> Domains;
+  for (const CatalogueObject &Object : Stored.Objects)
+    if (Object.Kind == ObjectKind::Host)
+      if (const auto Listed = Host::fromJson(Object.Name, Object.Spec))
+        Domains.insert(Listed.value().FailureDomain);
+  for (const CatalogueObject &Object : Desired) {
+    if (Object.Kind == ObjectKind::Workspace) {
+      BOOST_OUTCOME_TRY(const Workspace Item,
+                        Workspace::fromJson(Object.Name, Object.Spec));
+      BOOST_OUTCOME_TRYV(
+          checkBurst(Object, Item.Burst, "spec.burst", Domains.size()));
+    } else if (Object.Kind == ObjectKind::Route) {
+      BOOST_OUTCOME_TRY(const Route Item,
+                        Route::fromJson(Object.Name, Object.Spec));
+      if (Item.Limits.Burst) {
+        BOOST_OUTCOME_TRYV(checkBurst(Object, *Item.Limits.Burst,
+                                      "spec.limits.burst", Domains.size()));
+      }
+    }
+  }
+  return success();
+}
+
+/// For example "20261204t060638.123z": the names sort by time.
+std::string secretName(std::chrono::system_clock::time_point Now) {
+  const auto Ms = std::chrono::floor<std::chrono::milliseconds>(Now);
+  const auto Seconds = std::chrono::floor<std::chrono::seconds>(Ms);
+  const std::time_t Time = std::chrono::system_clock::to_time_t(Seconds);
+  std::tm Utc{};
+  gmtime_r(&Time, &Utc);
+  std::ostringstream Text;
+  Text << std::put_time(&Utc, "%Y%m%dt%H%M%S") << '.' << std::setw(3)
+       << std::setfill('0') << (Ms - Seconds).count() << 'z';
+  return Text.str();
+}
+
 /// A result has no default value, which asio::co_spawn() needs for one.
 template <typename T>
 asio::awaitable<void> storeAnswer(PlatformClient::Call<T> Call,
@@ -134,6 +199,7 @@
   BOOST_OUTCOME_TRYV(checkVersions(Made.Stored, Desired));
   BOOST_OUTCOME_TRY(Made.Steps,
                     planChanges(Made.Stored.Objects, Desired, Missing));
+  BOOST_OUTCOME_TRYV(checkBursts(Made.Stored, Desired));
   BOOST_OUTCOME_TRYV(checkTogether(Made.Stored, Made.Steps));
   return Made;
 }
@@ -341,6 +407,102 @@
   return Outcome;
 }
 
+Report Administrator::createSecret(std::chrono::system_clock::time_point Now) {
+  const auto List =
+      this->run(this->Client.list(ObjectKind::Secret, this->Deadline));
+  if (!List)
+    return failureReport(List.error());
+  SigningSecret Created;
+  Created.Id = secretName(Now);
+  for (const CatalogueObject &Object : List.value().Objects)
+    if (Object.Name >= Created.Id)
+      return failureReport(
+          {ErrorKind::InvalidCatalogue,
+           Object.label() + " sorts after the new name " + Created.Id +
+               ", so that the new secret would not be used for signing; "
+               "nothing was written"});
+  Result<std::string> Hex = generateSecret();
+  if (!Hex)
+    return failureReport(Hex.error());
+  Created.Hex = std::move(Hex.value());
+  CatalogueObject Object;
+  Object.Kind = ObjectKind::Secret;
+  Object.Name = Created.Id;
+  Object.Spec = Created.toJson();
+  const auto Stored =
+      this->run(this->Client.createResolved(Object, this->Deadline));
+  if (!Stored)
+    return failureReport(Stored.error());
+  Report Outcome;
+  Outcome.Data["id"] = Created.Id;
+  Outcome.Data["version"] = static_cast<Json::UInt64>(Stored.value().Version);
+  Outcome.Text = Created.Id + "\n";
+  return Outcome;
+}
+
+Report Administrator::listSecrets() {
+  const auto List =
+      this->run(this->Client.list(ObjectKind::Secret, this->Deadline));
+  if (!List)
+    return failureReport(List.error());
+  std::set<std::string> Names;
+  for (const CatalogueObject &Object : List.value().Objects)
+    Names.insert(Object.Name);
+  Report Outcome;
+  Outcome.Data["secrets"] = Json::Value(Json::arrayValue);
+  for (const std::string &Name : Names) {
+    Outcome.Data["secrets"].append(Name);
+    Outcome.Text += Name + "\n";
+  }
+  return Outcome;
+}
+
+Report Administrator::initGroup(const std::string &Name,
+                                const std::string &Primary,
+                                std::uint64_t Term) {
+  const auto Stored =
+      this->run(this->Client.get(ObjectKind::Group, Name, this->Deadline));
+  if (!Stored)
+    return failureReport(Stored.error());
+  const std::string Label = Stored.value().label();
+  if (!Stored.value().Status.empty())
+    return failureReport({ErrorKind::InvalidCatalogue,
+                          Label + ": has a status already; it is changed by "
+                                  "promotions only"});
+  const Result<Group> Spec = Group::fromJson(Name, Stored.value().Spec);
+  if (!Spec)
+    return failureReport(
+        {Spec.error().Kind, Label + ": " + Spec.error().Detail});
+  if (Spec.value().upstream(Primary) == nullptr)
+    return failureReport({ErrorKind::InvalidCatalogue,
+                          Label +
+                              ": expected an upstream of the group as "
+                              "primary, found \"" +
+                              Primary + "\""});
+  GroupStatus First;
+  First.Term = Term;
+  First.Primary = Primary;
+  First.Lineage = {{Term, "0/0"}};
+  Change Step{ChangeAction::Update, Stored.value(), {}};
+  Step.Object.Status = First.toJson();
+  const Result<GroupStatus> Checked = GroupStatus::fromJson(Step.Object.Status);
+  if (!Checked)
+    return failureReport(Checked.error());
+  const Result<std::uint64_t> Written = this->write(Step);
+  if (!Written)
+    return Written.error().Kind == ErrorKind::VersionConflict
+               ? this->lostRace(Step, Written.error())
+               : failureReport(Written.error());
+  Report Outcome;
+  Outcome.Data["group"] = Name;
+  Outcome.Data["status"] = Step.Object.Status;
+  Outcome.Data["version"] = static_cast<Json::UInt64>(Written.value());
+  Outcome.Text = "group " + Name + " begins with primary " + Primary +
+                 " in term " + std::to_string(Term) + " (version " +
+                 std::to_string(Written.value()) + ")\n";
+  return Outcome;
+}
+
 Report Administrator::status() {
   const Result<ObjectList> List = this->listAll();
   if (!List)
--- a/src/libs/administration/administrator.h
+++ b/src/libs/administration/administrator.h
@@ -40,6 +40,21 @@
 
   Report withdrawKey(const std::string &Id, bool Wait);
   Report listKeys();
+
+  /// Creates a signing secret for session tokens, named by UTC time so that the
+  /// newest, which signs, sorts last. The secret is in no report. Refused when
+  /// a stored name sorts after the new one.
+  Report createSecret(std::chrono::system_clock::time_point Now);
+
+  /// Lists the names of the signing secrets.
+  Report listSecrets();
+
+  /// Stores the first status of a group. Refused when it has one.
+  /// \param Primary an upstream of the group.
+  /// \param Term PostgreSQL timeline of the primary, at least 1.
+  Report initGroup(const std::string &Name, const std::string &Primary,
+                   std::uint64_t Term);
+
   Report status();
   Report explain(const ExplainedRequest &Request);
 
--- a/src/libs/catalogue/keytext.cpp
+++ b/src/libs/catalogue/keytext.cpp
@@ -42,6 +42,15 @@
   return Key;
 }
 
+Result<std::string> generateSecret() {
+  std::array<unsigned char, SecretBytes> Bytes{};
+  if (RAND_bytes(Bytes.data(), static_cast<int>(Bytes.size())) != 1)
+    return failure(ErrorKind::Internal, "the random generator failed");
+  std::string Text = toHex(Bytes.data(), Bytes.size());
+  OPENSSL_cleanse(Bytes.data(), Bytes.size());
+  return Text;
+}
+
 std::optional<KeyText> parseKeyText(std::string_view Text) {
   constexpr std::size_t IdEnd = Prefix.size() + 2 * IdBytes;
   if (Text.size() != IdEnd + 1 + 2 * SecretBytes || !Text.starts_with(Prefix) ||
--- a/src/libs/catalogue/keytext.h
+++ b/src/libs/catalogue/keytext.h
@@ -21,6 +21,10 @@
 /// \returns the key, or Internal when the random generator fails.
 Result<KeyText> generateKey();
 
+/// Draws 256 random bits from OpenSSL.
+/// \returns 64 lowercase hex digits, or Internal when the generator fails.
+Result<std::string> generateSecret();
+
 /// \returns the parts of \p Text, or nothing when it is not a key. The text is
 /// never part of an error.
 std::optional<KeyText> parseKeyText(std::string_view Text);
--- a/tests/auto/administration/tst_administrator.cpp
+++ b/tests/auto/administration/tst_administrator.cpp
@@ -1,9 +1,12 @@
 #include "administration/administrator.h"
 #include "administration/objectfiles.h"
+#include "base/strictjson.h"
 #include "catalogue/keytext.h"
 #include "common/adminserver.h"
 #include "platform/apisession.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <thread>
@@ -14,10 +17,11 @@
 namespace {
 
 /// \param AdminPort 0 for a host without an admin listener.
-CatalogueObject hostObject(const std::string &Name, std::uint16_t AdminPort) {
+CatalogueObject hostObject(const std::string &Name, std::uint16_t AdminPort,
+                           const std::string &FailureDomain) {
   Host Listed;
   Listed.Name = Name;
-  Listed.FailureDomain = "east";
+  Listed.FailureDomain = FailureDomain;
   Listed.PeerAddress = "127.0.0.1";
   Listed.PeerPort = 1;
   Listed.AdminAddress = AdminPort == 0 ? "" : "127.0.0.1";
@@ -33,7 +37,8 @@
 class PlatformThread {
 public:
   /// \param HasHosts whether the list of hosts has one that shows the newest
-  /// version from its third answer on, and one that never does.
+  /// version from its third answer on, and one of another failure domain that
+  /// never does.
   explicit PlatformThread(bool HasHosts = false)
       : Endpoint(this->Listener.local_endpoint()), Thread([this, HasHosts] {
           if (HasHosts)
@@ -62,8 +67,9 @@
   void addHosts() {
     auto Admin = standins::listenOnLoopback(this->Io, 0);
     const std::uint16_t Port = Admin.local_endpoint().port();
-    this->Platform.Store.create("hosts", hostObject("current", Port).toJson());
-    this->Platform.Store.create("hosts", hostObject("h", 0).toJson());
+    this->Platform.Store.create("hosts",
+                                hostObject("current", Port, "east").toJson());
+    this->Platform.Store.create("hosts", hostObject("h", 0, "west").toJson());
     standins::startAdminServer(
         std::move(Admin),
         [this](const std::string &, const std::string &, const Json::Value &) {
@@ -161,6 +167,117 @@
         std::string::npos);
 }
 
+// Guards against a secret that is shown, and against one that does not become
+// the newest and so does not sign.
+TEST_CASE("signing secrets are created and listed by name", "[keys]") {
+  PlatformThread Platform;
+  Administrator Admin(Platform.Endpoint,
+                      std::chrono::steady_clock::now() + 60s);
+  const std::chrono::sys_days Day{std::chrono::year{2026} / 9 / 30};
+  const Report First = Admin.createSecret(Day + 9h + 5ms);
+  REQUIRE(First.Code == ExitCode::Done);
+  CHECK(First.Text == "20260930t090000.005z\n");
+  const Report Second = Admin.createSecret(Day + 24h);
+  CHECK(Second.Text == "20261001t000000.000z\n");
+  CHECK(Admin.createSecret(Day + 24h).Code == ExitCode::Refused);
+  CHECK(Admin.createSecret(Day + 23h).Code == ExitCode::Refused);
+  CHECK(Admin.listSecrets().Text == First.Text + Second.Text);
+
+  boost::asio::io_context Io;
+  PlatformClient Client(Io.get_executor(), Platform.Endpoint);
+  std::vector<CatalogueObject> Stored;
+  boost::asio::co_spawn(
+      Io,
+      [&]() -> boost::asio::awaitable<void> {
+        const Result<ObjectList> List = co_await Client.list(
+            ObjectKind::Secret, std::chrono::steady_clock::now() + 60s);
+        if (List)
+          Stored = List.value().Objects;
+      },
+      boost::asio::detached);
+  Io.run();
+  REQUIRE(Stored.size() == 2);
+  CHECK(Stored[0].Spec["hex"] != Stored[1].Spec["hex"]);
+  for (const CatalogueObject &Object : Stored) {
+    const auto Secret = SigningSecret::fromJson(Object.Name, Object.Spec);
+    REQUIRE(Secret);
+    REQUIRE(Secret.value().Hex.size() == 64);
+    for (const Report &Shown :
+         {First, Second, Admin.listSecrets(), Admin.status(),
+          Admin.get(ObjectKind::Secret, Object.Name)}) {
+      CHECK(Shown.Text.find(Secret.value().Hex) == std::string::npos);
+      CHECK(writeCompactJson(Shown.Data).find(Secret.value().Hex) ==
+            std::string::npos);
+    }
+  }
+}
+
+// Guards against a second "first" status, which would take back a promotion.
+TEST_CASE("a group gets its first status once", "[fencing]") {
+  PlatformThread Platform;
+  Administrator Admin(Platform.Endpoint,
+                      std::chrono::steady_clock::now() + 60s);
+  CHECK(Admin.initGroup("g", "g-1", 1).Code == ExitCode::Refused);
+  const auto Group = readObjectText(
+      R"({"kind":"Group","name":"g","spec":{"database":"d","user":"u",)"
+      R"("upstreams":[{"name":"g-1","address":"127.0.0.1","port":1,)"
+      R"("failureDomain":"east","connections":16,"slots":2}]}})",
+      false);
+  REQUIRE(Group);
+  REQUIRE(Admin.apply(Group.value(), MissingObjects::Keep, false).Code ==
+          ExitCode::Done);
+  CHECK(Admin.initGroup("g", "other", 1).Code == ExitCode::Refused);
+  CHECK(Admin.initGroup("g", "g-1", 0).Code == ExitCode::Refused);
+  CHECK(Admin.get(ObjectKind::Group, "g").Data["status"].empty());
+  REQUIRE(Admin.initGroup("g", "g-1", 3).Code == ExitCode::Done);
+  const Report Again = Admin.initGroup("g", "g-1", 4);
+  CHECK(Again.Code == ExitCode::Refused);
+  CHECK(Again.Text.find("has a status already") != std::string::npos);
+  const Json::Value Status = Admin.get(ObjectKind::Group, "g").Data["status"];
+  CHECK(Status["term"].asUInt64() == 3);
+  CHECK(Status["primary"] == "g-1");
+  CHECK(Admin.status().Text.find("term 3, primary g-1") != std::string::npos);
+}
+
+// Guards against a burst of which no failure domain's share is a whole token,
+// so that every request is refused.
+TEST_CASE("a burst below the number of failure domains is refused", "[rate]") {
+  PlatformThread Platform(true);
+  Administrator Admin(Platform.Endpoint,
+                      std::chrono::steady_clock::now() + 60s);
+  const auto Read = [](const std::string &Burst) {
+    return readObjectText(R"([{"kind":"Workspace","name":"w","spec":)"
+                          R"({"rate":9,"burst":)" +
+                              Burst + "}}]",
+                          false)
+        .value();
+  };
+  for (const Report &Refused :
+       {Admin.plan(Read("1.9"), MissingObjects::Keep),
+        Admin.apply(Read("1.9"), MissingObjects::Keep, false)}) {
+    CHECK(Refused.Code == ExitCode::Refused);
+    CHECK(Refused.Text.find("workspaces/w: spec.burst: expected at least 2, "
+                            "found 1.9") != std::string::npos);
+    CHECK(Refused.Text.find("a share below 1 grants nothing") !=
+          std::string::npos);
+  }
+  CHECK(Admin.get(ObjectKind::Workspace, "w").Code == ExitCode::Refused);
+  std::vector<CatalogueObject> Both = Read("2");
+  CHECK(Admin.plan(Both, MissingObjects::Keep).Code == ExitCode::Done);
+  Both.push_back(
+      readObjectText(R"({"kind":"Route","name":"r","spec":{"owner":"w",)"
+                     R"("trafficClass":"urgent","group":"g",)"
+                     R"("limits":{"rate":1,"burst":1}}})",
+                     false)
+          .value()
+          .front());
+  CHECK(Admin.apply(Both, MissingObjects::Keep, false)
+            .Text.find("routes/r: spec.limits.burst: expected at least 2") !=
+        std::string::npos);
+  CHECK(Admin.apply(Read("2"), MissingObjects::Keep, false).Code ==
+        ExitCode::Done);
+}
+
 // Guards against taking an unreachable platform for an empty one.
 TEST_CASE("an unreachable platform is reported", "[configuration]") {
   boost::asio::ip::tcp::endpoint Closed;
