Let work end when a host loses its duties for an upstream

Cause: a leaving host closed the connections of upstreams that it no longer held, with exchanges in use (test_stop_under_load: 1 request of about 1,000 ended with outcome-unknown). Change: the service is retired; exchanges and transactions go on under the polls they need.

--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -124,10 +124,8 @@
       this->Primaries[Name] = Stored->Primary;
     // A service costs processor time and memory also without duties, and a
     // large fleet has several hundred groups.
-    if (!NewDuties.any()) {
-      this->retire(Name);
+    if (!NewDuties.any() && !this->Services.contains(Name))
       continue;
-    }
     ServicePointer &Service = this->Services[Name];
     if (!Service)
       Service = this->create(*Members);
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -107,7 +107,8 @@
       ++Entry;
       continue;
     }
-    Entry->second->stop();
+    // Work under way keeps the service until it has ended.
+    Entry->second->retire();
     Entry = this->Upstreams.erase(Entry);
   }
   this->Permission.setView(
@@ -117,8 +118,9 @@
 
 void GroupService::startMonitors() {
   const bool Needed = this->Duties.polls(this->Status.Primary);
-  // Writes that wait for a replica need the polls until they are answered.
-  if (!Needed && this->PollWaiters > 0)
+  // Requests and transactions that began before the duties ended need the polls
+  // until they are answered: without them the permission expires.
+  if (!Needed && (this->Executing > 0 || this->Runner.transactions() > 0))
     return;
   if (!Needed) {
     for (const auto &[Name, Monitor] : this->Monitors)
@@ -221,6 +223,7 @@
       this->SuspectedTerm = 0;
     }
     this->refuseStrandedWrites();
+    this->startMonitors();
     this->TickTimer.expires_after(failoverlimits::PollInterval / 2);
     boost::system::error_code Ignored;
     co_await this->TickTimer.async_wait(
@@ -272,7 +275,11 @@
                   "a transaction begins at an upstream"))
     co_return ExecutionResult::failed(ErrorKind::BadRequest, "no upstream",
                                       AttemptOutcome::RefusedBeforeRun);
-  co_return co_await this->Runner.execute(Target, std::move(Request));
+  ++this->Executing;
+  ExecutionResult Result =
+      co_await this->Runner.execute(Target, std::move(Request));
+  --this->Executing;
+  co_return Result;
 }
 
 bool GroupService::mayWrite(TimePoint Now) const {
@@ -302,13 +309,8 @@
         asio::redirect_error(asio::use_awaitable, Ignored));
     co_return;
   }
-  const auto Self = this->shared_from_this();
-  ++this->PollWaiters;
   co_await this->PollSignal.async_wait(
       asio::redirect_error(asio::use_awaitable, Ignored));
-  --this->PollWaiters;
-  if (this->PollWaiters == 0 && !this->Stopped)
-    this->startMonitors();
 }
 
 std::optional<Duration> GroupService::ageOf(const Position &Replayed,
--- a/src/libs/server/groupservice.h
+++ b/src/libs/server/groupservice.h
@@ -113,7 +113,7 @@
   boost::asio::steady_timer PollSignal;
   std::atomic<std::uint64_t> SuspectedTerm{0}; ///< 0: no suspicion.
   bool Stopped = false;
-  std::size_t PollWaiters = 0; // Writes that wait for PollSignal.
+  std::size_t Executing = 0; ///< Requests under way on this host.
 };
 
 } // namespace lavenderdale
--- a/src/libs/server/upstreamservice.cpp
+++ b/src/libs/server/upstreamservice.cpp
@@ -83,6 +83,13 @@
   }
 }
 
+void UpstreamService::retire() {
+  this->Retired = true;
+  this->Pool.setLeaving(true);
+  this->refuseWaiting();
+  this->kick();
+}
+
 void UpstreamService::update(const Upstream &NewConfig) {
   this->Config = NewConfig;
   const PoolLimits Limits = poolLimitsOf(NewConfig);
@@ -95,7 +102,7 @@
 void UpstreamService::kick() { this->PoolTimer.cancel(); }
 
 asio::awaitable<void> UpstreamService::poolLoop() {
-  while (!this->Stopped) {
+  while (!this->Stopped && !(this->Retired && this->Pool.drained())) {
     for (const PoolAction &Action : this->Pool.poll(now(), this->Random))
       this->perform(Action);
     this->pump();
@@ -201,7 +208,8 @@
 asio::awaitable<Result<UpstreamService::Lease>>
 UpstreamService::wait(QueueDemand Demand,
                       std::optional<TimePoint> TransactionDeadline) {
-  if (this->Stopped || this->Config.State == UpstreamState::Leaving)
+  if (this->Stopped || this->Retired ||
+      this->Config.State == UpstreamState::Leaving)
     co_return failure(ErrorKind::Unavailable,
                       "upstream " + this->Config.Name + " takes no new work");
   const QueueItem Item{++this->LastItem, Demand.Workspace, Demand.Class,
--- a/src/libs/server/upstreamservice.h
+++ b/src/libs/server/upstreamservice.h
@@ -51,6 +51,9 @@
 
   void update(const Upstream &Config);
 
+  /// Takes no new work; exchanges and transactions go on until they end.
+  void retire();
+
   /// Fails all waiting requests with Unavailable, so that they can be tried
   /// elsewhere instead of waiting for an upstream that is down.
   void refuseWaiting();
@@ -115,6 +118,7 @@
   std::map<ConnectionId, std::unique_ptr<PostgresConnection>> Connections;
   std::map<QueueItemId, Waiter *> Waiters;
   QueueItemId LastItem = 0;
+  bool Retired = false;
   bool Stopped = false;
 };
 
