Split the statement runner, share sleepUntil, fetch host sets from peers

Change: statement building, idempotency records and attempt results have files of their own; membership.hostset gives the set to peers.

--- a/src/libs/server/configurationservice.cpp
+++ b/src/libs/server/configurationservice.cpp
@@ -4,11 +4,11 @@
 #include "distribution/configurationcodec.h"
 #include "http/httpclient.h"
 #include "http/runon.h"
+#include "http/sleepuntil.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -33,13 +33,6 @@
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
-asio::awaitable<void> sleepUntil(TimePoint When) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
-  Timer.expires_at(When);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 ConfigurationObject toConfiguration(const CatalogueObject &Object,
                                     bool Deleted) {
   ConfigurationObject Converted;
--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -1,9 +1,8 @@
 #include "entry.h"
 
 #include "catalogue/keytext.h"
+#include "http/sleepuntil.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -23,13 +22,6 @@
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
-asio::awaitable<void> sleepUntil(TimePoint When) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
-  Timer.expires_at(When);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 std::vector<std::uint8_t> bytesOfHex(const std::string &Hex) {
   std::vector<std::uint8_t> Bytes;
   for (std::size_t I = 0; I + 1 < Hex.size(); I += 2)
--- a/src/libs/server/membershipservice.cpp
+++ b/src/libs/server/membershipservice.cpp
@@ -87,7 +87,9 @@
   void operator()(const ProposeHostSet &Action) {
     Service.spawn(Service.propose(Action));
   }
-  void operator()(const FetchHostSet &) { Service.spawn(Service.fetch()); }
+  void operator()(const FetchHostSet &Action) {
+    Service.spawn(Service.fetchFrom(Action));
+  }
 };
 
 MembershipService::MembershipService(const DaemonContext &Context,
@@ -112,6 +114,7 @@
                const std::lock_guard Guard(this->Lock);
                return toJson(this->State.onHeartbeat(Message, now()));
              });
+  this->addHostSetMethod(Server);
   Server.add("membership.removal",
              [this](const Json::Value &Params) -> Result<Json::Value> {
                BOOST_OUTCOME_TRY(const RemovalQuestion Question,
@@ -121,6 +124,14 @@
              });
 }
 
+void MembershipService::addHostSetMethod(RpcServer &Server) {
+  Server.add("membership.hostset",
+             [this](const Json::Value &) -> Result<Json::Value> {
+               const std::lock_guard Guard(this->Lock);
+               return storedOf(this->State.hostSet()).toJson();
+             });
+}
+
 void MembershipService::start() { this->spawn(this->tickLoop()); }
 
 void MembershipService::leave() {
@@ -227,6 +238,31 @@
   co_await this->fetch();
 }
 
+// The peer that told of the epoch has it. Asking the platform instead would
+// cost a call of each host for each epoch, thousands a second when a failure
+// domain starts.
+asio::awaitable<void> MembershipService::fetchFrom(FetchHostSet Action) {
+  std::optional<Endpoint> Peer;
+  {
+    const std::lock_guard Guard(this->Lock);
+    const auto Found = this->Addresses.find(Action.From);
+    if (Found != this->Addresses.end())
+      Peer = Found->second;
+  }
+  if (Peer) {
+    const auto Reply = co_await this->Context.Rpc.call(
+        *Peer, "membership.hostset", Json::Value(Json::objectValue),
+        now() + HeartbeatLimit);
+    const auto Set = Reply ? HostSet::fromJson(Reply.value())
+                           : Result<HostSet>(Reply.error());
+    if (Set && Set.value().Epoch >= Action.Epoch) {
+      this->adoptSet(Set.value());
+      co_return;
+    }
+  }
+  co_await this->fetch();
+}
+
 asio::awaitable<void> MembershipService::fetch() {
   const auto Stored = co_await this->Platform.get(
       ObjectKind::HostSet, HostSet::ObjectName, now() + PlatformLimit);
@@ -236,13 +272,16 @@
 
 void MembershipService::adopt(const CatalogueObject &Object) {
   const Result<HostSet> Stored = HostSet::fromJson(Object.Spec);
-  if (!Stored)
-    return;
+  if (Stored)
+    this->adoptSet(Stored.value());
+}
+
+void MembershipService::adoptSet(const HostSet &Stored) {
   {
     const std::lock_guard Guard(this->Lock);
-    for (const HostSetMember &Each : Stored.value().Members)
+    for (const HostSetMember &Each : Stored.Members)
       this->Addresses[Each.Name] = {Each.PeerAddress, Each.PeerPort};
-    this->State.adoptHostSet(memberSetOf(Stored.value()), now());
+    this->State.adoptHostSet(memberSetOf(Stored), now());
   }
   this->refreshFleet();
 }
--- a/src/libs/server/membershipservice.h
+++ b/src/libs/server/membershipservice.h
@@ -32,7 +32,8 @@
   MembershipService(const DaemonContext &Context, PlatformGateway &Platform,
                     const Endpoint &PeerAddress, Listeners Told);
 
-  /// Registers "membership.heartbeat" and "membership.removal".
+  /// Registers "membership.heartbeat", "membership.removal" and
+  /// "membership.hostset".
   void addMethods(RpcServer &Server);
 
   void start();
@@ -61,8 +62,11 @@
   boost::asio::awaitable<void> askRemoval(AskRemoval Action);
   boost::asio::awaitable<void> propose(ProposeHostSet Action);
   boost::asio::awaitable<void> fetch();
+  boost::asio::awaitable<void> fetchFrom(FetchHostSet Action);
   void spawn(boost::asio::awaitable<void> Work);
   void adopt(const CatalogueObject &Object);
+  void adoptSet(const HostSet &Stored);
+  void addHostSetMethod(RpcServer &Server);
   void refreshFleet();
   FleetPointer makeFleet(const std::vector<PlacementHost> &Hosts,
                          std::uint64_t Epoch) const;
--- a/src/libs/server/rateservice.cpp
+++ b/src/libs/server/rateservice.cpp
@@ -2,10 +2,9 @@
 
 #include "base/objectreader.h"
 #include "http/runon.h"
+#include "http/sleepuntil.h"
 
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -27,13 +26,6 @@
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
-asio::awaitable<void> sleepUntil(TimePoint When) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
-  Timer.expires_at(When);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 Json::Value number(std::uint64_t Value) { return Json::Value::UInt64(Value); }
 
 Json::Value toJson(const GrantRequest &Request) {
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -1,17 +1,15 @@
 #include "statementrunner.h"
 
+#include "attemptresult.h"
 #include "groupqueries.h"
 #include "http/runon.h"
+#include "http/sleepuntil.h"
+#include "idempotencyrecord.h"
 #include "resultjson.h"
+#include "statementgroups.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
-#include <openssl/sha.h>
-
-#include <algorithm>
-#include <array>
 #include <string_view>
 
 namespace lavenderdale {
@@ -30,135 +28,8 @@
 constexpr std::string_view NoTable = "42P01";
 constexpr std::string_view UniqueViolation = "23505";
 
-constexpr auto CreateRequests =
-    "CREATE TABLE IF NOT EXISTS lavenderdale_requests ("
-    "workspace text NOT NULL, idempotency_key text NOT NULL, "
-    "fingerprint text NOT NULL, answer text, created bigint NOT NULL, "
-    "PRIMARY KEY (workspace, idempotency_key))";
-
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
-asio::awaitable<void> sleepUntil(TimePoint When) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
-  Timer.expires_at(When);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
-/// SQLSTATE to what it says about the statement.
-struct SqlStateRow {
-  std::string_view Prefix;
-  AttemptOutcome Outcome;
-};
-
-constexpr std::array SqlStates = {
-    SqlStateRow{"25006", AttemptOutcome::NotPrimary},
-    SqlStateRow{"40001", AttemptOutcome::SerializationFailure},
-    SqlStateRow{"40P01", AttemptOutcome::SerializationFailure},
-    SqlStateRow{"57P", AttemptOutcome::Terminated},
-};
-
-AttemptOutcome outcomeOf(const SqlError &Failure) {
-  for (const SqlStateRow &Row : SqlStates)
-    if (Failure.SqlState.starts_with(Row.Prefix))
-      return Row.Outcome;
-  return AttemptOutcome::StatementError;
-}
-
-ExecutionResult sqlFailure(const SqlError &Failure) {
-  const AttemptOutcome Outcome = outcomeOf(Failure);
-  const ErrorKind Kind = Outcome == AttemptOutcome::Terminated
-                             ? ErrorKind::OutcomeUnknown
-                             : ErrorKind::StatementFailed;
-  return ExecutionResult::failed(
-      Kind, "SQLSTATE " + Failure.SqlState + ": " + Failure.Message, Outcome);
-}
-
-ExecutionResult runFailure(const Error &Failure) {
-  const bool Unsent = errorAnswer(Failure.Kind).Outcome == RunOutcome::NotRun;
-  AttemptOutcome Outcome = AttemptOutcome::StatementError;
-  if (Unsent)
-    Outcome = AttemptOutcome::NotSent;
-  else if (Failure.Kind == ErrorKind::OutcomeUnknown)
-    Outcome = AttemptOutcome::AnswerLost;
-  return ExecutionResult::failed(Failure, Outcome);
-}
-
-// g++ 12 cannot compile nested braced lists inside coroutines, so statements
-// are put together here.
-using StatementGroups = std::vector<std::vector<Statement>>;
-
-Statement plain(const char *Sql) { return {Sql, {}}; }
-
-StatementGroups oneGroup(Statement Only) {
-  StatementGroups Groups(1);
-  Groups[0].push_back(std::move(Only));
-  return Groups;
-}
-
-StatementGroups single(const char *Sql) { return oneGroup(plain(Sql)); }
-
-StatementGroups pairOf(Statement First, Statement Second) {
-  StatementGroups Groups(2);
-  Groups[0].push_back(std::move(First));
-  Groups[1].push_back(std::move(Second));
-  return Groups;
-}
-
-std::vector<Statement> insideBegin(const char *Begin, Statement First,
-                                   Statement Second) {
-  std::vector<Statement> Group;
-  Group.push_back(plain(Begin));
-  Group.push_back(std::move(First));
-  Group.push_back(std::move(Second));
-  return Group;
-}
-
-Statement recordStatement(const ExecutionRequest &Request,
-                          std::string Fingerprint, std::string Created) {
-  return {"INSERT INTO lavenderdale_requests (workspace, idempotency_key, "
-          "fingerprint, created) VALUES ($1, $2, $3, $4)",
-          {Request.Workspace, Request.IdempotencyKey, std::move(Fingerprint),
-           std::move(Created)}};
-}
-
-Statement storeStatement(const ExecutionRequest &Request,
-                         std::optional<std::string> Body) {
-  return {"UPDATE lavenderdale_requests SET answer = $3 WHERE workspace = $1 "
-          "AND idempotency_key = $2",
-          {Request.Workspace, Request.IdempotencyKey, std::move(Body)}};
-}
-
-Statement findStatement(const ExecutionRequest &Request) {
-  return {"SELECT fingerprint, answer FROM lavenderdale_requests WHERE "
-          "workspace = $1 AND idempotency_key = $2",
-          {Request.Workspace, Request.IdempotencyKey}};
-}
-
-/// The first failure in a list of results, or nullptr.
-const SqlError *firstFailure(const std::vector<StatementResult> &Results) {
-  for (const StatementResult &Result : Results)
-    if (Result.Failure)
-      return &*Result.Failure;
-  return nullptr;
-}
-
-// Other commands can leave settings, locks or prepared statements behind.
-bool isPlain(const StatementResult &Result) {
-  static constexpr std::array<std::string_view, 7> PlainTags = {
-      "SELECT", "INSERT", "UPDATE", "DELETE", "MERGE", "CREATE", "DROP"};
-  if (Result.Failure)
-    return true;
-  return std::any_of(PlainTags.begin(), PlainTags.end(), [&](auto Tag) {
-    return Result.CommandTag.starts_with(Tag);
-  });
-}
-
-bool endsTransaction(const StatementResult &Result) {
-  return Result.CommandTag == "COMMIT" || Result.CommandTag == "ROLLBACK" ||
-         Result.CommandTag == "PREPARE TRANSACTION";
-}
-
 QueueDemand demandOf(const ExecutionRequest &Request) {
   QueueDemand Demand;
   Demand.Workspace = Request.Workspace;
@@ -168,30 +39,6 @@
   return Demand;
 }
 
-std::string fingerprintOf(const Statement &Sql) {
-  std::string Text = Sql.Sql;
-  for (const std::optional<std::string> &Param : Sql.Params) {
-    Text += '\0';
-    Text += Param ? "=" + *Param : std::string("-");
-  }
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
-  SHA256(reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
-         Digest.data());
-  static constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Hex;
-  for (const unsigned char Byte : Digest) {
-    Hex += Digits[Byte >> 4U];
-    Hex += Digits[Byte & 15U];
-  }
-  return Hex;
-}
-
-std::string unixSeconds() {
-  const auto Since = std::chrono::system_clock::now().time_since_epoch();
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::seconds>(Since).count());
-}
-
 ExecutionResult noPrimary() {
   return ExecutionResult::failed(ErrorKind::NoPrimary,
                                  "the primary may not acknowledge writes now",
@@ -228,7 +75,8 @@
 
 asio::awaitable<Result<StatementRunner::GroupResults>>
 StatementRunner::run(TargetPointer Target, UpstreamService::Lease Held,
-                     Groups Statements, const ExecutionRequest &Request) {
+                     StatementGroups Statements,
+                     const ExecutionRequest &Request) {
   HopSpan Hop(this->Context, Request.TraceParent, "upstream");
   Hop.set("upstream", Request.Upstream);
   co_return co_await Target->run(Held, std::move(Statements), Request.Deadline,
@@ -248,7 +96,7 @@
     co_return noPrimary();
   }
   const TimePoint SentAt = now();
-  Groups Statements = pairOf(Request.Sql, positionStatement());
+  StatementGroups Statements = pairOf(Request.Sql, positionStatement());
   const auto Results =
       co_await this->run(Target, Held.value(), std::move(Statements), Request);
   Target->release(Held.value(), Results && isPlain(Results.value()[0][0]));
@@ -311,7 +159,7 @@
   const Statement Record =
       recordStatement(Request, fingerprintOf(Request.Sql), unixSeconds());
   for (int Try = 0; Try < 2; ++Try) {
-    Groups Statements(1, insideBegin("BEGIN", Record, Request.Sql));
+    StatementGroups Statements(1, insideBegin("BEGIN", Record, Request.Sql));
     const auto Results =
         co_await this->run(Target, Held, std::move(Statements), Request);
     if (!Results)
@@ -331,7 +179,7 @@
     if (!AtRecord || Failure->SqlState != NoTable)
       co_return sqlFailure(*Failure);
     const auto Created =
-        co_await this->run(Target, Held, single(CreateRequests), Request);
+        co_await this->run(Target, Held, single(CreateRequestsTable), Request);
     if (!Created)
       co_return runFailure(Created.error());
   }
@@ -349,7 +197,7 @@
   const bool Fits = Answer.Body.size() <= MaxStoredAnswerBytes;
   const Statement Store =
       storeStatement(Request, Fits ? std::optional(Answer.Body) : std::nullopt);
-  Groups Statements = pairOf(Store, positionStatement());
+  StatementGroups Statements = pairOf(Store, positionStatement());
   Statements.front().push_back(plain("COMMIT"));
   const auto Results =
       co_await this->run(Target, Held, std::move(Statements), Request);
@@ -367,7 +215,7 @@
 StatementRunner::storedAnswer(TargetPointer Target, ExecutionRequest &Request,
                               UpstreamService::Lease Held) {
   const Statement Find = findStatement(Request);
-  Groups Statements = pairOf(Find, positionStatement());
+  StatementGroups Statements = pairOf(Find, positionStatement());
   const auto Results =
       co_await this->run(Target, Held, std::move(Statements), Request);
   if (!Results)
@@ -397,7 +245,7 @@
     const auto Held = co_await Target->acquire(demandOf(Request));
     if (!Held)
       co_return runFailure(Held.error());
-    Groups Statements = pairOf(replayStatement(), Request.Sql);
+    StatementGroups Statements = pairOf(replayStatement(), Request.Sql);
     Statements.push_back({});
     Statements.back().push_back(replayStatement());
     const auto Results = co_await this->run(Target, Held.value(),
@@ -445,7 +293,7 @@
   if (!Held)
     co_return runFailure(Held.error());
   const TimePoint SentAt = now();
-  Groups Statements(
+  StatementGroups Statements(
       1, insideBegin("BEGIN READ ONLY", Request.Sql, plain("COMMIT")));
   Statements.push_back({});
   Statements.back().push_back(positionStatement());
@@ -588,8 +436,8 @@
     co_return runFailure(Started.error());
   }
   const TimePoint SentAt = now();
-  Groups Statements = pairOf(plain(Commits && Allowed ? "COMMIT" : "ROLLBACK"),
-                             positionStatement());
+  StatementGroups Statements = pairOf(
+      plain(Commits && Allowed ? "COMMIT" : "ROLLBACK"), positionStatement());
   const auto Results = co_await this->run(Current.Target, Current.Held,
                                           std::move(Statements), Request);
   Current.Target->endStatement(Current.Held);
--- a/src/libs/server/statementrunner.h
+++ b/src/libs/server/statementrunner.h
@@ -3,6 +3,7 @@
 #include "daemoncontext.h"
 #include "executionrequest.h"
 #include "failover/writepermission.h"
+#include "statementgroups.h"
 #include "upstreamservice.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -55,7 +56,6 @@
   std::size_t transactions() const { return this->OpenCount; }
 
 private:
-  using Groups = std::vector<std::vector<Statement>>;
   using GroupResults = PostgresConnection::GroupResults;
   using TargetPointer = std::shared_ptr<UpstreamService>;
 
@@ -92,8 +92,8 @@
                                                       TimePoint SentAt);
 
   boost::asio::awaitable<Result<GroupResults>>
-  run(TargetPointer Target, UpstreamService::Lease Held, Groups Statements,
-      const ExecutionRequest &Request);
+  run(TargetPointer Target, UpstreamService::Lease Held,
+      StatementGroups Statements, const ExecutionRequest &Request);
   bool forget(const std::string &Id);
   std::string newTransactionId(const std::string &Group);
 
