--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -52,18 +52,12 @@
 
 void readTimeouts(TomlReader &Reader, TimeoutSettings &Timeouts) {
   Reader.enter("timeouts", false);
-  Reader.optionalMilliseconds("peer_ms", milliseconds(10), minutes(1),
-                              Timeouts.Peer);
-  Reader.optionalMilliseconds("upstream_ms", milliseconds(10), minutes(10),
-                              Timeouts.Upstream);
   Reader.optionalMilliseconds("stop_grace_ms", milliseconds(0), minutes(10),
                               Timeouts.StopGrace);
   Reader.optionalMilliseconds("stop_limit_ms", milliseconds(0), minutes(10),
                               Timeouts.StopLimit);
   Reader.optionalMilliseconds("max_deadline_ms", milliseconds(1), minutes(10),
                               Timeouts.MaxDeadline);
-  Reader.optionalMilliseconds("default_deadline_ms", milliseconds(1),
-                              Timeouts.MaxDeadline, Timeouts.DefaultDeadline);
 }
 
 void readThreads(TomlReader &Reader, ThreadSettings &Threads) {
@@ -98,9 +92,6 @@
   readLog(Reader, Read.Log);
   readTraces(Reader, Read.Traces);
   BOOST_OUTCOME_TRY(Reader.finish());
-  // The maximum may be set below the built-in default deadline.
-  if (Read.Timeouts.DefaultDeadline > Read.Timeouts.MaxDeadline)
-    Read.Timeouts.DefaultDeadline = Read.Timeouts.MaxDeadline;
   return Read;
 }
 
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -39,14 +39,11 @@
 
 /// Section [timeouts].
 struct TimeoutSettings {
-  std::chrono::milliseconds Peer{1'000};
-  std::chrono::milliseconds Upstream{30'000};
   /// How long requests are still accepted after SIGTERM, while the balancer
   /// detects the change.
   std::chrono::milliseconds StopGrace{3'000};
   /// After this time a stop no longer waits for requests in flight.
   std::chrono::milliseconds StopLimit{30'000};
-  std::chrono::milliseconds DefaultDeadline{5'000};
   std::chrono::milliseconds MaxDeadline{60'000};
 };
 
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -45,9 +45,9 @@
 max_request_bytes = 1
 max_conections = 5
 [timeouts]
-peer_ms = -1
-default_deadline_ms = 7000
-max_deadline_ms = 6000
+stop_grace_ms = -1
+stop_limit_ms = 700000
+peer_ms = 100
 [traces]
 sample = 1.5
 [log]
@@ -57,8 +57,9 @@
       R"(f.toml:11: limits.max_connections: found "many", expected a whole number from 1 to 1000000
 f.toml:12: limits.max_request_bytes: found 1, expected a whole number from 1024 to 1073741824
 f.toml:13: limits.max_conections: found 5, expected no such key
-f.toml:15: timeouts.peer_ms: found -1, expected a whole number from 10 to 60000
-f.toml:16: timeouts.default_deadline_ms: found 7000, expected a whole number from 1 to 6000
+f.toml:15: timeouts.stop_grace_ms: found -1, expected a whole number from 0 to 600000
+f.toml:16: timeouts.stop_limit_ms: found 700000, expected a whole number from 0 to 600000
+f.toml:17: timeouts.peer_ms: found 100, expected no such key
 f.toml:19: traces.sample: found 1.5, expected a number from 0 to 1
 f.toml:21: log.level: found "loud", expected one of "debug", "info", "warn", "error"
 f.toml:22: tracing: found a table, expected no such section or key)");
