Run a read once while its replica catches up

Cause: a read that waited at a replica ran its statement at each look at the position, every 10 ms; marked never-repeat it ran more than once (22 runs of 2 reads with replicas 100 ms behind). Change: only the position is asked until it is reached, and reads marked never-repeat go to the primary.

--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -320,7 +320,9 @@
                     std::optional<PrimaryReason> &Reason) {
   std::vector<Attempt> Attempts;
   const std::string &Group = Request.Target->Group;
-  if (!Caller.ReadOnly) {
+  // A replica that is behind is asked again, so a statement that must not be
+  // repeated goes to the primary.
+  if (!Caller.ReadOnly || Caller.NeverRepeat) {
     this->addHolders(Request, View.Primary, UpstreamRole::Primary, std::nullopt,
                      Attempts);
     return Attempts;
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -39,6 +39,19 @@
   return Demand;
 }
 
+/// The answer to a read: position, statement, position.
+ExecutionResult replicaAnswer(const PostgresConnection::GroupResults &Results) {
+  const StatementResult &Result = Results[1][0];
+  if (Result.Failure)
+    return sqlFailure(*Result.Failure);
+  ExecutionAnswer Answer;
+  Answer.Body = resultToJson(Result);
+  Answer.Role = UpstreamRole::Replica;
+  // The data can be newer than the position that was read before it.
+  Answer.Reached = readReplay(Results[2][0]);
+  return ExecutionResult::answered(std::move(Answer));
+}
+
 ExecutionResult noPrimary() {
   return ExecutionResult::failed(ErrorKind::NoPrimary,
                                  "the primary may not acknowledge writes now",
@@ -238,51 +251,55 @@
   co_return ExecutionResult::answered(std::move(Answer));
 }
 
+// A replica that is catching up is asked for its position alone until it is
+// there, so that a waiting read does not run its statement again and again.
 asio::awaitable<ExecutionResult>
 StatementRunner::readReplica(TargetPointer Target, ExecutionRequest &Request) {
   const ReadDemand Demand{Request.Seen, Request.AcceptedAge};
+  bool PositionOnly = Request.WaitUntil.has_value();
   while (true) {
     const auto Held = co_await Target->acquire(demandOf(Request));
     if (!Held)
       co_return runFailure(Held.error());
-    StatementGroups Statements = pairOf(replayStatement(), Request.Sql);
-    Statements.push_back({});
-    Statements.back().push_back(replayStatement());
+    StatementGroups Statements = oneGroup(replayStatement());
+    if (!PositionOnly) {
+      Statements = pairOf(replayStatement(), Request.Sql);
+      Statements.push_back({});
+      Statements.back().push_back(replayStatement());
+    }
     const auto Results = co_await this->run(Target, Held.value(),
                                             std::move(Statements), Request);
-    Target->release(Held.value(), Results && isPlain(Results.value()[1][0]));
+    const bool Plain =
+        Results && (PositionOnly || isPlain(Results.value()[1][0]));
+    Target->release(Held.value(), Plain);
     if (!Results)
       co_return runFailure(Results.error());
     const std::optional<Position> Replayed = readReplay(Results.value()[0][0]);
-    if (!Replayed)
-      co_return ExecutionResult::failed(ErrorKind::ReplicaBehind,
-                                        "the upstream is not a replica",
-                                        AttemptOutcome::ReplicaBehind);
-    const ReadVerdict Verdict =
-        judgeRead(Demand, {Replayed->InTerm, Replayed->Log},
-                  this->State.ageOf(*Replayed, now()), this->State.history());
+    const ReadVerdict Verdict = this->judge(Demand, Replayed);
     if (Verdict == ReadVerdict::WriteLost)
       co_return ExecutionResult::failed(ErrorKind::SessionLost, "",
                                         AttemptOutcome::StatementError);
-    if (Verdict == ReadVerdict::MayServe) {
-      const StatementResult &Result = Results.value()[1][0];
-      if (Result.Failure)
-        co_return sqlFailure(*Result.Failure);
-      ExecutionAnswer Answer;
-      Answer.Body = resultToJson(Result);
-      Answer.Role = UpstreamRole::Replica;
-      // The data can be newer than the position that was read before it.
-      Answer.Reached = readReplay(Results.value()[2][0]);
-      co_return ExecutionResult::answered(std::move(Answer));
-    }
+    if (Verdict == ReadVerdict::MayServe && !PositionOnly)
+      co_return replicaAnswer(Results.value());
     const TimePoint Again = now() + CatchUpInterval;
-    if (!Request.WaitUntil || Again >= *Request.WaitUntil)
+    if (!Replayed || !Request.WaitUntil || Again >= *Request.WaitUntil)
       co_return ExecutionResult::failed(ErrorKind::ReplicaBehind, "",
                                         AttemptOutcome::ReplicaBehind);
-    co_await sleepUntil(Again);
+    PositionOnly = Verdict != ReadVerdict::MayServe;
+    if (PositionOnly)
+      co_await sleepUntil(Again);
   }
 }
 
+ReadVerdict
+StatementRunner::judge(const ReadDemand &Demand,
+                       const std::optional<Position> &Replayed) const {
+  if (!Replayed)
+    return ReadVerdict::Behind;
+  return judgeRead(Demand, {Replayed->InTerm, Replayed->Log},
+                   this->State.ageOf(*Replayed, now()), this->State.history());
+}
+
 // A read at the primary is answered under the same permission as a write: a
 // replaced primary would return old data.
 asio::awaitable<ExecutionResult>
--- a/src/libs/server/statementrunner.h
+++ b/src/libs/server/statementrunner.h
@@ -94,6 +94,8 @@
   boost::asio::awaitable<Result<GroupResults>>
   run(TargetPointer Target, UpstreamService::Lease Held,
       StatementGroups Statements, const ExecutionRequest &Request);
+  ReadVerdict judge(const ReadDemand &Demand,
+                    const std::optional<Position> &Replayed) const;
   bool forget(const std::string &Id);
   std::string newTransactionId(const std::string &Group);
 
--- a/tests/process/test_repeat.py
+++ b/tests/process/test_repeat.py
@@ -2,8 +2,8 @@
 import threading
 import unittest
 
-from cluster import Cluster, wait_until
-from fleet import INIT_SQL, database_log, start, written_ids
+from cluster import Cluster, GroupPlan, wait_until
+from fleet import INIT_SQL, database_log, session_of, start, written_ids
 
 INSERT = "INSERT INTO writes VALUES ($1, 'keyed')"
 
@@ -92,6 +92,23 @@
                 for params in sent:
                     self.assertEqual(1, sent.count(params), sent)
 
+    def test_never_repeated_read_runs_once(self):
+        """Guards against a read marked never-repeat that runs again while a replica catches up."""
+        lagging = GroupPlan(options=("--replay-lag-ms", "100"))
+        with Cluster(init_sql=INIT_SQL, groups=[lagging]) as cluster:
+            key = start(cluster)
+            for daemon in cluster.daemons.values():
+                written = cluster.execute(daemon, "cuts", "INSERT INTO writes VALUES (1, 'seen')",
+                                          key=key)
+                self.assertEqual(200, written.status, written)
+                read = cluster.execute(daemon, "cuts", "SELECT 'once' FROM writes", key=key,
+                                       read_only=True, repeat="never",
+                                       session=session_of(written))
+                self.assertEqual(200, read.status, read)
+            sent = [entry for database in cluster.databases.values()
+                    for entry in database_log(database) if "'once'" in entry["sql"]]
+            self.assertEqual(len(cluster.daemons), len(sent), sent)
+
 
 if __name__ == "__main__":
     unittest.main()
