Read the urgency of loan requests; give rate messages a codec of their own

Cause: rate.borrow was written with "urgent" and refused by the reader as an unknown member, so no loan between failure domains reached its borrower in the daemons; entry hosts drew from other domains' owners instead. Found while moving the doubled codec code out of rateservice.cpp.

--- a/src/libs/server/attemptresult.cpp
+++ b/src/libs/server/attemptresult.cpp
@@ -41,7 +41,9 @@
 ExecutionResult runFailure(const Error &Failure) {
   const bool Unsent = errorAnswer(Failure.Kind).Outcome == RunOutcome::NotRun;
   AttemptOutcome Outcome = AttemptOutcome::StatementError;
-  if (Unsent)
+  if (Failure.Kind == ErrorKind::NoPrimary)
+    Outcome = AttemptOutcome::RefusedBeforeRun;
+  else if (Unsent)
     Outcome = AttemptOutcome::NotSent;
   else if (Failure.Kind == ErrorKind::OutcomeUnknown)
     Outcome = AttemptOutcome::AnswerLost;
--- a/src/libs/server/rateservice.cpp
+++ b/src/libs/server/rateservice.cpp
@@ -1,8 +1,8 @@
 #include "rateservice.h"
 
-#include "base/objectreader.h"
 #include "http/runon.h"
 #include "http/sleepuntil.h"
+#include "ratecodec.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -14,8 +14,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using std::chrono::microseconds;
-
 // Within this time a call to a rate owner is given up. The drawer ignores
 // answers that come after its own, shorter limit.
 constexpr std::chrono::milliseconds CallLimit{200};
@@ -26,128 +24,6 @@
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
-Json::Value number(std::uint64_t Value) { return Json::Value::UInt64(Value); }
-
-Json::Value toJson(const GrantRequest &Request) {
-  Json::Value Value(Json::objectValue);
-  Value["workspace"] = Request.Workspace;
-  Value["epoch"] = number(Request.Epoch);
-  Value["host"] = Request.Host;
-  Value["incarnation"] = number(Request.Incarnation);
-  Value["sequence"] = number(Request.Sequence);
-  Value["wanted"] = Request.Wanted;
-  Value["spent"] = number(Request.Spent);
-  Value["held"] = Request.Held;
-  return Value;
-}
-
-Result<GrantRequest> grantRequestFrom(const Json::Value &Value) {
-  ObjectReader Reader(Value, "draw");
-  GrantRequest Request;
-  Request.Workspace = Reader.requiredString("workspace");
-  Request.Epoch = Reader.requiredUnsigned("epoch", 0, UINT64_MAX);
-  Request.Host = Reader.requiredString("host");
-  Request.Incarnation = Reader.requiredUnsigned("incarnation", 0, UINT64_MAX);
-  Request.Sequence = Reader.requiredUnsigned("sequence", 0, UINT64_MAX);
-  Request.Wanted = static_cast<std::uint32_t>(
-      Reader.requiredUnsigned("wanted", 0, UINT32_MAX));
-  Request.Spent = Reader.requiredUnsigned("spent", 0, UINT64_MAX);
-  Request.Held = static_cast<std::uint32_t>(
-      Reader.requiredUnsigned("held", 0, UINT32_MAX));
-  BOOST_OUTCOME_TRYV(Reader.finish());
-  return Request;
-}
-
-std::uint64_t inMicroseconds(Duration Value) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<microseconds>(Value).count());
-}
-
-Json::Value toJson(const GrantAnswer &Answer) {
-  Json::Value Value(Json::objectValue);
-  Value["workspace"] = Answer.Workspace;
-  Value["incarnation"] = number(Answer.Incarnation);
-  Value["sequence"] = number(Answer.Sequence);
-  Value["status"] = static_cast<int>(Answer.Status);
-  Value["tokens"] = Answer.Tokens;
-  Value["validityUs"] = number(inMicroseconds(Answer.Validity));
-  return Value;
-}
-
-constexpr std::uint64_t MaxValidityUs = 60'000'000;
-
-Result<GrantAnswer> grantAnswerFrom(const Json::Value &Value) {
-  ObjectReader Reader(Value, "grant");
-  GrantAnswer Answer;
-  Answer.Workspace = Reader.requiredString("workspace");
-  Answer.Incarnation = Reader.requiredUnsigned("incarnation", 0, UINT64_MAX);
-  Answer.Sequence = Reader.requiredUnsigned("sequence", 0, UINT64_MAX);
-  Answer.Status =
-      static_cast<GrantStatus>(Reader.requiredUnsigned("status", 0, 3));
-  Answer.Tokens = static_cast<std::uint32_t>(
-      Reader.requiredUnsigned("tokens", 0, UINT32_MAX));
-  Answer.Validity =
-      microseconds(Reader.requiredUnsigned("validityUs", 0, MaxValidityUs));
-  BOOST_OUTCOME_TRYV(Reader.finish());
-  return Answer;
-}
-
-Json::Value toJson(const LoanRequest &Request) {
-  Json::Value Value(Json::objectValue);
-  Value["workspace"] = Request.Workspace;
-  Value["epoch"] = number(Request.Epoch);
-  Value["host"] = Request.Host;
-  Value["incarnation"] = number(Request.Incarnation);
-  Value["sequence"] = number(Request.Sequence);
-  Value["wanted"] = number(static_cast<std::uint64_t>(Request.Wanted));
-  Value["urgent"] = Request.Urgent;
-  return Value;
-}
-
-Result<LoanRequest> loanRequestFrom(const Json::Value &Value) {
-  ObjectReader Reader(Value, "borrow");
-  LoanRequest Request;
-  Request.Workspace = Reader.requiredString("workspace");
-  Request.Epoch = Reader.requiredUnsigned("epoch", 0, UINT64_MAX);
-  Request.Host = Reader.requiredString("host");
-  Request.Incarnation = Reader.requiredUnsigned("incarnation", 0, UINT64_MAX);
-  Request.Sequence = Reader.requiredUnsigned("sequence", 0, UINT64_MAX);
-  Request.Wanted =
-      static_cast<Microtokens>(Reader.requiredUnsigned("wanted", 0, INT64_MAX));
-  BOOST_OUTCOME_TRYV(Reader.finish());
-  return Request;
-}
-
-Json::Value toJson(const LoanAnswer &Answer) {
-  Json::Value Value(Json::objectValue);
-  Value["workspace"] = Answer.Workspace;
-  Value["incarnation"] = number(Answer.Incarnation);
-  Value["sequence"] = number(Answer.Sequence);
-  Value["status"] = static_cast<int>(Answer.Status);
-  Value["amount"] = number(static_cast<std::uint64_t>(Answer.Amount));
-  Value["spare"] = number(static_cast<std::uint64_t>(Answer.Spare));
-  Value["validityUs"] = number(inMicroseconds(Answer.Validity));
-  return Value;
-}
-
-Result<LoanAnswer> loanAnswerFrom(const Json::Value &Value) {
-  ObjectReader Reader(Value, "loan");
-  LoanAnswer Answer;
-  Answer.Workspace = Reader.requiredString("workspace");
-  Answer.Incarnation = Reader.requiredUnsigned("incarnation", 0, UINT64_MAX);
-  Answer.Sequence = Reader.requiredUnsigned("sequence", 0, UINT64_MAX);
-  Answer.Status =
-      static_cast<GrantStatus>(Reader.requiredUnsigned("status", 0, 3));
-  Answer.Amount =
-      static_cast<Microtokens>(Reader.requiredUnsigned("amount", 0, INT64_MAX));
-  Answer.Spare =
-      static_cast<Microtokens>(Reader.requiredUnsigned("spare", 0, INT64_MAX));
-  Answer.Validity =
-      microseconds(Reader.requiredUnsigned("validityUs", 0, MaxValidityUs));
-  BOOST_OUTCOME_TRYV(Reader.finish());
-  return Answer;
-}
-
 /// The answer of a host that may not use its share now.
 template <typename Answer, typename Request>
 Answer refusalOf(const Request &Asked) {
@@ -168,21 +44,23 @@
       Owner(Context.hostName(), this->Incarnation) {}
 
 void RateService::addMethods(RpcServer &Server) {
-  Server.add(
-      "rate.draw", [this](const Json::Value &Params) -> Result<Json::Value> {
-        BOOST_OUTCOME_TRY(const GrantRequest Request, grantRequestFrom(Params));
-        return toJson(this->grantLocally(Request));
-      });
-  Server.add(
-      "rate.borrow", [this](const Json::Value &Params) -> Result<Json::Value> {
-        BOOST_OUTCOME_TRY(const LoanRequest Request, loanRequestFrom(Params));
-        LoanAnswer Answer = refusalOf<LoanAnswer>(Request);
-        if (this->MayGrant(Request.Workspace)) {
-          const std::lock_guard Guard(this->OwnerLock);
-          Answer = this->Owner.lend(Request, now());
-        }
-        return toJson(Answer);
-      });
+  Server.add("rate.draw",
+             [this](const Json::Value &Params) -> Result<Json::Value> {
+               BOOST_OUTCOME_TRY(const GrantRequest Request,
+                                 grantRequestFromJson(Params));
+               return toJson(this->grantLocally(Request));
+             });
+  Server.add("rate.borrow",
+             [this](const Json::Value &Params) -> Result<Json::Value> {
+               BOOST_OUTCOME_TRY(const LoanRequest Request,
+                                 loanRequestFromJson(Params));
+               LoanAnswer Answer = refusalOf<LoanAnswer>(Request);
+               if (this->MayGrant(Request.Workspace)) {
+                 const std::lock_guard Guard(this->OwnerLock);
+                 Answer = this->Owner.lend(Request, now());
+               }
+               return toJson(Answer);
+             });
 }
 
 RateService::Shard &RateService::shardOf(const std::string &Name) {
@@ -346,7 +224,7 @@
     const auto Reply = co_await this->Context.Rpc.call(
         Peer->Peer, "rate.draw", toJson(Request.Request), now() + CallLimit);
     if (Reply)
-      if (const auto Read = grantAnswerFrom(Reply.value()))
+      if (const auto Read = grantAnswerFromJson(Reply.value()))
         Answer = Read.value();
   }
   if (!Answer)
@@ -397,7 +275,7 @@
       Where, "rate.borrow", toJson(Draw.Request), now() + CallLimit);
   if (!Reply)
     co_return;
-  const auto Answer = loanAnswerFrom(Reply.value());
+  const auto Answer = loanAnswerFromJson(Reply.value());
   if (!Answer)
     co_return;
   {
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -96,18 +96,27 @@
                                  this->Context.Config.Limits.MaxResultBytes);
 }
 
-asio::awaitable<ExecutionResult>
-StatementRunner::write(TargetPointer Target, ExecutionRequest &Request) {
+asio::awaitable<Result<UpstreamService::Lease>>
+StatementRunner::acquireForWrite(TargetPointer Target,
+                                 const ExecutionRequest &Request) {
+  const auto Refused = failure(ErrorKind::NoPrimary,
+                               "the primary may not acknowledge writes now");
   if (!this->State.mayWrite(now()))
-    co_return noPrimary();
+    co_return Refused;
   const auto Held = co_await Target->acquire(demandOf(Request));
-  if (!Held)
-    co_return runFailure(Held.error());
   // The permission may have expired in the queue.
-  if (!this->State.mayWrite(now())) {
+  if (Held && !this->State.mayWrite(now())) {
     Target->release(Held.value(), true);
-    co_return noPrimary();
+    co_return Refused;
   }
+  co_return Held;
+}
+
+asio::awaitable<ExecutionResult>
+StatementRunner::write(TargetPointer Target, ExecutionRequest &Request) {
+  const auto Held = co_await this->acquireForWrite(Target, Request);
+  if (!Held)
+    co_return runFailure(Held.error());
   const TimePoint SentAt = now();
   StatementGroups Statements = pairOf(Request.Sql, positionStatement());
   const auto Results =
@@ -144,15 +153,9 @@
 
 asio::awaitable<ExecutionResult>
 StatementRunner::keyedWrite(TargetPointer Target, ExecutionRequest &Request) {
-  if (!this->State.mayWrite(now()))
-    co_return noPrimary();
-  const auto Held = co_await Target->acquire(demandOf(Request));
+  const auto Held = co_await this->acquireForWrite(Target, Request);
   if (!Held)
     co_return runFailure(Held.error());
-  if (!this->State.mayWrite(now())) {
-    Target->release(Held.value(), true);
-    co_return noPrimary();
-  }
   bool Plain = true;
   const TimePoint SentAt = now();
   ExecutionResult Result =
--- a/src/libs/server/statementrunner.h
+++ b/src/libs/server/statementrunner.h
@@ -65,6 +65,11 @@
     UpstreamService::Lease Held;
   };
 
+  /// Waits for a connection while writes may be acknowledged.
+  /// \returns NoPrimary when they may not, or as UpstreamService::acquire().
+  boost::asio::awaitable<Result<UpstreamService::Lease>>
+  acquireForWrite(TargetPointer Target, const ExecutionRequest &Request);
+
   boost::asio::awaitable<ExecutionResult> write(TargetPointer Target,
                                                 ExecutionRequest &Request);
   boost::asio::awaitable<ExecutionResult> keyedWrite(TargetPointer Target,
