Place upstreams once for each fleet view; drop dead and doubled code

FleetView::dutiesOf() hashed all hosts again for each upstream at each change of the configuration, although holders() keeps the results of a view; it calls holders() now. The kept results are looked up by name and failure domain, since a change of an upstream's domain in the same view would have given old holders. The flag Suspected was never set, and three accessors of UpstreamService were never called. The names of a group's members are listed in one place.

--- a/src/libs/server/fleetview.cpp
+++ b/src/libs/server/fleetview.cpp
@@ -22,19 +22,11 @@
 }
 
 std::vector<std::string> FleetView::holders(const Upstream &Target) const {
-  std::vector<std::string> Names;
-  {
-    const std::lock_guard Guard(this->Lock);
-    auto &Kept = this->HoldersByUpstream[Target.Name];
-    if (Kept.empty())
-      Kept = holdersOf(Target.Name, Target.FailureDomain, this->Hosts);
-    Names = Kept;
-  }
-  std::stable_partition(Names.begin(), Names.end(), [this](const auto &Name) {
-    const Member *Found = this->find(Name);
-    return Found && !Found->Suspected;
-  });
-  return Names;
+  const std::lock_guard Guard(this->Lock);
+  auto &Kept = this->HoldersByUpstream[{Target.Name, Target.FailureDomain}];
+  if (Kept.empty())
+    Kept = holdersOf(Target.Name, Target.FailureDomain, this->Hosts);
+  return Kept;
 }
 
 GroupDuties FleetView::dutiesOf(const std::string &Host,
@@ -42,8 +34,7 @@
   GroupDuties Duties;
   std::set<std::string> Watchers;
   for (const Upstream &Each : Config.Upstreams) {
-    const std::vector<std::string> Holders =
-        holdersOf(Each.Name, Each.FailureDomain, this->Hosts);
+    const std::vector<std::string> Holders = this->holders(Each);
     if (std::find(Holders.begin(), Holders.end(), Host) != Holders.end())
       Duties.Held.insert(Each.Name);
     if (!Holders.empty())
--- a/src/libs/server/fleetview.h
+++ b/src/libs/server/fleetview.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lavenderdale {
@@ -21,7 +22,6 @@
     std::string Name;
     std::string FailureDomain;
     Endpoint Peer;
-    bool Suspected = false; ///< Tried last.
   };
 
   FleetView(std::uint64_t Epoch, std::vector<Member> Members);
@@ -33,7 +33,7 @@
   /// \returns nullptr for an unknown host.
   const Member *find(const std::string &Name) const;
 
-  /// Holders of \p Target, those that are not suspected first.
+  /// Holders of \p Target, the first one first.
   std::vector<std::string> holders(const Upstream &Target) const;
 
   GroupDuties dutiesOf(const std::string &Host, const Group &Members) const;
@@ -46,7 +46,10 @@
 
   // Placement hashes every host; results are kept as long as the view.
   mutable std::mutex Lock;
-  mutable std::map<std::string, std::vector<std::string>> HoldersByUpstream;
+  // The key is the upstream's name and failure domain.
+  mutable std::map<std::pair<std::string, std::string>,
+                   std::vector<std::string>>
+      HoldersByUpstream;
 };
 
 using FleetPointer = std::shared_ptr<const FleetView>;
--- a/src/libs/server/groupqueries.cpp
+++ b/src/libs/server/groupqueries.cpp
@@ -65,6 +65,14 @@
 
 } // namespace
 
+std::vector<std::string> memberNames(const Group &Members) {
+  std::vector<std::string> Names;
+  Names.reserve(Members.Upstreams.size());
+  for (const Upstream &Member : Members.Upstreams)
+    Names.push_back(Member.Name);
+  return Names;
+}
+
 Statement pollStatement() {
   return {"SELECT pg_is_in_recovery(),"
           " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn()"
--- a/src/libs/server/groupqueries.h
+++ b/src/libs/server/groupqueries.h
@@ -8,9 +8,13 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lavenderdale {
 
+/// Names of the members of a group.
+std::vector<std::string> memberNames(const Group &Members);
+
 /// Asks a member for its role, timeline, positions and whom it follows. Only
 /// functions and views that PostgreSQL documents are used.
 Statement pollStatement();
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -21,14 +21,6 @@
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
-std::vector<std::string> namesOf(const Group &Members) {
-  std::vector<std::string> Names;
-  Names.reserve(Members.Upstreams.size());
-  for (const Upstream &Member : Members.Upstreams)
-    Names.push_back(Member.Name);
-  return Names;
-}
-
 } // namespace
 
 GroupService::GroupService(const DaemonContext &Context, asio::io_context &Home,
@@ -112,7 +104,7 @@
     Entry = this->Upstreams.erase(Entry);
   }
   this->Permission.setView(
-      {this->Status.Current, this->Status.Primary, namesOf(this->Members)});
+      {this->Status.Current, this->Status.Primary, memberNames(this->Members)});
   this->startMonitors();
 }
 
@@ -174,7 +166,7 @@
           std::to_string(Seen.Current.Value) + ", primary " + Seen.Primary);
   this->Detector.primaryChanged(Seen.Current, now(), First);
   this->Permission.setView(
-      {Seen.Current, Seen.Primary, namesOf(this->Members)});
+      {Seen.Current, Seen.Primary, memberNames(this->Members)});
   this->startMonitors();
   this->publish();
 }
--- a/src/libs/server/membershipservice.cpp
+++ b/src/libs/server/membershipservice.cpp
@@ -317,7 +317,7 @@
   for (const PlacementHost &Host : Hosts) {
     const auto Found = this->Addresses.find(Host.Name);
     if (Found != this->Addresses.end())
-      Members.push_back({Host.Name, Host.FailureDomain, Found->second, false});
+      Members.push_back({Host.Name, Host.FailureDomain, Found->second});
   }
   return std::make_shared<FleetView>(Epoch, std::move(Members));
 }
--- a/src/libs/server/promotiondriver.cpp
+++ b/src/libs/server/promotiondriver.cpp
@@ -20,14 +20,6 @@
 
 TimePoint callDeadline() { return now() + failoverlimits::CallTimeout; }
 
-std::vector<std::string> namesOf(const Group &Members) {
-  std::vector<std::string> Names;
-  Names.reserve(Members.Upstreams.size());
-  for (const Upstream &Member : Members.Upstreams)
-    Names.push_back(Member.Name);
-  return Names;
-}
-
 } // namespace
 
 /// Starts the work of each action.
@@ -93,12 +85,12 @@
     : Home(Home), Host(Host), Members(Members), Store(Store),
       Poll(std::move(Poll)), OnStatus(std::move(OnStatus)),
       Machine(std::move(Host), std::to_string(std::random_device{}())) {
-  this->Machine.setMembers(namesOf(Members), now());
+  this->Machine.setMembers(memberNames(Members), now());
 }
 
 void PromotionDriver::setMembers(const Group &NewMembers) {
   this->Members = NewMembers;
-  this->perform(this->Machine.setMembers(namesOf(NewMembers), now()));
+  this->perform(this->Machine.setMembers(memberNames(NewMembers), now()));
 }
 
 void PromotionDriver::handle(const PromotionEvent &Event) {
--- a/src/libs/server/upstreamservice.cpp
+++ b/src/libs/server/upstreamservice.cpp
@@ -292,8 +292,4 @@
   return this->Queue.expectedWait({}, QueueClass::Standard);
 }
 
-std::uint32_t UpstreamService::pinned() const {
-  return this->Pool.count(ConnectionState::Pinned);
-}
-
 } // namespace lavenderdale
--- a/src/libs/server/upstreamservice.h
+++ b/src/libs/server/upstreamservice.h
@@ -89,9 +89,6 @@
   void unpin(Lease Held);
 
   Duration expectedWait() const;
-  std::size_t queued() const { return this->Queue.size(); }
-  std::uint32_t openConnections() const { return this->Pool.size(); }
-  std::uint32_t pinned() const;
 
 private:
   struct Waiter;
