Share compiler cache entries between clones of the repository

Cause: the compiler was called with absolute include paths, so a second clone or worktree hit none of 228 cached objects and built everything anew.

Change: the cache takes paths relative to the source directory and leaves the working directory out of its hashes.

--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -20,7 +20,9 @@
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  # Paths relative to the source directory let clones share cached objects.
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env
+      CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=1 ${CCACHE_PROGRAM})
 endif()
 
 # Adds a library of src/libs: lavenderdale_library(<name> SOURCES ... LINK ...).
