Test cut, silent and reordered links behind the fault proxy

Cause: the process tests used the stand-ins' own fault hooks only. A host cut off from its peers and the platform, a paused daemon, lost answers of the platform, silent connections and reordered answers had no process test.

Change: a cluster can put the fault proxy before each database, each peer port and between each daemon and the platform. Hosts told their peers the address that they listen on, so that traffic went around the proxy; the new setting listen.advertised_peers gives another one, which also serves hosts that listen on an address their peers cannot use.

Found: when replication connections go silent, writes that wait for a replica are not acknowledged until PostgreSQL gives up the connection, 60 s by default. Only the databases can end that.

--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -105,7 +105,9 @@
               return this->Members->mayGrant(Name);
             })),
         Members(std::make_shared<MembershipService>(
-            Context, Platform, endpointOf(Config.Listen.Peers),
+            Context, Platform,
+            endpointOf(
+                Config.Listen.AdvertisedPeers.value_or(Config.Listen.Peers)),
             MembershipService::Listeners{
                 [this] { this->fleetChanged(); },
                 [this](TimePoint Until) { this->Rates->renewLease(Until); },
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -28,6 +28,7 @@
   Reader.enter("listen", true);
   Reader.requiredEndpoint("clients", Listen.Clients);
   Reader.requiredEndpoint("peers", Listen.Peers);
+  Reader.optionalEndpoint("advertised_peers", Listen.AdvertisedPeers);
   Reader.requiredEndpoint("admin", Listen.Admin);
 }
 
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
 struct ListenSettings {
   IpEndpoint Clients;
   IpEndpoint Peers;
+  /// Address that peers are told to use; Peers if unset.
+  std::optional<IpEndpoint> AdvertisedPeers;
   IpEndpoint Admin;
 };
 
--- a/src/libs/settings/tomlreader.cpp
+++ b/src/libs/settings/tomlreader.cpp
@@ -235,6 +235,20 @@
   Target = *Endpoint;
 }
 
+void TomlReader::optionalEndpoint(const char *Key,
+                                  std::optional<IpEndpoint> &Target) {
+  const toml::value *Value = this->D->find(Key);
+  if (!Value)
+    return;
+  const std::optional<IpEndpoint> Endpoint =
+      Value->is_string() ? parseIpEndpoint(Value->as_string().str)
+                         : std::nullopt;
+  if (!Endpoint || Endpoint->Port == 0)
+    return this->D->reject(Key, *Value,
+                           "\"IP:PORT\" with a numeric IP and a port from 1");
+  Target = Endpoint;
+}
+
 void TomlReader::requiredEndpoints(const char *Key,
                                    std::vector<IpEndpoint> &Target) {
   const std::string Expected =
--- a/src/libs/settings/tomlreader.h
+++ b/src/libs/settings/tomlreader.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <initializer_list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
   /// A non-empty string without blanks.
   void requiredName(const char *Key, std::string &Target);
   void requiredEndpoint(const char *Key, IpEndpoint &Target);
+  /// Reads an endpoint that others connect to, so its port is not 0.
+  void optionalEndpoint(const char *Key, std::optional<IpEndpoint> &Target);
   /// A non-empty array.
   void requiredEndpoints(const char *Key, std::vector<IpEndpoint> &Target);
 
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -81,6 +81,7 @@
   const std::string Problems = problemsOf(R"([listen]
 clients = "localhost:80"
 peers = "10.0.0.1"
+advertised_peers = "10.0.0.1:0"
 [platform]
 endpoints = []
 )");
@@ -89,7 +90,8 @@
 f.toml:1: listen.admin: found nothing, expected "IP:PORT" with a numeric IP
 f.toml:2: listen.clients: found "localhost:80", expected "IP:PORT" with a numeric IP
 f.toml:3: listen.peers: found "10.0.0.1", expected "IP:PORT" with a numeric IP
-f.toml:5: platform.endpoints: found an array of 0, expected a non-empty array of "IP:PORT" with numeric IPs)");
+f.toml:4: listen.advertised_peers: found "10.0.0.1:0", expected "IP:PORT" with a numeric IP and a port from 1
+f.toml:6: platform.endpoints: found an array of 0, expected a non-empty array of "IP:PORT" with numeric IPs)");
   CHECK(problemsOf("[host\n").find("f.toml:1: host: found ") == 0);
   CHECK_FALSE(parseIpEndpoint("10.0.0.1:65536").has_value());
   CHECK_FALSE(parseIpEndpoint("::1:80").has_value());
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -134,6 +134,19 @@
         return http_json(self.admin, "POST", path, body).body
 
 
+@dataclass
+class Link:
+    """A port of the fault proxy, which carries bytes to one target."""
+    process: Process
+    port: int
+    admin: int
+
+    def fault(self, name: str, **options):
+        answer = http_json(self.admin, "POST", "/fault", {"fault": name, **options})
+        if answer.status != 200:
+            raise AssertionError(f"fault {name} {options}: {answer.body}")
+
+
 @dataclass
 class Daemon:
     name: str
@@ -184,6 +197,10 @@
                      "CREATE TABLE stock (item TEXT PRIMARY KEY, quantity INTEGER);"
                      "INSERT INTO stock VALUES ('plate', 40);")
     settings: str = ""
+    # Put the fault proxy before each database, before the peer port of each
+    # daemon, and between each daemon and the platform.
+    proxied: bool = False
+    links: dict = field(default_factory=dict)
     databases: dict = field(default_factory=dict)
     daemons: dict = field(default_factory=dict)
 
@@ -221,6 +238,17 @@
         self.processes.append(process)
         return process
 
+    def carried(self, name: str, port: int) -> int:
+        """Returns the port under which others reach the given one."""
+        if not self.proxied:
+            return port
+        process = self.launch(f"link-{name}",
+                              program("tests/standins/faultproxy/fault-proxy"),
+                              "--listen", 0, "--target", f"127.0.0.1:{port}")
+        ports = process.ready()
+        self.links[name] = Link(process, int(ports["default"]), int(ports["admin"]))
+        return self.links[name].port
+
     def start(self):
         process = self.launch("platform", program("tests/standins/platform/platform-standin"))
         ports = process.ready()
@@ -242,7 +270,8 @@
             "--connections", group.connections, "--slots", group.slots,
             "--primary-conninfo", conninfo, *group.options)
         ports = process.ready()
-        return Database(name, domain, process, int(ports["port"]), int(ports["admin"]))
+        return Database(name, domain, process, self.carried(name, int(ports["port"])),
+                        int(ports["admin"]))
 
     def start_group(self, group: GroupPlan):
         conninfo, members = "", []
@@ -273,15 +302,18 @@
     def add_daemon(self, name: str, domain: str) -> Daemon:
         daemon = Daemon(name, domain, free_port(), free_port(), free_port(),
                         self.dir / f"{name}.toml", self.dir / f"{name}.log")
+        platform_port = self.carried(f"{name}-platform", self.platform_port)
+        peer_port = self.carried(f"{name}-peers", daemon.peers)
         daemon.settings.write_text(
             f'[host]\nname = "{name}"\nfailure_domain = "{domain}"\n'
             f'[listen]\nclients = "127.0.0.1:{daemon.clients}"\n'
-            f'peers = "127.0.0.1:{daemon.peers}"\nadmin = "127.0.0.1:{daemon.admin}"\n'
-            f'[platform]\nendpoints = ["127.0.0.1:{self.platform_port}"]\n'
+            f'peers = "127.0.0.1:{daemon.peers}"\n'
+            f'advertised_peers = "127.0.0.1:{peer_port}"\nadmin = "127.0.0.1:{daemon.admin}"\n'
+            f'[platform]\nendpoints = ["127.0.0.1:{platform_port}"]\n'
             f'[traces]\nfile = "{self.dir / (name + ".spans")}"\nsample = 1.0\n{self.settings}')
         self.daemons[name] = daemon
         self.put("hosts", name, "Host", {
-            "failureDomain": domain, "peerAddress": "127.0.0.1", "peerPort": daemon.peers,
+            "failureDomain": domain, "peerAddress": "127.0.0.1", "peerPort": peer_port,
             "adminAddress": "127.0.0.1", "adminPort": daemon.admin})
         self.start_daemon(daemon)
         return daemon
--- a/tests/standins/database/adminserver.cpp
+++ b/tests/standins/database/adminserver.cpp
@@ -59,6 +59,7 @@
   Milliseconds("receiveLagMs", Settings.ReceiveLag);
   Milliseconds("replayLagMs", Settings.ReplayLag);
   Milliseconds("reloadDelayMs", Settings.ReloadDelay);
+  Milliseconds("receiverTimeoutMs", Settings.ReceiverTimeout);
   BOOST_OUTCOME_TRY(Reader.finish());
   Database.setSettings(Settings);
   return done();
--- a/tests/standins/database/databaseoptions.h
+++ b/tests/standins/database/databaseoptions.h
@@ -22,6 +22,9 @@
   std::chrono::milliseconds ReplayLag{0};
   /// Time from pg_reload_conf() until the changed settings are in force.
   std::chrono::milliseconds ReloadDelay{5};
+  /// Replicas: a primary that is silent for longer is connected to again. As
+  /// PostgreSQL's wal_receiver_timeout, with its default.
+  std::chrono::milliseconds ReceiverTimeout{60000};
 };
 
 struct DatabaseOptions {
--- a/tests/standins/database/main.cpp
+++ b/tests/standins/database/main.cpp
@@ -28,6 +28,8 @@
   --receive-lag-ms N      lag of receiving at a replica
   --replay-lag-ms N       lag of replaying at a replica, after receiving
   --reload-delay-ms N     time until pg_reload_conf() takes effect
+  --receiver-timeout-ms N silence after which a replica connects again
+                          (wal_receiver_timeout)
   --init-sql FILE         statements to run first; the same for all databases
                           of a group, because they are not replicated
   --help                  print this text
@@ -75,6 +77,7 @@
     ReceiveLag,
     ReplayLag,
     ReloadDelay,
+    ReceiverTimeout,
     InitSql
   };
   switch (Index) {
@@ -115,6 +118,9 @@
   case ReloadDelay:
     Settings.ReloadDelay = Milliseconds();
     break;
+  case ReceiverTimeout:
+    Settings.ReceiverTimeout = Milliseconds();
+    break;
   case InitSql:
     Options.InitSql = readFile(optarg);
     break;
@@ -138,6 +144,7 @@
       {"receive-lag-ms", required_argument, nullptr, 0},
       {"replay-lag-ms", required_argument, nullptr, 0},
       {"reload-delay-ms", required_argument, nullptr, 0},
+      {"receiver-timeout-ms", required_argument, nullptr, 0},
       {"init-sql", required_argument, nullptr, 0},
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0},
--- a/tests/standins/database/replicationreceiver.cpp
+++ b/tests/standins/database/replicationreceiver.cpp
@@ -18,10 +18,6 @@
 // Longest time until a changed primary_conninfo or a cut is noticed.
 constexpr std::chrono::milliseconds PollInterval{10};
 
-// PostgreSQL's wal_receiver_timeout: a silent primary counts as connected
-// until then.
-constexpr std::chrono::seconds SilenceTimeout{60};
-
 constexpr std::chrono::milliseconds HandshakeTimeout{2000};
 constexpr std::chrono::milliseconds LockTimeout{1000};
 constexpr std::chrono::milliseconds ReplayWait{50};
@@ -203,7 +199,7 @@
     if (!Wire.waitReadable(this->InFlight.empty()
                                ? PollInterval
                                : std::chrono::milliseconds(1))) {
-      if (Clock::now() - LastMessage > SilenceTimeout)
+      if (Clock::now() - LastMessage > this->State.settings().ReceiverTimeout)
         return "the primary is silent";
       continue;
     }
--- a/tests/standins/database/standindatabase.cpp
+++ b/tests/standins/database/standindatabase.cpp
@@ -54,6 +54,7 @@
   Value["slots"] = Settings.Slots;
   Value["serviceTimeUs"] = Json::Int64(Settings.ServiceTime.count());
   Value["connectDelayMs"] = Json::Int64(Settings.ConnectDelay.count());
+  Value["receiverTimeoutMs"] = Json::Int64(Settings.ReceiverTimeout.count());
   Value["receiveLagMs"] = Json::Int64(Settings.ReceiveLag.count());
   Value["replayLagMs"] = Json::Int64(Settings.ReplayLag.count());
   Value["reloadDelayMs"] = Json::Int64(Settings.ReloadDelay.count());
