Keep one copy of resolving lost answers and of creating stored objects

Change: both platform calls share one loop that takes the method to send, Administrator::create stores keys and secrets, and the checks of a plan are in plancheck.{h,cpp}. No change of behaviour.

--- a/src/libs/administration/administrator.cpp
+++ b/src/libs/administration/administrator.cpp
@@ -1,6 +1,7 @@
 #include "administrator.h"
 
 #include "hostconfirmation.h"
+#include "plancheck.h"
 
 #include "base/strictjson.h"
 #include "catalogue/keytext.h"
@@ -8,9 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <algorithm>
-#include <array>
-#include <charconv>
 #include <ctime>
 #include <iomanip>
 #include <set>
@@ -21,127 +19,6 @@
 
 namespace asio = boost::asio;
 
-bool isForOperators(ObjectKind Kind) {
-  return Kind == ObjectKind::Workspace || Kind == ObjectKind::Route ||
-         Kind == ObjectKind::Group;
-}
-
-Result<void> checkKinds(const std::vector<CatalogueObject> &Desired) {
-  for (const CatalogueObject &Object : Desired)
-    if (!isForOperators(Object.Kind))
-      return failure(ErrorKind::InvalidCatalogue,
-                     Object.label() +
-                         ": expected a workspace, route or group; keys are "
-                         "changed with \"lavenderctl keys\"");
-  return success();
-}
-
-std::set<std::string> faultsOf(SnapshotBuilder &Builder) {
-  Builder.build();
-  std::set<std::string> Faults;
-  for (const CatalogueFault &Fault : Builder.faults())
-    Faults.insert(Fault.Detail);
-  return Faults;
-}
-
-/// Refuses a plan after which an object would not be in force.
-Result<void> checkTogether(const ObjectList &Stored,
-                           const std::vector<Change> &Steps) {
-  SnapshotBuilder Builder;
-  Builder.replaceAll(Stored);
-  const std::set<std::string> Before = faultsOf(Builder);
-  for (Change Step : Steps) {
-    Step.Object.Version = Builder.version() + 1;
-    if (Step.Action == ChangeAction::Delete)
-      Builder.remove(Step.Object.Kind, Step.Object.Name, Step.Object.Version);
-    else
-      Builder.apply(Step.Object);
-  }
-  for (const std::string &Fault : faultsOf(Builder))
-    if (!Before.contains(Fault))
-      return failure(ErrorKind::InvalidCatalogue, Fault);
-  return success();
-}
-
-Json::Value shownObject(CatalogueObject Object) {
-  if (Object.Kind == ObjectKind::Secret && Object.Spec.isMember("hex"))
-    Object.Spec["hex"] = "(not shown)";
-  return Object.toJson();
-}
-
-/// Refuses a plan when a desired object names a version that is not stored.
-Result<void> checkVersions(const ObjectList &Stored,
-                           const std::vector<CatalogueObject> &Desired) {
-  for (const CatalogueObject &Object : Desired) {
-    if (Object.Version == 0)
-      continue;
-    const auto Found = std::find_if(
-        Stored.Objects.begin(), Stored.Objects.end(),
-        [&](const CatalogueObject &Item) {
-          return Item.Kind == Object.Kind && Item.Name == Object.Name;
-        });
-    const std::uint64_t Version =
-        Found == Stored.Objects.end() ? 0 : Found->Version;
-    if (Version != Object.Version)
-      return failure(
-          ErrorKind::VersionConflict,
-          Object.label() + ": the change is for version " +
-              std::to_string(Object.Version) + ", stored is " +
-              (Version == 0 ? "none" : "version " + std::to_string(Version)) +
-              "; nothing was written\nwanted: " +
-              writeCompactJson(shownObject(Object)) + "\nstored: " +
-              (Version == 0 ? "none" : writeCompactJson(shownObject(*Found))));
-  }
-  return success();
-}
-
-/// The shortest digits that give the same number: 1.9, not 1.8999999999999999.
-std::string shortestText(double Number) {
-  std::array<char, 32> Digits{};
-  const auto Written =
-      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Number);
-  return {Digits.data(), Written.ptr};
-}
-
-Result<void> checkBurst(const CatalogueObject &Object, double Burst,
-                        const char *Path, std::size_t Domains) {
-  if (Burst >= static_cast<double>(Domains))
-    return success();
-  return failure(
-      ErrorKind::InvalidCatalogue,
-      Object.label() + ": " + Path + ": expected at least " +
-          std::to_string(Domains) + ", found " + shortestText(Burst) +
-          "; each of the " + std::to_string(Domains) +
-          " failure domains of the hosts gets an equal share of the burst, "
-          "and a share below 1 grants nothing");
-}
-
-/// Refuses a burst of which a failure domain's share is below one token.
-Result<void> checkBursts(const ObjectList &Stored,
-                         const std::vector<CatalogueObject> &Desired) {
-  std::set<std::string> Domains;
-  for (const CatalogueObject &Object : Stored.Objects)
-    if (Object.Kind == ObjectKind::Host)
-      if (const auto Listed = Host::fromJson(Object.Name, Object.Spec))
-        Domains.insert(Listed.value().FailureDomain);
-  for (const CatalogueObject &Object : Desired) {
-    if (Object.Kind == ObjectKind::Workspace) {
-      BOOST_OUTCOME_TRY(const Workspace Item,
-                        Workspace::fromJson(Object.Name, Object.Spec));
-      BOOST_OUTCOME_TRYV(
-          checkBurst(Object, Item.Burst, "spec.burst", Domains.size()));
-    } else if (Object.Kind == ObjectKind::Route) {
-      BOOST_OUTCOME_TRY(const Route Item,
-                        Route::fromJson(Object.Name, Object.Spec));
-      if (Item.Limits.Burst) {
-        BOOST_OUTCOME_TRYV(checkBurst(Object, *Item.Limits.Burst,
-                                      "spec.limits.burst", Domains.size()));
-      }
-    }
-  }
-  return success();
-}
-
 /// For example "20261204t060638.123z": the names sort by time.
 std::string secretName(std::chrono::system_clock::time_point Now) {
   const auto Ms = std::chrono::floor<std::chrono::milliseconds>(Now);
@@ -335,6 +212,23 @@
   return Outcome;
 }
 
+Report Administrator::create(ObjectKind Kind, const std::string &Name,
+                             Json::Value Spec) {
+  CatalogueObject Object;
+  Object.Kind = Kind;
+  Object.Name = Name;
+  Object.Spec = std::move(Spec);
+  const auto Stored =
+      this->run(this->Client.createResolved(Object, this->Deadline));
+  if (!Stored)
+    return failureReport(Stored.error());
+  Report Outcome;
+  Outcome.Data["id"] = Name;
+  Outcome.Data["version"] = static_cast<Json::UInt64>(Stored.value().Version);
+  Outcome.Text = Name + "\n";
+  return Outcome;
+}
+
 Report Administrator::grantKey(const std::string &WorkspaceName) {
   const auto Owner = this->run(
       this->Client.get(ObjectKind::Workspace, WorkspaceName, this->Deadline));
@@ -347,18 +241,10 @@
   Granted.Id = Generated.value().Id;
   Granted.Workspace = WorkspaceName;
   Granted.Hash = hashSecret(Generated.value().Secret);
-  CatalogueObject Object;
-  Object.Kind = ObjectKind::Key;
-  Object.Name = Granted.Id;
-  Object.Spec = Granted.toJson();
-  const auto Stored =
-      this->run(this->Client.createResolved(Object, this->Deadline));
-  if (!Stored)
-    return failureReport(Stored.error());
-  Report Outcome;
-  Outcome.Data["id"] = Granted.Id;
+  Report Outcome = this->create(ObjectKind::Key, Granted.Id, Granted.toJson());
+  if (Outcome.Code != ExitCode::Done)
+    return Outcome;
   Outcome.Data["key"] = Generated.value().text();
-  Outcome.Data["version"] = static_cast<Json::UInt64>(Stored.value().Version);
   Outcome.Text = Generated.value().text() + "\n";
   return Outcome;
 }
@@ -425,19 +311,7 @@
   if (!Hex)
     return failureReport(Hex.error());
   Created.Hex = std::move(Hex.value());
-  CatalogueObject Object;
-  Object.Kind = ObjectKind::Secret;
-  Object.Name = Created.Id;
-  Object.Spec = Created.toJson();
-  const auto Stored =
-      this->run(this->Client.createResolved(Object, this->Deadline));
-  if (!Stored)
-    return failureReport(Stored.error());
-  Report Outcome;
-  Outcome.Data["id"] = Created.Id;
-  Outcome.Data["version"] = static_cast<Json::UInt64>(Stored.value().Version);
-  Outcome.Text = Created.Id + "\n";
-  return Outcome;
+  return this->create(ObjectKind::Secret, Created.Id, Created.toJson());
 }
 
 Report Administrator::listSecrets() {
--- a/src/libs/administration/administrator.h
+++ b/src/libs/administration/administrator.h
@@ -66,6 +66,7 @@
   Result<Planned> makePlan(const std::vector<CatalogueObject> &Desired,
                            MissingObjects Missing);
   Result<std::uint64_t> write(const Change &Step);
+  Report create(ObjectKind Kind, const std::string &Name, Json::Value Spec);
   Report lostRace(const Change &Step, const Error &Failure);
   void waitForHosts(std::uint64_t Version, const std::string &Stored,
                     Report &Outcome);
--- a/src/libs/platform/platformclient.cpp
+++ b/src/libs/platform/platformclient.cpp
@@ -346,32 +346,25 @@
 
 PlatformClient::Call<CatalogueObject>
 PlatformClient::createResolved(CatalogueObject Object, TimePoint Deadline) {
-  bool AnswerLost = false;
-  while (true) {
-    Result<CatalogueObject> Answer =
-        co_await this->create(Object, halfWay(Deadline));
-    const bool MayBeOwn = !Answer && AnswerLost &&
-                          Answer.error().Kind == ErrorKind::VersionConflict;
-    if (Answer || !(isLost(Answer.error()) || MayBeOwn) || isOver(Deadline))
-      co_return Answer;
-    AnswerLost = true;
-    Result<CatalogueObject> Stored =
-        co_await this->get(Object.Kind, Object.Name, halfWay(Deadline));
-    if (Stored && sameContent(Stored.value(), Object))
-      co_return Stored;
-    if (Stored)
-      co_return failure(ErrorKind::VersionConflict,
-                        Object.label() + " was created by somebody else");
-    co_await pause();
-  }
+  Object.Version = 0;
+  return this->storeResolved(&PlatformClient::create, std::move(Object),
+                             Deadline);
 }
 
 PlatformClient::Call<CatalogueObject>
 PlatformClient::replaceIfResolved(CatalogueObject Object, TimePoint Deadline) {
+  return this->storeResolved(&PlatformClient::replaceIf, std::move(Object),
+                             Deadline);
+}
+
+PlatformClient::Call<CatalogueObject>
+PlatformClient::storeResolved(StoreMethod Store, CatalogueObject Object,
+                              TimePoint Deadline) {
+  const bool Creates = Object.Version == 0;
   bool AnswerLost = false;
   while (true) {
     Result<CatalogueObject> Answer =
-        co_await this->replaceIf(Object, halfWay(Deadline));
+        co_await (this->*Store)(Object, halfWay(Deadline));
     const bool MayBeOwn = !Answer && AnswerLost &&
                           Answer.error().Kind == ErrorKind::VersionConflict;
     if (Answer || !(isLost(Answer.error()) || MayBeOwn) || isOver(Deadline))
@@ -383,8 +376,10 @@
       co_return Stored;
     if (Stored && Stored.value().Version != Object.Version)
       co_return failure(ErrorKind::VersionConflict,
-                        Object.label() + " was changed by somebody else");
-    if (!Stored && !isLost(Stored.error()))
+                        Object.label() +
+                            (Creates ? " was created" : " was changed") +
+                            " by somebody else");
+    if (!Stored && !Creates && !isLost(Stored.error()))
       co_return Stored;
     co_await pause();
   }
--- a/src/libs/platform/platformclient.h
+++ b/src/libs/platform/platformclient.h
@@ -93,6 +93,13 @@
 
 private:
   class Implementation;
+  using StoreMethod = Call<CatalogueObject> (PlatformClient::*)(CatalogueObject,
+                                                                TimePoint);
+
+  /// \param Object without a version if it is to be created.
+  Call<CatalogueObject> storeResolved(StoreMethod Store, CatalogueObject Object,
+                                      TimePoint Deadline);
+
   std::unique_ptr<Implementation> Impl;
 };
 
