--- /dev/null
+++ b/src/libs/consistency/attemptplan.cpp
@@ -0,0 +1,47 @@
+#include "attemptplan.h"
+
+#include <algorithm>
+
+namespace lavenderdale {
+namespace {
+
+void addPlaces(const ReadCandidate &Candidate, const PlacesOf &Places,
+               const std::string &OwnHost, std::vector<Attempt> &Attempts) {
+  std::optional<UpstreamPlaces> At = Places(Candidate.Upstream);
+  if (!At || At->IsLeaving)
+    return;
+  // This host first: it saves a hop. Otherwise the two share the load.
+  const auto Own = std::find(At->Holders.begin(), At->Holders.end(), OwnHost);
+  if (Own != At->Holders.end())
+    std::rotate(At->Holders.begin(), Own, Own + 1);
+  for (const std::string &Host : At->Holders)
+    Attempts.push_back(
+        {Candidate.Upstream, Host, Candidate.Role, Candidate.WaitUntil});
+}
+
+} // namespace
+
+Result<AttemptPlan> planAttempts(const TimedGroupView &View,
+                                 const std::optional<ReadRequest> &Read,
+                                 const PlacesOf &Places,
+                                 const std::string &OwnHost, TimePoint Now) {
+  AttemptPlan Planned;
+  if (!Read) {
+    addPlaces({View.Primary, UpstreamRole::Primary, std::nullopt}, Places,
+              OwnHost, Planned.Attempts);
+    return Planned;
+  }
+  ReadGroupView Routing = View.Routing;
+  for (UpstreamView &Member : Routing.Upstreams)
+    if (Member.Age)
+      *Member.Age += Now - View.At;
+  const ReadPlan Plan = ReadRouter::plan(Routing, *Read, Now);
+  if (Plan.Result == ReadPlan::Outcome::SessionLost)
+    return failure(ErrorKind::SessionLost, "a write of the session was lost");
+  Planned.Reason = Plan.Reason;
+  for (const ReadCandidate &Candidate : Plan.Candidates)
+    addPlaces(Candidate, Places, OwnHost, Planned.Attempts);
+  return Planned;
+}
+
+} // namespace lavenderdale
--- a/src/libs/distribution/configurationstate.cpp
+++ b/src/libs/distribution/configurationstate.cpp
@@ -139,12 +139,18 @@
   return Name == this->Host ? std::string() : Name;
 }
 
+// A peer that is being asked is left out: its connection may have become
+// silent, which shows only when the pull expires.
 std::string ConfigurationState::newestPeer() const {
-  const auto Newest = std::ranges::max_element(
-      this->PeerVersions, {}, [](const auto &Item) { return Item.second; });
-  if (Newest == this->PeerVersions.end() || Newest->second <= this->version())
-    return {};
-  return Newest->first;
+  std::string Newest;
+  std::uint64_t Highest = this->version();
+  for (const auto &[Name, Version] : this->PeerVersions) {
+    if (Version <= Highest || this->Pulls.contains(Name))
+      continue;
+    Highest = Version;
+    Newest = Name;
+  }
+  return Newest;
 }
 
 void ConfigurationState::startPull(const std::string &From, bool IsPending,
--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -1,6 +1,6 @@
 #include "entry.h"
 
-#include "catalogue/keytext.h"
+#include "catalogue/keycheck.h"
 #include "http/sleepuntil.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -153,7 +153,7 @@
   if (!Request.Target)
     return failure(ErrorKind::UnknownRoute, Caller.Route.substr(0, 100));
   BOOST_OUTCOME_TRY(Request.Payer,
-                    this->authenticate(Caller, Snapshot, *Request.Target));
+                    checkKey(Snapshot, *Request.Target, Caller.KeyText));
   if (!Request.Target->Open && !Request.Target->ServeWhenCutOff &&
       !this->Configuration.mayServeKeyed(Now))
     return failure(ErrorKind::ConfigurationStale,
@@ -171,30 +171,6 @@
   return Request;
 }
 
-Result<const Workspace *> Entry::authenticate(const CallerRequest &Caller,
-                                              const CatalogueSnapshot &Snapshot,
-                                              const Route &Target) const {
-  const Workspace *Owner = Snapshot.workspace(Target.Owner);
-  if (!Owner)
-    return failure(ErrorKind::Unavailable, "the route's owner is missing");
-  if (Target.Open)
-    return Owner;
-  if (!Caller.KeyText)
-    return failure(ErrorKind::MissingKey,
-                   "Authorization: expected 'Bearer KEY'");
-  const std::optional<KeyText> Parts = parseKeyText(*Caller.KeyText);
-  const Key *Known = Parts ? Snapshot.key(Parts->Id) : nullptr;
-  if (!Known || !secretMatches(Parts->Secret, Known->Hash))
-    return failure(ErrorKind::BadKey, "not a key of this system");
-  if (Known->State == KeyState::Withdrawn)
-    return failure(ErrorKind::KeyWithdrawn, "key " + Known->Id);
-  if (Known->Workspace != Owner->Name)
-    return failure(ErrorKind::Forbidden, "workspace " + Known->Workspace +
-                                             " does not own route " +
-                                             Target.Name);
-  return Owner;
-}
-
 Result<SessionToken> Entry::readSession(const CallerRequest &Caller,
                                         const CatalogueSnapshot &Snapshot,
                                         const std::string &Workspace) const {
@@ -275,12 +251,13 @@
     Refresh = true;
     std::vector<Attempt> Attempts;
     if (View) {
-      Result<std::vector<Attempt>> Planned =
-          this->planAttempts(Caller, Request, *View, Reason);
+      Result<AttemptPlan> Planned = this->planFor(Caller, Request, *View);
       if (!Planned)
-        co_return ExecutionResult::failed(Planned.error(),
+        co_return ExecutionResult::failed(Planned.error().Kind,
+                                          "group " + Message.Group,
                                           AttemptOutcome::NotSent);
-      Attempts = std::move(Planned.value());
+      Attempts = std::move(Planned.value().Attempts);
+      Reason = Planned.value().Reason;
     }
     for (const Attempt &Next : Attempts) {
       if (now() >= Request.Deadline)
@@ -314,38 +291,31 @@
   co_return finalFailure(std::move(Last), Step);
 }
 
-Result<std::vector<Entry::Attempt>>
-Entry::planAttempts(const CallerRequest &Caller, const Admitted &Request,
-                    const PublishedGroupView &View,
-                    std::optional<PrimaryReason> &Reason) {
-  std::vector<Attempt> Attempts;
-  const std::string &Group = Request.Target->Group;
+Result<AttemptPlan> Entry::planFor(const CallerRequest &Caller,
+                                   const Admitted &Request,
+                                   const PublishedGroupView &View) const {
+  std::optional<ReadRequest> Read;
   // A replica that is behind is asked again, so a statement that must not be
   // repeated goes to the primary.
-  if (!Caller.ReadOnly || Caller.NeverRepeat) {
-    this->addHolders(Request, View.Primary, UpstreamRole::Primary, std::nullopt,
-                     Attempts);
-    return Attempts;
+  if (Caller.ReadOnly && !Caller.NeverRepeat) {
+    Read.emplace();
+    Read->Demand.Seen = Request.Session.position(Request.Target->Group);
+    Read->Demand.AcceptedAge = Caller.MaxAge;
+    if (!Read->Demand.AcceptedAge && Request.Target->Limits.MaxAge)
+      Read->Demand.AcceptedAge = *Request.Target->Limits.MaxAge;
+    Read->OwnFailureDomain = this->Context.Config.Host.FailureDomain;
+    Read->Deadline = Request.Deadline;
   }
-  ReadRequest Read;
-  Read.Demand.Seen = Request.Session.position(Group);
-  Read.Demand.AcceptedAge = Caller.MaxAge;
-  if (!Read.Demand.AcceptedAge && Request.Target->Limits.MaxAge)
-    Read.Demand.AcceptedAge = *Request.Target->Limits.MaxAge;
-  Read.OwnFailureDomain = this->Context.Config.Host.FailureDomain;
-  Read.Deadline = Request.Deadline;
-  ReadGroupView Routing = View.Routing;
-  for (UpstreamView &Member : Routing.Upstreams)
-    if (Member.Age)
-      *Member.Age += now() - View.At;
-  const ReadPlan Plan = ReadRouter::plan(Routing, Read, now());
-  if (Plan.Result == ReadPlan::Outcome::SessionLost)
-    return failure(ErrorKind::SessionLost, "group " + Group);
-  Reason = Plan.Reason;
-  for (const ReadCandidate &Candidate : Plan.Candidates)
-    this->addHolders(Request, Candidate.Upstream, Candidate.Role,
-                     Candidate.WaitUntil, Attempts);
-  return Attempts;
+  const auto Places =
+      [&](const std::string &Name) -> std::optional<UpstreamPlaces> {
+    const Upstream *Member = Request.Members->upstream(Name);
+    if (!Member)
+      return std::nullopt;
+    return UpstreamPlaces{Member->State == UpstreamState::Leaving,
+                          this->Fleet()->holders(*Member)};
+  };
+  return planAttempts({View.Routing, View.Primary, View.At}, Read, Places,
+                      this->Context.hostName(), now());
 }
 
 void Entry::countServed(const CallerRequest &Caller,
@@ -368,22 +338,6 @@
       .add();
 }
 
-void Entry::addHolders(const Admitted &Request, const std::string &Upstream,
-                       UpstreamRole Role, std::optional<TimePoint> WaitUntil,
-                       std::vector<Attempt> &Attempts) const {
-  const auto *Member = Request.Members->upstream(Upstream);
-  if (!Member || Member->State == UpstreamState::Leaving)
-    return;
-  std::vector<std::string> Holders = this->Fleet()->holders(*Member);
-  // This host first: it saves a hop. Otherwise the two share the load.
-  const auto Own =
-      std::find(Holders.begin(), Holders.end(), this->Context.hostName());
-  if (Own != Holders.end())
-    std::rotate(Holders.begin(), Own, Own + 1);
-  for (const std::string &Host : Holders)
-    Attempts.push_back({Upstream, Host, Role, WaitUntil});
-}
-
 void Entry::countRequest(const std::string &Workspace, TimePoint Now) {
   RetryShard &Place = this->RetryShards[std::hash<std::string>()(Workspace) %
                                         this->RetryShards.size()];
--- a/src/libs/server/entry.h
+++ b/src/libs/server/entry.h
@@ -2,6 +2,7 @@
 
 #include "callerrequest.h"
 #include "configurationsource.h"
+#include "consistency/attemptplan.h"
 #include "consistency/sessiontokencodec.h"
 #include "executor.h"
 #include "groupviews.h"
@@ -42,23 +43,12 @@
     SessionToken Session{std::string()};
   };
 
-  /// A place to send an attempt to.
-  struct Attempt {
-    std::string Upstream;
-    std::string Host;
-    UpstreamRole Role = UpstreamRole::Primary;
-    std::optional<TimePoint> WaitUntil;
-  };
-
   struct RetryShard {
     std::mutex Lock;
     std::map<std::string, RetryBudget> Budgets;
   };
 
   Result<Admitted> admit(const CallerRequest &Caller, TimePoint Now) const;
-  Result<const Workspace *> authenticate(const CallerRequest &Caller,
-                                         const CatalogueSnapshot &Snapshot,
-                                         const Route &Target) const;
   Result<SessionToken> readSession(const CallerRequest &Caller,
                                    const CatalogueSnapshot &Snapshot,
                                    const std::string &Workspace) const;
@@ -71,15 +61,11 @@
   boost::asio::awaitable<ExecutionResult>
   runWithRetries(const CallerRequest &Caller, const Admitted &Request,
                  ExecutionRequest Message);
-  Result<std::vector<Attempt>>
-  planAttempts(const CallerRequest &Caller, const Admitted &Request,
-               const PublishedGroupView &View,
-               std::optional<PrimaryReason> &Reason);
+  Result<AttemptPlan> planFor(const CallerRequest &Caller,
+                              const Admitted &Request,
+                              const PublishedGroupView &View) const;
   void countServed(const CallerRequest &Caller, const ExecutionAnswer &Answer,
                    std::optional<PrimaryReason> Reason) const;
-  void addHolders(const Admitted &Request, const std::string &Upstream,
-                  UpstreamRole Role, std::optional<TimePoint> WaitUntil,
-                  std::vector<Attempt> &Attempts) const;
   bool mayRetry(const std::string &Workspace, TimePoint Now);
   void countRequest(const std::string &Workspace, TimePoint Now);
   HttpResponse answer(const Admitted &Request, ExecutionResult Result) const;
