--- a/src/libs/failover/failuredetector.h
+++ b/src/libs/failover/failuredetector.h
@@ -17,7 +17,8 @@
 /// One watcher's opinion about a group's primary, from its own polls.
 class FailureDetector {
 public:
-  explicit FailureDetector(SuspicionTimes Times = {}) : Times(Times) {}
+  FailureDetector() = default;
+  explicit FailureDetector(SuspicionTimes Times) : Times(Times) {}
 
   /// The group has a new term. A silent primary is not suspected for
   /// GraceAfterChange.
