Tell rate owners the real end of their lease

Cause: the membership tick passed on a lease of now + 100 ms, although a lease lasts up to 1 s. Grants end with the lease, so they were valid for 55 to 100 ms instead of 500 ms. Tokens that hosts had drawn ahead expired unspent and were lost, the buckets emptied, and requests of workspaces well inside their rate waited for tokens. The old value could also be up to 100 ms later than the real end.

Change: OwnerLease::validUntil and Membership::leaseUntil return the end of the lease, and the tick passes it on. A decision test checks that the end is at least 400 ms ahead in a healthy fleet and is exact.

The tests of membership, limits and server and the process tests of rates, platform outages and stops pass.

--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -478,9 +478,10 @@
   return Hosts;
 }
 
-bool Membership::holdsLease(TimePoint Now) const {
-  return this->isMember() && !this->isLeaving() &&
-         this->Lease.isValid(Now, this->Domain, this->Agreed);
+std::optional<TimePoint> Membership::leaseUntil(TimePoint Now) const {
+  if (!this->isMember() || this->isLeaving())
+    return std::nullopt;
+  return this->Lease.validUntil(Now, this->Domain, this->Agreed);
 }
 
 const std::string &Membership::ownerOf(std::string_view Workspace) const {
--- a/src/libs/membership/membership.h
+++ b/src/libs/membership/membership.h
@@ -68,7 +68,13 @@
   /// Grows with each change of liveHosts() or hostSet().
   std::uint64_t version() const { return this->Version; }
 
-  bool holdsLease(TimePoint Now) const;
+  bool holdsLease(TimePoint Now) const {
+    return this->leaseUntil(Now).has_value();
+  }
+
+  /// \returns when the own lease ends unless it is renewed, or nothing without
+  ///          one.
+  std::optional<TimePoint> leaseUntil(TimePoint Now) const;
 
   /// Whether this host owns its domain's share of the workspace's rate and
   /// may use it at this moment. To be checked for every grant.
--- a/src/libs/membership/ownerlease.cpp
+++ b/src/libs/membership/ownerlease.cpp
@@ -1,6 +1,7 @@
 #include "ownerlease.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace lavenderdale {
 
@@ -44,24 +45,36 @@
   std::erase_if(this->Epochs, IsGone);
 }
 
-bool OwnerLease::isValid(TimePoint Now, const std::vector<HostMember> &Domain,
-                         const std::set<HostKey> &Agreed) const {
+TimePoint OwnerLease::contactUntil(const HostMember &Member) const {
+  if (Member.Key == this->Self)
+    return TimePoint::max();
+  const auto Found = this->HeardAt.find(Member.Key.Name);
+  return Found == this->HeardAt.end() ? TimePoint::min()
+                                      : Found->second + ContactWindow;
+}
+
+std::optional<TimePoint>
+OwnerLease::validUntil(TimePoint Now, const std::vector<HostMember> &Domain,
+                       const std::set<HostKey> &Agreed) const {
   if (Domain.size() == 1)
-    return true;
+    return Now + Length;
   if (!this->RenewedUntil || Now >= *this->RenewedUntil)
-    return false;
+    return std::nullopt;
   const std::size_t Removable = maxRemovedTogether(Domain.size());
   if (Removable < 2)
-    return true;
-  const auto Count = std::ranges::count_if(
-      Domain, [this, Now, &Agreed](const HostMember &Member) {
-        if (Member.Key == this->Self)
-          return true;
-        const auto Found = this->HeardAt.find(Member.Key.Name);
-        return !Agreed.contains(Member.Key) && Found != this->HeardAt.end() &&
-               Now < Found->second + ContactWindow;
-      });
-  return static_cast<std::size_t>(Count) > Removable;
+    return this->RenewedUntil;
+  std::vector<TimePoint> Contacts;
+  for (const HostMember &Member : Domain)
+    if (!Agreed.contains(Member.Key))
+      Contacts.push_back(this->contactUntil(Member));
+  if (Contacts.size() <= Removable)
+    return std::nullopt;
+  // From the end of this contact on there are only Removable of them.
+  const auto Last = Contacts.begin() + static_cast<std::ptrdiff_t>(Removable);
+  std::ranges::nth_element(Contacts, Last, std::greater());
+  if (Now >= *Last)
+    return std::nullopt;
+  return std::min(*this->RenewedUntil, *Last);
 }
 
 std::uint64_t OwnerLease::epochOf(const HostMember &Member) const {
--- a/src/libs/membership/ownerlease.h
+++ b/src/libs/membership/ownerlease.h
@@ -43,8 +43,11 @@
 
   /// \param Agreed hosts whose removal this host agreed to; their signs of
   ///               life do not count.
-  bool isValid(TimePoint Now, const std::vector<HostMember> &Domain,
-               const std::set<HostKey> &Agreed) const;
+  /// \returns when the lease ends unless it is renewed, or nothing if it is
+  ///          not valid at \p Now.
+  std::optional<TimePoint> validUntil(TimePoint Now,
+                                      const std::vector<HostMember> &Domain,
+                                      const std::set<HostKey> &Agreed) const;
 
   /// Whether every member of the domain is known to have had an epoch of at
   /// least \p Epoch. Members that joined later have.
@@ -61,6 +64,7 @@
 
 private:
   void heard(const std::string &Name, TimePoint At);
+  TimePoint contactUntil(const HostMember &Member) const;
 
   const HostKey Self;
   std::optional<TimePoint> RenewedUntil;
--- a/src/libs/server/membershipservice.cpp
+++ b/src/libs/server/membershipservice.cpp
@@ -153,16 +153,16 @@
   asio::steady_timer Timer(this->Home);
   while (!this->Stopped) {
     std::vector<MembershipAction> Actions;
-    bool Leased = false;
+    std::optional<TimePoint> LeaseUntil;
     {
       const std::lock_guard Guard(this->Lock);
       Actions = this->State.tick(now());
-      Leased = this->State.holdsLease(now());
+      LeaseUntil = this->State.leaseUntil(now());
     }
-    // The lease is passed on in small parts, so that it is never longer than
-    // what Membership holds.
-    if (Leased)
-      this->Told.LeaseRenewed(now() + 2 * TickInterval);
+    // The whole lease is passed on: grants end with it, and tokens of a grant
+    // that ends before they are spent are lost.
+    if (LeaseUntil)
+      this->Told.LeaseRenewed(*LeaseUntil);
     for (const MembershipAction &Action : Actions)
       std::visit(Performer{*this}, Action);
     this->refreshFleet();
--- a/tests/auto/membership/tst_membership.cpp
+++ b/tests/auto/membership/tst_membership.cpp
@@ -216,6 +216,28 @@
   }
 }
 
+// Guards against leases so short that grants end before their tokens are spent
+// (requests inside the rate then wait for tokens), and against a reported end
+// that is later than the real one.
+TEST_CASE("the end of a lease is known and is not near", "[rate]") {
+  for (const int Hosts : {6, 18}) {
+    FleetFake Fleet(5, Hosts, 1);
+    Fleet.run(12s);
+    Fleet.run(3s, [&] {
+      const Membership &Agent = *Fleet.Hosts[1].Agent;
+      const std::optional<TimePoint> Until = Agent.leaseUntil(Fleet.Now);
+      REQUIRE(Until.has_value());
+      CHECK(*Until >= Fleet.Now + 400ms);
+      CHECK(*Until <= Fleet.Now + 1s);
+      CHECK(Agent.holdsLease(*Until - 1ns));
+      CHECK_FALSE(Agent.holdsLease(*Until));
+    });
+  }
+  FleetFake Alone(6, 1, 1);
+  Alone.run(12s);
+  CHECK(Alone.Hosts[0].Agent->leaseUntil(Alone.Now) == Alone.Now + 1s);
+}
+
 // Guards against a woken host that still acts as an owner.
 TEST_CASE("a paused host finds its lease over, refutes and rejoins", "[rate]") {
   FleetFake Fleet(3, 6, 1);
