Inject three faults of the matrix closer to their steps

Cause: a replica that falls behind was stalled only at the step, after fencing had ended its replication; a silent connection at claim and change hit the members only, although both call the platform; a paused host began to leave while it was paused.

Change: the replica is behind before the promotion compares positions, answers of the platform are lost too at claim and change, and a paused host begins to leave when it wakes up.

--- a/tests/auto/faultmatrix/fleetscenarios.cpp
+++ b/tests/auto/faultmatrix/fleetscenarios.cpp
@@ -147,10 +147,14 @@
 std::string stopHost(const Setting &At) {
   FleetFake Fleet = startedFleet(At);
   FleetFake::Host &Leaving = Fleet.Hosts[0];
-  ShareCheck Check{Fleet, &Leaving, At.MechanismOff, {}};
+  ShareCheck Check{Fleet, nullptr, At.MechanismOff, {}};
   const bool FaultFirst = Fleet.Random() % 2 == 0;
   if (FaultFirst)
     inject(Fleet, At, Leaving, Fleet.Hosts[3]);
+  // A paused host begins to leave when it wakes up.
+  if (Fleet.Now < Leaving.PausedUntil)
+    Check.run(Leaving.PausedUntil - Fleet.Now);
+  Check.Stopping = &Leaving;
   if (!At.MechanismOff)
     Leaving.Agent->leave(Fleet.Now);
   if (!FaultFirst) {
--- a/tests/auto/faultmatrix/groupscenarios.cpp
+++ b/tests/auto/faultmatrix/groupscenarios.cpp
@@ -52,8 +52,12 @@
       this->pause(W);
     if (this->At.has(Fault::OperatorsRace))
       this->edit();
-    if (this->At.has(Fault::SilentConnections))
+    if (this->At.has(Fault::SilentConnections)) {
+      const bool CallsPlatform =
+          this->At.At == Step::Claim || this->At.At == Step::Change;
       this->Group.SilentSessions = true;
+      this->Group.LosePlatformAnswers |= CallsPlatform;
+    }
     if (this->At.has(Fault::DomainsCutOff))
       this->Group.CutDomains.insert(W.Self.FailureDomain);
   }
@@ -123,7 +127,11 @@
     if (Reached == Step::Fence && At.At == Step::Wait)
       WaitFrom = {Group.Now + milliseconds(150 + Group.Random() % 250), Actor};
   };
-  Group.run(seconds(1));
+  Group.run(milliseconds(700));
+  // A replica is behind before the promotion compares positions.
+  if (At.has(Fault::ReplicasBehind))
+    Group.Members[1 + Group.Random() % 2].Stalled = true;
+  Group.run(milliseconds(300));
   Group.PrimaryCut = true;
   for (int I = 0; I < 400 && !Faults.isDone(); ++I) {
     Group.run(milliseconds(10));
