Name the process tests of network faults in the fault matrix

The rows of cut-off domains, paused daemons, lost platform answers and silent connections name the tests of test_network.py.

--- a/tests/auto/faultmatrix/domainscutoffrows.cpp
+++ b/tests/auto/faultmatrix/domainscutoffrows.cpp
@@ -7,7 +7,7 @@
       {Fault::DomainsCutOff, Step::Admission, Covered{&WithdrawnKey},
        "`Freshness::mayServeKeyed` (distribution/freshness.cpp), asked by "
        "`Entry::admit`",
-       "C3, C4", ""},
+       "C3, C4", "network: domain_cut_off"},
       {Fault::DomainsCutOff, Step::Rate, Covered{&RateShare},
        "The own share goes on, loans stop: `RateOwner` (limits/rateowner.cpp)",
        "N4, X1", ""},
@@ -41,7 +41,7 @@
       {Fault::DomainsCutOff, Step::KeyWithdrawal, Covered{&WithdrawnKey},
        "`Administrator::withdrawKey` (administration/administrator.cpp), "
        "`Freshness` (distribution/freshness.cpp)",
-       "C3", ""},
+       "C3", "network: domain_cut_off"},
       {Fault::DomainsCutOff, Step::Claim, Covered{&ReplacedPrimary},
        "`EvidenceBoard::agrees` needs a majority in two domains "
        "(failover/evidence.cpp)",
--- a/tests/auto/faultmatrix/holderpausedrows.cpp
+++ b/tests/auto/faultmatrix/holderpausedrows.cpp
@@ -7,7 +7,7 @@
       {Fault::HolderPaused, Step::Admission, Covered{&WithdrawnKey},
        "`Freshness::mayServeKeyed` (distribution/freshness.cpp), asked by "
        "`Entry::admit`: times count from when a question was sent",
-       "C5, C7", ""},
+       "C5, C7", "network: paused_daemon"},
       {Fault::HolderPaused, Step::Rate, Covered{&RateShare},
        "`RateDrawer` checks expiry when it spends (limits/ratedrawer.cpp); "
        "`OwnerLease` (membership/ownerlease.cpp)",
@@ -29,7 +29,7 @@
       {Fault::HolderPaused, Step::Acknowledge, Covered{&AcknowledgedWrite},
        "`WritePermission::decide` (failover/writepermission.cpp), "
        "`StatementRunner::acknowledge` (server/statementrunner.cpp)",
-       "W1, W3, W4, E4", ""},
+       "W1, W3, W4, E4", "network: paused_daemon"},
       {Fault::HolderPaused, Step::Answer, Covered{&RepeatedAttempt},
        "`nextStep` (retry/retrytable.cpp), `RetryBudget` "
        "(retry/retrybudget.cpp), `finalFailure` (server/entry.cpp)",
@@ -42,7 +42,7 @@
       {Fault::HolderPaused, Step::KeyWithdrawal, Covered{&WithdrawnKey},
        "`Administrator::withdrawKey` (administration/administrator.cpp), "
        "`Freshness` (distribution/freshness.cpp)",
-       "C5, C7", ""},
+       "C5, C7", "network: paused_daemon"},
       {Fault::HolderPaused, Step::Claim, Covered{&ReplacedPrimary},
        "`PrimaryReplacement` step Claiming (failover/primaryreplacement.cpp): "
        "the own claim's deadline has passed",
--- a/tests/auto/faultmatrix/page.cpp
+++ b/tests/auto/faultmatrix/page.cpp
@@ -14,8 +14,8 @@
 at the step and checks the property in its row below. The shell in `src/libs/server`, which connects the libraries, has
 no unit test: where the mechanism is in `server/`, a scenario covers the decision behind it only. "Other tests" names
 further test cases by the codes listed at the end. The column "process test" names tests of `tests/process` as
-FILE: TEST, without the prefix `test_`; they run real processes. Not covered by any process test: a failure domain that
-is cut off, a paused daemon, lost answers of the platform, a change of members during a promotion.
+FILE: TEST, without the prefix `test_`; they run real processes. Not covered by any process test: a change of members
+during a promotion.
 
 The matrix also runs pairs of faults at one step, from seeds that it prints. `LAVENDERDALE_MATRIX_PAIRS` sets how many
 settings of each pair, `LAVENDERDALE_MATRIX_RUNS` how many of each cell, and `LAVENDERDALE_SEED` the first seed. Further
--- a/tests/auto/faultmatrix/platformanswerslostrows.cpp
+++ b/tests/auto/faultmatrix/platformanswerslostrows.cpp
@@ -22,7 +22,7 @@
        NotCovered{"`PlatformClient` needs sockets"},
        "`Administrator::write`, `lostRace` (administration/administrator.cpp), "
        "conditional update in `PlatformClient` (platform/platformclient.cpp)",
-       "F1, F2", ""},
+       "F1, F2", "network: lost_platform_answers"},
       {Fault::PlatformAnswersLost, Step::KeyWithdrawal,
        NotCovered{"`PlatformClient` needs sockets"},
        "`Administrator::withdrawKey` (administration/administrator.cpp), "
@@ -32,7 +32,7 @@
       {Fault::PlatformAnswersLost, Step::Claim, Covered{&ReplacedPrimary},
        "`PrimaryReplacement` step Claiming (failover/primaryreplacement.cpp): "
        "read back, attempt ids compared",
-       "E1, E2, E3", ""},
+       "E1, E2, E3", "network: lost_platform_answers"},
       {Fault::PlatformAnswersLost, Step::Fence, Unaffected{"no platform call"},
        "", "", ""},
       {Fault::PlatformAnswersLost, Step::Wait, Unaffected{"no platform call"},
@@ -41,7 +41,7 @@
        "`PrimaryReplacement` step Changing: conditional update "
        "(failover/primaryreplacement.cpp): read back, term and primary "
        "compared",
-       "E1, E2, E3", ""},
+       "E1, E2, E3", "network: lost_platform_answers"},
       {Fault::PlatformAnswersLost, Step::Promote, Covered{&ReplacedPrimary},
        "`TermCompletion` (failover/termcompletion.cpp): any watcher completes: "
        "the status is read again",
--- a/tests/auto/faultmatrix/silentconnectionsrows.cpp
+++ b/tests/auto/faultmatrix/silentconnectionsrows.cpp
@@ -30,7 +30,7 @@
        "(scheduling/connectionpool.cpp)",
        "G1, P1",
        "failover: primary_silent_on_open_connections; repeat: "
-       "never_repeat_with_a_frozen_database"},
+       "never_repeat_with_a_frozen_database; network: silent_connections"},
       {Fault::SilentConnections, Step::Acknowledge, Covered{&AcknowledgedWrite},
        "`MemberMonitor::pollOnce` replaces its connection after 300 ms "
        "(server/membermonitor.cpp)",
@@ -44,7 +44,7 @@
        "`PlatformClient` (platform/platformclient.cpp) and pulls with "
        "deadlines, `ConfigurationService::pull` "
        "(server/configurationservice.cpp)",
-       "F3, C5", ""},
+       "F3, C5", "network: silent_connections"},
       {Fault::SilentConnections, Step::KeyWithdrawal, Covered{&WithdrawnKey},
        "`Administrator::withdrawKey` (administration/administrator.cpp), "
        "`Freshness` (distribution/freshness.cpp)",
