Store the timeline that a promotion reached, apart from its term

Cause: a chosen member that died between the change of term and its promotion left the next one with a timeline below its term. It never got write permission, and the group stayed without writes. The fakes hid it, because a promoted member took the term as its timeline.

Change: the status keeps the start of an incomplete promotion (promotionStart). The watcher that sees the promoted primary stores the timeline that it reached in the lineage, under a conditional update. Only then do members follow it, and only then are writes acknowledged and reads served from it. Permission, the lineage and tokens use the timeline; claims, evidence and views use the term. A number of a timeline is used again only if no other member can be on it: if no fenced member is on the newest timeline, all members are fenced except replaced primaries, which are listed in the status (replaced) until they may follow. Entries without the new members are read as before.

The fakes now give a promoted member its own timeline plus one, kill the chosen member before its timeline is stored, and check that a replica on the primary's timeline has the primary's log.

--- a/src/libs/catalogue/groupstatus.cpp
+++ b/src/libs/catalogue/groupstatus.cpp
@@ -83,6 +83,18 @@
   const Json::Value &Lineage = Reader.optionalArray("lineage");
   const bool HasAttempt = Reader.has("promotionAttempt");
   const Json::Value &Attempt = Reader.optionalObject("promotionAttempt");
+  for (const Json::Value &Name : Reader.optionalArray("replaced")) {
+    if (!Name.isString()) {
+      Reader.reject("replaced", "names of upstreams");
+      break;
+    }
+    Value.Replaced.push_back(Name.asString());
+  }
+  if (Reader.has("promotionStart")) {
+    Value.PromotionStart = Reader.requiredString("promotionStart");
+    if (!isLogPosition(*Value.PromotionStart))
+      Reader.reject("promotionStart", "a log position such as \"0/3000148\"");
+  }
   BOOST_OUTCOME_TRYV(Reader.finish());
   BOOST_OUTCOME_TRY(Value.Lineage, readLineage(Lineage, Reader));
   if (!Value.Lineage.empty() && Value.Lineage.back().Term > Value.Term)
@@ -108,6 +120,10 @@
     Item["startPosition"] = Entry.StartPosition;
     Status["lineage"].append(Item);
   }
+  for (const std::string &Name : this->Replaced)
+    Status["replaced"].append(Name);
+  if (this->PromotionStart)
+    Status["promotionStart"] = *this->PromotionStart;
   if (this->Attempt)
     Status["promotionAttempt"] = attemptToJson(*this->Attempt);
   return Status;
--- a/src/libs/catalogue/groupstatus.h
+++ b/src/libs/catalogue/groupstatus.h
@@ -11,9 +11,9 @@
 
 namespace lavenderdale {
 
-/// A term of a group and the log position at which it began.
+/// A timeline of a group and the log position at which it began.
 struct LineageEntry {
-  std::uint64_t Term = 0;
+  std::uint64_t Term = 0;    ///< PostgreSQL timeline.
   std::string StartPosition; ///< An LSN, for example "0/3000148".
 
   bool operator==(const LineageEntry &) const = default;
@@ -31,10 +31,13 @@
 
 /// The "status" member of a group. Written by promoters only.
 struct GroupStatus {
-  std::uint64_t Term = 0;            ///< PostgreSQL timeline.
+  std::uint64_t Term = 0;            ///< Rises with each change of primary.
   std::string Primary;               ///< Upstream.
-  std::vector<LineageEntry> Lineage; ///< Terms ascend.
+  std::vector<LineageEntry> Lineage; ///< Timelines ascend.
   std::optional<PromotionAttempt> Attempt;
+  /// Start of the primary's timeline, while its promotion is not complete.
+  std::optional<std::string> PromotionStart;
+  std::vector<std::string> Replaced; ///< May not follow the primary yet.
 
   /// \param Status the object's "status" member.
   static Result<GroupStatus> fromJson(const Json::Value &Status);
--- a/src/libs/consistency/lineage.cpp
+++ b/src/libs/consistency/lineage.cpp
@@ -16,6 +16,10 @@
   return success();
 }
 
+void Lineage::dropAbove(Term Last) {
+  std::erase_if(this->Entries, [&](const Entry &E) { return E.InTerm > Last; });
+}
+
 Term Lineage::newest() const {
   return this->Entries.empty() ? Term{} : this->Entries.back().InTerm;
 }
--- a/src/libs/consistency/lineage.h
+++ b/src/libs/consistency/lineage.h
@@ -32,6 +32,9 @@
   /// \returns BadRequest if \p InTerm is not above the newest term.
   Result<void> append(Term InTerm, LogPosition Start);
 
+  /// Drops the terms above \p Last, whose primaries were never followed.
+  void dropAbove(Term Last);
+
   /// The newest term, or term 0 of an empty lineage.
   Term newest() const;
 
--- a/src/libs/failover/groupview.h
+++ b/src/libs/failover/groupview.h
@@ -13,6 +13,7 @@
   Term Current;
   std::string Primary;
   std::vector<std::string> Members;
+  Term Timeline; ///< Of the primary; 0 while its promotion is not complete.
 
   bool operator==(const GroupView &) const = default;
 };
--- a/src/libs/failover/primaryreplacement.cpp
+++ b/src/libs/failover/primaryreplacement.cpp
@@ -233,8 +233,7 @@
     return;
   if (M->Reached == Stage::Verify)
     M->Pending = PendingCall{0, Context.Now + FencePollInterval};
-  if (this->Current == Step::Fencing &&
-      this->countReached(Stage::Fenced) >= fenceQuorum(this->MemberCount))
+  if (this->Current == Step::Fencing && this->isFenceComplete())
     this->startWait(Context);
   if (this->Current == Step::Checking &&
       this->countReached(Stage::Checked) == this->Members.size())
@@ -255,6 +254,22 @@
   M.Reached = Stage::Fenced;
 }
 
+bool PrimaryReplacement::isFenceComplete() const {
+  if (this->countReached(Stage::Fenced) < fenceQuorum(this->MemberCount))
+    return false;
+  const Term Newest = this->Claimed.History.newest();
+  bool HasNewest = false;
+  bool HasAll = true;
+  for (const auto &[Name, M] : this->Members) {
+    const bool IsFenced = M.Reached == Stage::Fenced;
+    HasNewest = HasNewest || (IsFenced && M.Poll.Timeline == Newest);
+    HasAll = HasAll && (IsFenced || this->Claimed.Replaced.contains(Name));
+  }
+  // Without a member of the newest timeline the promotion uses its number
+  // again, so no member that may have followed the primary may be left out.
+  return HasNewest || HasAll;
+}
+
 void PrimaryReplacement::checkFence(Member &M, const ReplicaPoll &Poll) {
   const bool Same = Poll.isFenced() && Poll.Timeline == M.Poll.Timeline &&
                     Poll.logEnd() == M.Poll.logEnd();
@@ -280,6 +295,10 @@
 }
 
 void PrimaryReplacement::changeTerm(PromotionContext &Context) {
+  if (this->Claimed.History.newest() > this->Claimed.Current) {
+    this->fail(GiveUpReason::BadLineage);
+    return;
+  }
   const auto LogEnd = [](const Member &M) {
     return Position{M.Poll.Timeline, M.Poll.logEnd()};
   };
@@ -292,13 +311,11 @@
   this->Sent = this->Claimed;
   this->Sent.Claim.reset();
   this->Sent.Current = this->Claimed.Current.next();
+  this->Sent.Replaced.insert(this->Claimed.Primary);
+  this->Sent.Replaced.erase(Chosen->first);
   this->Sent.Primary = Chosen->first;
-  const Result<void> Appended = this->Sent.History.append(
-      this->Sent.Current, Chosen->second.Poll.logEnd());
-  if (!Appended) {
-    this->fail(GiveUpReason::BadLineage);
-    return;
-  }
+  this->Sent.History.dropAbove(Chosen->second.Poll.Timeline);
+  this->Sent.PromotionStart = Chosen->second.Poll.logEnd();
   this->Current = Step::Changing;
   this->sendUpdate(Context);
 }
--- a/src/libs/failover/primaryreplacement.h
+++ b/src/libs/failover/primaryreplacement.h
@@ -69,6 +69,7 @@
   void sendCommand(const std::string &Name, Member &M,
                    PromotionContext &Context);
   void verifyFence(Member &M, const ReplicaPoll &Poll);
+  bool isFenceComplete() const;
   void checkFence(Member &M, const ReplicaPoll &Poll);
   void startWait(PromotionContext &Context);
   void changeTerm(PromotionContext &Context);
--- a/src/libs/failover/promotion.cpp
+++ b/src/libs/failover/promotion.cpp
@@ -43,7 +43,7 @@
   void operator()(const UpdateAnswered &Event) const {
     if (Owner.Attempt)
       Owner.Attempt->updateAnswered(Event, Context);
-    Owner.releaseAnswered(Event, Context);
+    Owner.storeAnswered(Event, Context);
   }
 
   void operator()(const MemberAnswered &Event) const {
@@ -54,6 +54,7 @@
 
   void operator()(const MemberPolled &Event) const {
     Owner.Completion.memberSeen(Event.Poll);
+    Owner.Completion.memberPolled(Event, Context);
     if (Owner.Attempt)
       Owner.Attempt->memberPolled(Event, Context);
   }
@@ -102,8 +103,10 @@
   Context.Suspected = this->isSuspected(Now);
   this->startIfNeeded(Context);
   if (!this->Attempt && this->Status && !this->Status->Claim &&
-      Now >= this->CompleteFrom)
+      Now >= this->CompleteFrom) {
     this->Completion.update(*this->Status, this->Members, Context);
+    this->completeIfNeeded(Context);
+  }
   return Actions;
 }
 
@@ -111,8 +114,8 @@
   if (this->Attempt)
     this->Attempt->expire(Context);
   this->Completion.expire(Context);
-  if (this->Release && Context.Now >= this->Release->Deadline) {
-    this->Release.reset();
+  if (this->Storing && Context.Now >= this->Storing->Deadline) {
+    this->Storing.reset();
     this->refresh(Context);
   }
   if (this->Refresh && Context.Now >= this->Refresh->Deadline)
@@ -132,6 +135,7 @@
   this->CompleteFrom =
       Own ? Context.Now : Context.Now + this->Times.CompletionDelay;
   this->Status = Seen;
+  this->StatusSeenAt = Context.Now;
   Context.Suspected = this->isSuspected(Context.Now);
   if (this->Attempt)
     this->Attempt->observe(Seen, Context);
@@ -159,7 +163,7 @@
 }
 
 void Promotion::startIfNeeded(PromotionContext &Context) {
-  if (this->Attempt || this->Release || !this->Status ||
+  if (this->Attempt || this->Storing || !this->Status ||
       Context.Now < this->AttemptFrom)
     return;
   const bool Stuck = this->Status->Claim && Context.Now - this->ClaimSeenAt >=
@@ -187,22 +191,50 @@
 }
 
 void Promotion::release(TermStatus Unclaimed, PromotionContext &Context) {
-  this->Released = std::move(Unclaimed);
-  this->Release = PendingCall{Context.nextCall(), Context.callDeadline()};
-  Context.emit(ReleaseClaim{this->Release->Call, this->Released});
+  this->Stored = std::move(Unclaimed);
+  this->Storing = PendingCall{Context.nextCall(), Context.callDeadline()};
+  Context.emit(ReleaseClaim{this->Storing->Call, this->Stored});
+}
+
+// Nothing follows the primary, and nothing is acknowledged or read from its
+// timeline, before the timeline is stored. So if the primary dies first, its
+// timeline is on no other member, and the next one may have the same number.
+void Promotion::completeIfNeeded(PromotionContext &Context) {
+  if (this->Storing || this->Refresh)
+    return;
+  const std::optional<Term> Reached = this->Completion.reachedTimeline(
+      *this->Status, this->StatusSeenAt, Context.Now);
+  TermStatus Complete = *this->Status;
+  if (Reached) {
+    if (!Complete.History.append(*Reached, *Complete.PromotionStart))
+      return;
+    Complete.PromotionStart.reset();
+  } else {
+    // Replaced primaries that were rebuilt may be pointed at the current one.
+    const std::size_t Rebuilt =
+        std::erase_if(Complete.Replaced, [&](const std::string &Name) {
+          return this->Completion.isReplica(Name, this->StatusSeenAt,
+                                            Context.Now);
+        });
+    if (Rebuilt == 0 || Complete.PromotionStart)
+      return;
+  }
+  this->Stored = std::move(Complete);
+  this->Storing = PendingCall{Context.nextCall(), Context.callDeadline()};
+  Context.emit(CompleteTerm{this->Storing->Call, this->Stored});
 }
 
-void Promotion::releaseAnswered(const UpdateAnswered &Answer,
-                                PromotionContext &Context) {
-  if (!this->Release || this->Release->Call != Answer.Call)
+void Promotion::storeAnswered(const UpdateAnswered &Answer,
+                              PromotionContext &Context) {
+  if (!this->Storing || this->Storing->Call != Answer.Call)
     return;
-  this->Release.reset();
+  this->Storing.reset();
   if (Answer.Outcome != UpdateOutcome::Done) {
     this->refresh(Context);
     return;
   }
-  this->Released.Version = Answer.NewVersion;
-  this->noteStatus(this->Released, true, Context);
+  this->Stored.Version = Answer.NewVersion;
+  this->noteStatus(this->Stored, true, Context);
 }
 
 void Promotion::refresh(PromotionContext &Context) {
@@ -227,7 +259,7 @@
   if (this->Evidence.Agreed)
     Text += " evidence " + std::to_string(this->Evidence.Current.Value) + " " +
             millisecondsUntil(this->EvidenceAt + EvidenceLifetime, Now);
-  Text += describeCall("release", this->Release, Now) +
+  Text += describeCall("store", this->Storing, Now) +
           describeCall("refresh", this->Refresh, Now);
   if (this->Attempt)
     Text += " attempt " + this->Attempt->describe(Now);
--- a/src/libs/failover/promotion.h
+++ b/src/libs/failover/promotion.h
@@ -47,9 +47,10 @@
   void noteStatus(const TermStatus &Seen, bool Own, PromotionContext &Context);
   void settleAttempt(PromotionContext &Context);
   void startIfNeeded(PromotionContext &Context);
+  void completeIfNeeded(PromotionContext &Context);
   void release(TermStatus Unclaimed, PromotionContext &Context);
   void refresh(PromotionContext &Context);
-  void releaseAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
+  void storeAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
   bool isSuspected(TimePoint Now) const;
 
   std::string Self;
@@ -61,6 +62,7 @@
   unsigned Failures = 0; ///< Attempts since the last change of term.
 
   std::optional<TermStatus> Status;
+  TimePoint StatusSeenAt;
   TimePoint ClaimSeenAt;
   TimePoint CompleteFrom; ///< When this watcher may complete the status.
   TimePoint AttemptFrom;  ///< End of the pause after an attempt.
@@ -69,8 +71,8 @@
 
   std::optional<PrimaryReplacement> Attempt;
   TermCompletion Completion;
-  std::optional<PendingCall> Release;
-  TermStatus Released; ///< What Release stores.
+  std::optional<PendingCall> Storing; ///< Release of a claim, or completion.
+  TermStatus Stored;                  ///< What Storing stores.
   std::optional<PendingCall> Refresh;
 };
 
--- a/src/libs/failover/promotionmessages.h
+++ b/src/libs/failover/promotionmessages.h
@@ -37,6 +37,12 @@
   CallId Call;
   TermStatus Status;
 };
+/// Records the timeline of the promoted primary, or that replaced ones may
+/// follow it.
+struct CompleteTerm {
+  CallId Call;
+  TermStatus Status;
+};
 
 /// End all control sessions on the member, this host's included, except the
 /// one that runs this command, and see that they are gone. Answer:
@@ -118,7 +124,7 @@
 
 using PromotionAction =
     std::variant<ReadStatus, ClaimStatus, ReleaseClaim, ChangeTerm,
-                 EndControlSessions, FenceMember, PollMember,
+                 CompleteTerm, EndControlSessions, FenceMember, PollMember,
                  OpenControlSession, PromoteMember, PointMember,
                  CloseControlSession, Finished, GiveUp>;
 
--- a/src/libs/failover/termcompletion.cpp
+++ b/src/libs/failover/termcompletion.cpp
@@ -64,20 +64,22 @@
   if (Primary == nullptr || Primary->Timeline.Value == 0)
     return;
   if (Primary->InRecovery) {
-    // A fenced member of an older timeline is the chosen one. Others are not
-    // promoted: their timeline could not become the status's term.
-    if (Primary->isFenced() && Primary->Timeline < Status.Current)
+    // In an entry of an older version, without PromotionStart, the lineage has
+    // the timeline of the chosen member already.
+    const bool IsChosen = Status.PromotionStart.has_value() ||
+                          Primary->Timeline < Status.History.newest();
+    if (Primary->isFenced() && IsChosen)
       this->start(Status.Primary, true, Status, Context);
     return;
   }
   // Before the primary has the new timeline, its replicas would report the old
   // one.
-  if (Primary->Timeline != Status.Current)
+  if (Primary->Timeline != Status.timeline())
     return;
   for (const std::string &Name : Members) {
     const ReplicaPoll *Poll = this->lately(Name, Context.Now);
-    if (Name == Status.Primary || Poll == nullptr || !Poll->InRecovery ||
-        Poll->Follows == Status.Primary)
+    if (Name == Status.Primary || Status.Replaced.contains(Name) ||
+        Poll == nullptr || !Poll->InRecovery || Poll->Follows == Status.Primary)
       continue;
     // A member with writes that were lost cannot follow; it has to rejoin.
     if (Status.History.fate({Poll->Timeline, Poll->logEnd()}) ==
@@ -121,16 +123,40 @@
     Context.emit(ReadStatus{J.Pending.Call});
     return;
   }
-  if (Answer.Done && J.Promotes) {
-    // Known before the next poll, so that the others are pointed at once.
-    ReplicaPoll &Poll = this->Seen[Entry->first];
-    Poll.InRecovery = false;
-    Poll.Timeline = J.InTerm;
-    Poll.SentAt = Context.Now;
+  if (Answer.Done && J.Promotes && J.Reached == Stage::Acting) {
+    // The timeline is known before the next regular poll.
+    J.Reached = Stage::Polling;
+    J.Pending = {Context.nextCall(), Context.callDeadline()};
+    Context.emit(PollMember{J.Pending.Call, Entry->first});
+    return;
   }
   this->drop(Entry, false, Context);
 }
 
+void TermCompletion::memberPolled(const MemberPolled &Answer,
+                                  PromotionContext &Context) {
+  const auto Entry = this->find(Answer.Call);
+  if (Entry != this->Running.end())
+    this->drop(Entry, false, Context);
+}
+
+bool TermCompletion::isReplica(const std::string &Member, TimePoint Since,
+                               TimePoint Now) const {
+  const ReplicaPoll *Poll = this->lately(Member, Now);
+  return Poll != nullptr && Poll->InRecovery && Poll->SentAt >= Since;
+}
+
+std::optional<Term> TermCompletion::reachedTimeline(const TermStatus &Status,
+                                                    TimePoint Since,
+                                                    TimePoint Now) const {
+  const ReplicaPoll *Poll = this->lately(Status.Primary, Now);
+  // An older poll may be of the member's time as an earlier primary.
+  if (!Status.PromotionStart || Poll == nullptr || Poll->SentAt < Since ||
+      Poll->InRecovery || Poll->Timeline <= Status.History.newest())
+    return std::nullopt;
+  return Poll->Timeline;
+}
+
 void TermCompletion::statusRead(const StatusRead &Answer,
                                 PromotionContext &Context) {
   const auto Entry = this->find(Answer.Call);
--- a/src/libs/failover/termcompletion.h
+++ b/src/libs/failover/termcompletion.h
@@ -35,6 +35,12 @@
   /// Answers. Those that are not awaited are ignored.
   void statusRead(const StatusRead &Answer, PromotionContext &Context);
   void memberAnswered(const MemberAnswered &Answer, PromotionContext &Context);
+  void memberPolled(const MemberPolled &Answer, PromotionContext &Context);
+
+  /// \returns the timeline that the primary of \p Status was promoted to, if
+  /// that is not stored and a poll sent after \p Since shows it.
+  std::optional<Term> reachedTimeline(const TermStatus &Status, TimePoint Since,
+                                      TimePoint Now) const;
 
   /// How many of \p Members other than \p Primary answered lately and are in
   /// recovery.
@@ -42,11 +48,15 @@
                                 const std::string &Primary,
                                 TimePoint Now) const;
 
+  /// Whether a poll of \p Member sent after \p Since shows it in recovery.
+  bool isReplica(const std::string &Member, TimePoint Since,
+                 TimePoint Now) const;
+
   /// \see Promotion::describe()
   std::string describe(TimePoint Now) const;
 
 private:
-  enum class Stage { Opening, Reading, Acting };
+  enum class Stage { Opening, Reading, Acting, Polling };
 
   struct Job {
     bool Promotes = false; ///< Else it points the member at the primary.
--- a/src/libs/failover/writepermission.cpp
+++ b/src/libs/failover/writepermission.cpp
@@ -28,8 +28,8 @@
   if (!IsReplica)
     return;
   Replica &Known = this->Replicas[Poll.Upstream];
-  const bool OfTerm = Poll.InRecovery && this->View.Current.Value != 0 &&
-                      Poll.Timeline == this->View.Current;
+  const bool OfTerm = Poll.InRecovery && this->View.Timeline.Value != 0 &&
+                      Poll.Timeline == this->View.Timeline;
   if (OfTerm)
     Known.Received = std::max(Known.Received, Poll.ReceivePosition);
   if (Known.SentAt && Poll.SentAt <= *Known.SentAt)
@@ -63,14 +63,14 @@
   this->Until = From + PermissionDuration;
 }
 
-std::optional<TimePoint> WritePermission::deadline(Term InTerm) const {
-  if (InTerm.Value == 0 || InTerm != this->View.Current)
+std::optional<TimePoint> WritePermission::deadline(Term Timeline) const {
+  if (Timeline.Value == 0 || Timeline != this->View.Timeline)
     return std::nullopt;
   return this->Until;
 }
 
 bool WritePermission::mayStart(TimePoint Now) const {
-  const std::optional<TimePoint> Until = this->deadline(this->View.Current);
+  const std::optional<TimePoint> Until = this->deadline(this->View.Timeline);
   return Until && Now < *Until;
 }
 
@@ -80,10 +80,10 @@
       [&](const auto &Entry) { return Entry.second.Received >= Commit; }));
 }
 
-AckDecision WritePermission::decide(Term AnswerTerm, LogPosition Commit,
+AckDecision WritePermission::decide(Term AnswerTimeline, LogPosition Commit,
                                     AcknowledgeMode Mode, TimePoint SentAt,
                                     TimePoint Now) const {
-  const std::optional<TimePoint> Until = this->deadline(AnswerTerm);
+  const std::optional<TimePoint> Until = this->deadline(AnswerTimeline);
   if (!Until || Now >= *Until || SentAt < this->Since)
     return AckDecision::Withhold;
   const std::size_t Needed = replicasForMajority(this->View.Members.size());
--- a/src/libs/failover/writepermission.h
+++ b/src/libs/failover/writepermission.h
@@ -32,22 +32,23 @@
   /// pointed at a new primary reports its old timeline until it streams.
   void replicaPolled(const ReplicaPoll &Poll);
 
-  /// \returns the time until which a write of \p InTerm may be acknowledged,
-  /// or nothing if there is no permission for that term.
-  std::optional<TimePoint> deadline(Term InTerm) const;
+  /// \returns the time until which a write on \p Timeline may be acknowledged,
+  /// or nothing if there is no permission for that timeline.
+  std::optional<TimePoint> deadline(Term Timeline) const;
 
   /// Whether a write may be sent to the primary now. If not, "not-run" is
   /// true.
   bool mayStart(TimePoint Now) const;
 
   /// Decides about a write whose commit was answered.
-  /// \param AnswerTerm timeline of the answer.
+  /// \param AnswerTimeline timeline of the answer.
   /// \param Commit end of the commit in the log.
   /// \param SentAt when the commit was sent. Permission must not have lapsed
   /// since: during a lapse the primary may have been replaced, and may have
   /// become the primary of a later term with the same replicas.
-  AckDecision decide(Term AnswerTerm, LogPosition Commit, AcknowledgeMode Mode,
-                     TimePoint SentAt, TimePoint Now) const;
+  AckDecision decide(Term AnswerTimeline, LogPosition Commit,
+                     AcknowledgeMode Mode, TimePoint SentAt,
+                     TimePoint Now) const;
 
   const GroupView &view() const { return this->View; }
 
--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -32,6 +32,11 @@
                       LogPosition::parse(Entry.StartPosition));
     BOOST_OUTCOME_TRYV(Status.History.append(Term{Entry.Term}, Start));
   }
+  Status.Replaced.insert(Stored.Replaced.begin(), Stored.Replaced.end());
+  if (Stored.PromotionStart) {
+    BOOST_OUTCOME_TRY(Status.PromotionStart,
+                      LogPosition::parse(*Stored.PromotionStart));
+  }
   if (Stored.Attempt)
     Status.Claim = PromotionClaim{Stored.Attempt->Id, Stored.Attempt->By};
   return Status;
@@ -43,6 +48,9 @@
   Stored.Primary = Status.Primary;
   for (const Lineage::Entry &Entry : Status.History.entries())
     Stored.Lineage.push_back({Entry.InTerm.Value, Entry.Start.toString()});
+  Stored.Replaced.assign(Status.Replaced.begin(), Status.Replaced.end());
+  if (Status.PromotionStart)
+    Stored.PromotionStart = Status.PromotionStart->toString();
   if (Status.Claim) {
     PromotionAttempt Attempt;
     Attempt.Id = Status.Claim->AttemptId;
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -103,8 +103,9 @@
     Entry->second->retire();
     Entry = this->Upstreams.erase(Entry);
   }
-  this->Permission.setView(
-      {this->Status.Current, this->Status.Primary, memberNames(this->Members)});
+  this->Permission.setView({this->Status.Current, this->Status.Primary,
+                            memberNames(this->Members),
+                            this->Status.timeline()});
   this->startMonitors();
 }
 
@@ -150,11 +151,16 @@
   if (Seen.Version <= this->Status.Version)
     return;
   const bool Changed = Seen.Current != this->Status.Current;
+  const bool Completed = !Changed && Seen.timeline() != this->Status.timeline();
   const bool First = this->Status.Current.Value == 0;
   const auto Replaced = this->Upstreams.find(this->Status.Primary);
   if (Changed && Replaced != this->Upstreams.end())
     Replaced->second->refuseWaiting();
   this->Status = Seen;
+  this->Permission.setView({Seen.Current, Seen.Primary,
+                            memberNames(this->Members), Seen.timeline()});
+  if (Completed)
+    this->publish();
   if (!Changed)
     return;
   this->Context.Metrics
@@ -165,8 +171,6 @@
   logInfo("group " + this->Members.Name + ": term " +
           std::to_string(Seen.Current.Value) + ", primary " + Seen.Primary);
   this->Detector.primaryChanged(Seen.Current, now(), First);
-  this->Permission.setView(
-      {Seen.Current, Seen.Primary, memberNames(this->Members)});
   this->startMonitors();
   this->publish();
 }
@@ -195,7 +199,8 @@
   case PollEnd::Answered:
     break;
   }
-  if (Report.Poll->InRecovery || Report.Poll->Timeline != this->Status.Current)
+  if (Report.Poll->InRecovery ||
+      Report.Poll->Timeline != this->Status.timeline())
     return;
   this->Detector.pollAnswered(Report.SentAt, now());
   this->Ages.primaryPolled(
--- a/src/libs/server/promotiondriver.cpp
+++ b/src/libs/server/promotiondriver.cpp
@@ -39,6 +39,9 @@
   void operator()(const ChangeTerm &Action) {
     Driver.spawn(Driver.update(Action.Call, Action.Status));
   }
+  void operator()(const CompleteTerm &Action) {
+    Driver.spawn(Driver.update(Action.Call, Action.Status));
+  }
   void operator()(const EndControlSessions &Action) {
     Driver.spawn(Driver.endSessions(Action.Call, Action.Member));
   }
--- a/src/tools/slopes/groupexperiment.cpp
+++ b/src/tools/slopes/groupexperiment.cpp
@@ -54,7 +54,7 @@
     Names.reserve(this->Members.Upstreams.size());
     for (const Upstream &Each : this->Members.Upstreams)
       Names.push_back(Each.Name);
-    this->Permission.setView({Term{1}, Names[0], Names});
+    this->Permission.setView({Term{1}, Names[0], Names, Term{1}});
     this->Detector.primaryChanged(Term{1}, Now, true);
     this->Promoter.setMembers(Names, Now);
     TermStatus Status;
--- a/tests/auto/catalogue/tst_catalogueobject.cpp
+++ b/tests/auto/catalogue/tst_catalogueobject.cpp
@@ -94,6 +94,28 @@
   CHECK(Status.Lineage.front().StartPosition == "A/30001F8");
 }
 
+// Guards against a status of an older version that is no longer read, and
+// against an incomplete promotion that is lost or accepted malformed.
+TEST_CASE("a status keeps an incomplete promotion", "[configuration]") {
+  const std::string Begin = R"({"term":3,"primary":"db-b","lineage":[)"
+                            R"({"term":1,"startPosition":"0/0"}])";
+  const auto Read = [&](const std::string &More) {
+    return GroupStatus::fromJson(parseStrictJson(Begin + More + "}").value());
+  };
+  const auto Old = Read("");
+  REQUIRE(Old);
+  CHECK_FALSE(Old.value().PromotionStart.has_value());
+  CHECK(Old.value().Replaced.empty());
+  CHECK(GroupStatus::fromJson(Old.value().toJson()).value() == Old.value());
+  const auto New = Read(R"(,"promotionStart":"0/3000148","replaced":["db-a"])");
+  REQUIRE(New);
+  CHECK(New.value().PromotionStart == "0/3000148");
+  CHECK(New.value().Replaced == std::vector<std::string>{"db-a"});
+  CHECK(GroupStatus::fromJson(New.value().toJson()).value() == New.value());
+  CHECK_FALSE(Read(R"(,"promotionStart":"3000148")"));
+  CHECK_FALSE(Read(R"(,"replaced":[1])"));
+}
+
 // Guards against versions that are cut, negative or not numbers.
 TEST_CASE("the envelope of an object is checked", "[configuration]") {
   const auto Read = [](const std::string &Text) {
--- a/tests/auto/failover/promotionmodel.cpp
+++ b/tests/auto/failover/promotionmodel.cpp
@@ -37,6 +37,9 @@
 std::string statusText(const TermStatus &S) {
   return "v" + std::to_string(S.Version) + "t" +
          std::to_string(S.Current.Value) + S.Primary +
+         std::to_string(S.Replaced.size()) +
+         (S.PromotionStart ? "p" + S.PromotionStart->toString() : "") +
+         std::to_string(S.History.newest().Value) +
          (S.Claim ? S.Claim->AttemptId : "");
 }
 
@@ -54,6 +57,9 @@
   std::string operator()(const ChangeTerm &A) const {
     return call(A.Call) + statusText(A.Status);
   }
+  std::string operator()(const CompleteTerm &A) const {
+    return call(A.Call) + statusText(A.Status);
+  }
   std::string operator()(const PromoteMember &A) const {
     return call(A.Call) + call(A.Session) + A.Member +
            std::to_string(A.NewTerm.Value);
@@ -109,8 +115,8 @@
     this->Watchers.back().setMembers(AllNames, this->Now);
     this->Texts.push_back(this->Watchers.back().describe(this->Now) + " ");
   }
-  this->Holders.emplace_back().setView({Term{1}, Names[0], AllNames});
-  this->recordPrimary(this->Members[0]);
+  this->Holders.emplace_back().setView({Term{1}, Names[0], AllNames, Term{1}});
+  this->recordPrimary(Term{1}, Names[0]);
   this->observe();
 }
 
@@ -160,10 +166,17 @@
       GroupView View = W.Holders.back().view();
       View.Current = A.Status.Current;
       View.Primary = A.Status.Primary;
+      View.Timeline = {};
       W.Holders.emplace_back().setView(View);
     }
     return Answer;
   }
+  PromotionEvent operator()(const CompleteTerm &A) const {
+    const UpdateAnswered Answer = this->store(A.Call, A.Status);
+    if (Answer.Outcome == UpdateOutcome::Done)
+      W.complete(A.Status);
+    return Answer;
+  }
   UpdateAnswered store(CallId Call, const TermStatus &New) const {
     if (New.Version != W.Status.Version && !W.Faults.VersionsIgnored)
       return {Call, UpdateOutcome::Conflict};
@@ -199,10 +212,11 @@
     if (M.InRecovery) {
       M.InRecovery = false;
       M.Follows.clear();
-      M.Timeline = A.NewTerm;
-      W.recordPrimary(M);
+      // The highest timeline that the member has the history of, plus one.
+      M.Timeline = M.Timeline.next();
+      W.recordPrimary(A.NewTerm, M.Name);
     }
-    return MemberAnswered{A.Call, M.Timeline == A.NewTerm};
+    return MemberAnswered{A.Call, true};
   }
   PromotionEvent operator()(const PointMember &A) const {
     Member &M = W.member(A.Member);
@@ -229,9 +243,19 @@
   this->Texts[Watcher] = this->Watchers[Watcher].describe(this->Now) + " ";
 }
 
+/// The holder of the term learns the timeline of its primary.
+void World::complete(const TermStatus &Stored) {
+  GroupView View = this->Holders.back().view();
+  if (View.Current != Stored.Current)
+    return;
+  View.Timeline = Stored.timeline();
+  this->Holders.back().setView(View);
+}
+
 void World::tick(std::size_t Watcher, bool Suspected) {
   for (const Member &M : this->Members)
-    this->deliver(Watcher, MemberSeen{this->poll(M)});
+    if (!M.Dead)
+      this->deliver(Watcher, MemberSeen{this->poll(M)});
   this->deliver(Watcher, EvidenceCombined{this->Status.Current, Suspected});
   this->deliver(Watcher, StatusSeen{this->Status});
   this->deliver(Watcher, Tick{});
@@ -278,7 +302,8 @@
   if (!M.InRecovery || M.Follows.empty())
     return false;
   const Member &From = this->member(M.Follows);
-  return M.Timeline <= From.Timeline && M.Log.size() <= From.Log.size() &&
+  return !M.Dead && !From.Dead && M.Timeline <= From.Timeline &&
+         M.Log.size() <= From.Log.size() &&
          std::equal(M.Log.begin(), M.Log.end(), From.Log.begin()) &&
          (M.Timeline != From.Timeline || M.Log != From.Log);
 }
@@ -293,12 +318,12 @@
 /// it cannot follow the current primary, and the platform rebuilds it.
 bool World::needsRejoin(const Member &M) const {
   const Member &Primary = this->member(this->Status.Primary);
-  if (Primary.InRecovery || Primary.Timeline != this->Status.Current ||
-      M.Timeline >= Primary.Timeline)
+  if (Primary.InRecovery || Primary.Dead || M.Dead || &M == &Primary ||
+      Primary.Timeline != this->Status.timeline() || !this->isWritable())
     return false;
   const WriteFate Fate =
       this->Status.History.fate({M.Timeline, {M.Log.size()}});
-  return !M.InRecovery || Fate == WriteFate::Lost;
+  return !M.InRecovery || Fate != WriteFate::Survived;
 }
 
 void World::rejoin(Member &M) {
@@ -325,7 +350,14 @@
 }
 
 void World::execute(const Request &R, bool AnswerNow) {
-  const PromotionEvent Event = std::visit(Executor{*this, R.Watcher}, R.Action);
+  const PromotionEvent Event = std::visit(
+      [&](const auto &A) -> PromotionEvent {
+        if constexpr (requires { A.Member; })
+          if (this->member(A.Member).Dead)
+            return MemberAnswered{A.Call, false};
+        return Executor{*this, R.Watcher}(A);
+      },
+      R.Action);
   this->observe();
   if (AnswerNow)
     this->deliver(R.Watcher, Event);
@@ -356,7 +388,11 @@
   }
   for (std::size_t I = 0; I < this->Members.size(); ++I) {
     const Member &M = this->Members[I];
-    if (!M.InRecovery && this->Left.Writes > 0)
+    const bool IsChosen =
+        M.Name == this->Status.Primary && this->Status.PromotionStart;
+    if (this->Left.Deaths > 0 && IsChosen && !M.Dead)
+      Steps.push_back({Death, I});
+    if (!M.InRecovery && !M.Dead && this->Left.Writes > 0)
       Steps.push_back({Write, I});
     if (this->Left.Pulls > 0 && this->canPull(M))
       Steps.push_back({Pull, I});
@@ -403,7 +439,7 @@
     break;
   case QuietTick:
     --this->Left.QuietTicks;
-    this->tick(S.Index, false);
+    this->tick(S.Index, this->member(this->Status.Primary).Dead);
     break;
   case Time:
     --this->Left.TimeSteps;
@@ -423,6 +459,11 @@
     --this->Left.Rejoins;
     this->rejoin(this->Members[S.Index]);
     break;
+  case Death:
+    --this->Left.Deaths;
+    this->Members[S.Index].Dead = true;
+    this->Members[S.Index].Sessions.clear();
+    break;
   }
   this->dropAbandoned();
   this->observe();
@@ -441,7 +482,22 @@
   }
 }
 
+/// Whether enough live members can be fenced to replace the primary.
+bool World::canBeReplaced() const {
+  const auto Count = std::count_if(
+      this->Members.begin(), this->Members.end(), [&](const Member &M) {
+        return !M.Dead && M.InRecovery && M.Name != this->Status.Primary &&
+               this->Status.History.fate({M.Timeline, {M.Log.size()}}) ==
+                   WriteFate::Survived;
+      });
+  return static_cast<std::size_t>(Count) >=
+         failoverlimits::fenceQuorum(this->Members.size());
+}
+
 void World::settle(unsigned TimeSteps) {
+  if (!this->canBeReplaced())
+    for (Member &M : this->Members)
+      M.Dead = false;
   this->Left = {};
   this->Left.TimeSteps = TimeSteps;
   this->Left.QuietTicks = TimeSteps * this->Left.Watchers * 2;
@@ -463,7 +519,22 @@
   }
 }
 
+/// A replica whose timeline has the number of the primary's but another
+/// origin would have another log.
+void World::checkReplicas() {
+  const Member &Primary = this->member(this->Status.Primary);
+  for (const Member &M : this->Members) {
+    const bool Follows = M.InRecovery && M.Follows == Primary.Name &&
+                         M.Timeline == this->Status.timeline();
+    if (Follows && Primary.Timeline == M.Timeline &&
+        (M.Log.size() > Primary.Log.size() ||
+         !std::equal(M.Log.begin(), M.Log.end(), Primary.Log.begin())))
+      this->violate("replica of the primary's timeline with another log");
+  }
+}
+
 void World::observe() {
+  this->checkReplicas();
   for (WritePermission &Holder : this->Holders)
     this->observe(Holder);
 }
@@ -476,20 +547,21 @@
     ReplicaPoll Poll = this->poll(M);
     if (this->Faults.FollowsIgnored && Poll.PrimaryConninfoSet)
       Poll.Follows = View.Primary;
-    if (Poll.InRecovery && Poll.Timeline == View.Current &&
+    if (!M.Dead && Poll.InRecovery && Poll.Timeline == View.Timeline &&
         Poll.Follows == View.Primary)
       Holder.replicaPolled(Poll);
   }
   const Member &Primary = this->member(View.Primary);
-  const bool IsPrimary =
-      !Primary.InRecovery && Primary.Timeline == View.Current;
+  const bool IsPrimary = !Primary.InRecovery && !Primary.Dead &&
+                         View.Timeline.Value != 0 &&
+                         Primary.Timeline == View.Timeline;
   if (IsPrimary)
     this->Answered[View.Current] = this->Now;
   const auto Answer = this->Answered.find(View.Current);
   if (Answer == this->Answered.end())
     return;
   const auto MayAcknowledge = [&](std::size_t Commit, AcknowledgeMode Mode) {
-    return Holder.decide(View.Current, {Commit}, Mode, Answer->second,
+    return Holder.decide(View.Timeline, {Commit}, Mode, Answer->second,
                          this->Now) == AckDecision::Acknowledge;
   };
   if (this->Status.Current > View.Current &&
@@ -500,9 +572,9 @@
       this->Acknowledged.insert(Primary.Log[I]);
 }
 
-void World::recordPrimary(const Member &M) {
-  const auto Entry = this->Primaries.try_emplace(M.Timeline, M.Name).first;
-  if (Entry->second != M.Name)
+void World::recordPrimary(Term InTerm, const std::string &Name) {
+  const auto Entry = this->Primaries.try_emplace(InTerm, Name).first;
+  if (Entry->second != Name)
     this->violate("two primaries of one term");
 }
 
@@ -514,7 +586,8 @@
 bool World::isWritable() const {
   const WritePermission &Holder = this->Holders.back();
   const Member &Primary = this->member(this->Status.Primary);
-  return !Primary.InRecovery && Primary.Timeline == this->Status.Current &&
+  return !Primary.InRecovery && !Primary.Dead &&
+         Primary.Timeline == this->Status.timeline() &&
          Holder.mayStart(this->Now);
 }
 
@@ -525,20 +598,21 @@
                     std::to_string(this->Left.Pulls) + "," +
                     std::to_string(this->Left.Delays) + "," +
                     std::to_string(this->Left.Rejoins) + "," +
+                    std::to_string(this->Left.Deaths) + "," +
                     std::to_string(this->Left.QuietTicks) + "," +
                     std::to_string(this->Left.Ticks);
   for (const Member &M : this->Members) {
-    Key += "|" + M.Name + (M.InRecovery ? "r" : "p") +
+    Key += "|" + M.Name + (M.InRecovery ? "r" : "p") + (M.Dead ? "d" : "") +
            std::to_string(M.Timeline.Value) + M.Follows + ":";
     for (const unsigned Write : M.Log)
       Key += std::to_string(Write) + ",";
   }
   for (const WritePermission &Holder : this->Holders) {
-    const auto Until = Holder.deadline(Holder.view().Current);
+    const auto Until = Holder.deadline(Holder.view().Timeline);
     const auto Left = Until ? *Until - this->Now : Duration::zero();
     Key += "|" + std::to_string(std::max<std::int64_t>(Left.count(), 0));
     const bool Lapsed =
-        Holder.decide(Holder.view().Current, {}, AcknowledgeMode::Primary,
+        Holder.decide(Holder.view().Timeline, {}, AcknowledgeMode::Primary,
                       this->Answered.contains(Holder.view().Current)
                           ? this->Answered.at(Holder.view().Current)
                           : TimePoint(),
--- a/tests/auto/failover/promotionmodel.h
+++ b/tests/auto/failover/promotionmodel.h
@@ -26,10 +26,11 @@
   unsigned Watchers = 2;
   unsigned TimeSteps = 4; ///< Of TimeStep.
   unsigned Writes = 1;
-  unsigned Pulls = 1;         ///< Replications from the followed member.
-  unsigned Delays = 1;        ///< Requests or answers out of order, or lost.
-  unsigned Rejoins = 0;       ///< Old primaries rebuilt as replicas.
-  unsigned MaxTerm = 2;       ///< Primaries of lower terms are suspected.
+  unsigned Pulls = 1;   ///< Replications from the followed member.
+  unsigned Delays = 1;  ///< Requests or answers out of order, or lost.
+  unsigned Rejoins = 0; ///< Old primaries rebuilt as replicas.
+  unsigned Deaths = 0;  ///< Of chosen members before their promotion is stored.
+  unsigned MaxTerm = 2; ///< Primaries of lower terms are suspected.
   unsigned Ticks = Unlimited; ///< Of watchers that find the primary suspect.
   unsigned QuietTicks = 0;    ///< Ticks of a watcher with no suspicion.
   bool ReplicaAhead = false;  ///< db-c has a write that db-b lacks.
@@ -52,6 +53,7 @@
     Write,
     Pull,
     Rejoin,
+    Death,
   };
   Kind What;
   std::size_t Index = 0;
@@ -71,8 +73,9 @@
   /// The one after them is delayed.
   void runPrefix(std::size_t Watcher, unsigned Requests);
 
-  /// Ends all faults: everything is delivered, nobody is suspected, and the
-  /// platform rebuilds the members that cannot follow.
+  /// Ends all faults: everything is delivered, only a dead primary is
+  /// suspected, and the platform rebuilds the members that cannot follow. Dead
+  /// members stay dead unless the others cannot replace the primary.
   void settle(unsigned TimeSteps);
 
   /// Equal for worlds that behave alike.
@@ -89,6 +92,7 @@
   struct Member {
     std::string Name;
     bool InRecovery = true;
+    bool Dead = false;
     Term Timeline{1};
     std::vector<unsigned> Log; ///< Numbers of writes; the size is the position.
     std::string Follows;
@@ -104,6 +108,8 @@
   };
   struct Executor;
 
+  void complete(const TermStatus &Stored);
+  bool canBeReplaced() const;
   Member &member(const std::string &Name);
   const Member &member(const std::string &Name) const;
   ReplicaPoll poll(const Member &M) const;
@@ -119,7 +125,8 @@
   void rejoin(Member &M);
   void observe();
   void observe(WritePermission &Holder);
-  void recordPrimary(const Member &M);
+  void recordPrimary(Term InTerm, const std::string &Name);
+  void checkReplicas();
   void violate(const std::string &What);
 
   Bounds Left;
--- a/tests/auto/failover/tst_promotion.cpp
+++ b/tests/auto/failover/tst_promotion.cpp
@@ -21,7 +21,7 @@
 }
 
 TermStatus secondTerm() {
-  TermStatus Status{7, Term{2}, "db-a", {}, std::nullopt};
+  TermStatus Status{7, Term{2}, "db-a", {}, std::nullopt, std::nullopt, {}};
   CHECK(Status.History.append(Term{1}, {0}).has_value());
   CHECK(Status.History.append(Term{2}, {100}).has_value());
   return Status;
--- a/tests/auto/failover/tst_promotionexploration.cpp
+++ b/tests/auto/failover/tst_promotionexploration.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -129,11 +130,43 @@
   Limits.Pulls = 20;
   Limits.Delays = 8;
   Limits.Rejoins = 3;
+  Limits.Deaths = 1;
   Limits.MaxTerm = 4;
   Limits.QuietTicks = 10;
   return Limits;
 }
 
+/// One watcher replaces db-a; \p Requests requests after the change of term
+/// the chosen member dies for good.
+World diesAfterChange(unsigned Members, unsigned Requests) {
+  Bounds Limits;
+  Limits.Members = Members;
+  Limits.Watchers = 1;
+  Limits.TimeSteps = 20;
+  Limits.Deaths = 1;
+  World W(Limits, {});
+  for (unsigned After = 0; After < Requests || W.term() == Term{1};) {
+    const std::vector<Step> Steps = W.steps();
+    const auto Is = [](Step::Kind What) {
+      return [What](const Step &S) { return S.What == What; };
+    };
+    const auto Next = std::ranges::find_if(Steps, Is(Step::Kind::Execute));
+    if (Next == Steps.end()) {
+      W.apply({Step::Kind::Time});
+      W.apply({Step::Kind::Tick, 0});
+      continue;
+    }
+    After += W.term() > Term{1} ? 1 : 0;
+    W.apply(*Next);
+  }
+  for (const Step &S : W.steps())
+    if (S.What == Step::Kind::Death) {
+      W.apply(S);
+      break;
+    }
+  return W;
+}
+
 } // namespace
 
 // Guards against an order of messages, losses and pauses in which a replaced
@@ -221,7 +254,8 @@
     std::mt19937_64 Random(Seed);
     World W(randomBounds(Seed % 2 == 0 ? 3 : 5), {});
     runRandomly(W, Random, 400);
-    W.settle(20);
+    W.settle(40);
+    INFO(W.key());
     INFO(W.violation());
     REQUIRE(W.violation().empty());
     REQUIRE(W.isWritable());
@@ -231,6 +265,22 @@
   CHECK(Terms > Runs / 4);
 }
 
+// Guards against a group that stays without writes after the chosen member died
+// between the change of term and its promotion, or before its timeline was
+// stored: the next one reaches a timeline below its term.
+TEST_CASE("a chosen member that dies before its promotion is replaced",
+          "[fencing]") {
+  for (unsigned Requests = 0; Requests < 5; ++Requests) {
+    INFO("after " << Requests << " requests");
+    World W = diesAfterChange(5, Requests);
+    REQUIRE(W.term() == Term{2});
+    W.settle(40);
+    CHECK(W.violation().empty());
+    CHECK(W.term() == Term{3});
+    CHECK(W.isWritable());
+  }
+}
+
 // Guards against a check for two primaries that can never fail: a platform
 // that ignores versions lets two attempts choose different primaries.
 TEST_CASE("random orders find a platform that ignores versions", "[fencing]") {
--- a/tests/auto/failover/tst_writepermission.cpp
+++ b/tests/auto/failover/tst_writepermission.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const TimePoint Start = TimePoint() + 1h;
-const GroupView Three{Term{2}, "db-a", {"db-a", "db-b", "db-c"}};
+const GroupView Three{Term{2}, "db-a", {"db-a", "db-b", "db-c"}, Term{2}};
 
 ReplicaPoll replicaPoll(const char *Name, Duration SentAt, Term Timeline = {2},
                         std::uint64_t Received = 0) {
@@ -85,7 +85,7 @@
   CHECK(Permission.mayStart(Start + 30ms));
 
   GroupView Newer = Three;
-  Newer.Current = Term{3};
+  Newer.Current = Newer.Timeline = Term{3};
   Permission.setView(Newer);
   Permission.replicaPolled(replicaPoll("db-b", 40ms, Term{2}, 9));
   Permission.setView(Three);
