Replace a leaving primary by a planned change

Cause: a primary in state leaving got no new work, and no other member was promoted for it, so that the writes of its group stopped.

Change: the watchers replace a leaving primary without suspicion, if it answers and a member that is not leaving follows it on its timeline. The primary serves until the attempt fences. After the wait all permissions have expired, so its position includes every acknowledged write. CatchUp lets the best member that stays receive up to that position, over a control session that was opened before a read of the claimed status, and with a primary_conninfo that gives no permission. The member is then fenced again, checked and chosen. The attempt ends without a change (reason 9) if that takes longer than the claim allows. In a failure a member that stays is preferred among equals. Without such a member the primary goes on.

--- /dev/null
+++ b/src/libs/failover/catchup.cpp
@@ -0,0 +1,115 @@
+#include "catchup.h"
+
+#include "relativetime.h"
+
+#include <utility>
+
+namespace lavenderdale {
+
+using namespace failoverlimits;
+
+CatchUp::CatchUp(const TermStatus &Claimed, std::string Member, LogPosition Has,
+                 TimePoint Deadline)
+    : Primary(Claimed.Primary), Timeline(Claimed.timeline()),
+      Version(Claimed.Version), Member(std::move(Member)), Has(Has),
+      Deadline(Deadline) {}
+
+void CatchUp::expire(const PromotionContext &Context) {
+  if (!this->isDone() && Context.Now >= this->Deadline)
+    this->Current = Step::Failed;
+  if (!this->Pending || Context.Now < this->Pending->Deadline)
+    return;
+  // A session is used once, so lost commands begin with a new one.
+  if (this->Current == Step::Read || this->Current == Step::Point)
+    this->Current = Step::Open;
+  this->Pending.reset();
+}
+
+void CatchUp::advance(PromotionContext &Context) {
+  if (this->Pending || this->isDone() || this->isFailed())
+    return;
+  const CallId Call = Context.nextCall();
+  this->Pending = PendingCall{Call, Context.callDeadline()};
+  switch (this->Current) {
+  case Step::Measure:
+    Context.emit(PollMember{Call, this->Primary});
+    return;
+  case Step::Open:
+    this->Session = Call;
+    Context.emit(OpenControlSession{Call, this->Member});
+    return;
+  case Step::Read:
+    Context.emit(ReadStatus{Call});
+    return;
+  case Step::Point:
+    Context.emit(
+        CatchUpMember{Call, this->Session, this->Member, this->Primary});
+    return;
+  case Step::Receive:
+    Context.emit(PollMember{Call, this->Member});
+    return;
+  case Step::Done:
+  case Step::Failed:
+    return;
+  }
+}
+
+void CatchUp::statusRead(const StatusRead &Answer) {
+  if (!this->isAwaited(Answer.Call))
+    return;
+  this->Pending.reset();
+  // A later promoter ends the session before it fences the member.
+  if (Answer.Status && Answer.Status->Version == this->Version)
+    this->Current = Step::Point;
+  else
+    this->Current = Answer.Status ? Step::Failed : Step::Open;
+}
+
+void CatchUp::memberAnswered(const MemberAnswered &Answer) {
+  if (!this->isAwaited(Answer.Call))
+    return;
+  this->Pending.reset();
+  if (!Answer.Done) {
+    // A planned change does not go on with members that do not answer.
+    this->Current = Step::Failed;
+    return;
+  }
+  if (this->Current == Step::Open)
+    this->Current = Step::Read;
+  else if (this->Current == Step::Point)
+    this->Current = Step::Receive;
+}
+
+void CatchUp::memberPolled(const MemberPolled &Answer,
+                           const PromotionContext &Context) {
+  if (!this->isAwaited(Answer.Call))
+    return;
+  this->Pending.reset();
+  const ReplicaPoll &Poll = Answer.Poll;
+  if (this->Current == Step::Measure) {
+    const bool IsPrimary = !Poll.InRecovery && Poll.Timeline == this->Timeline;
+    this->Needed = Poll.logEnd();
+    if (!IsPrimary)
+      this->Current = Step::Failed;
+    else
+      this->Current = this->Has >= this->Needed ? Step::Done : Step::Open;
+    return;
+  }
+  if (Poll.Timeline != this->Timeline)
+    this->Current = Step::Failed;
+  else if (Poll.logEnd() >= this->Needed)
+    this->Current = Step::Done;
+  else
+    this->Pending = PendingCall{0, Context.Now + FencePollInterval};
+}
+
+std::string CatchUp::describe(TimePoint Now) const {
+  return " catch-up " + this->Member + " " +
+         std::to_string(static_cast<int>(this->Current)) + " " +
+         this->Has.toString() + " of " + this->Needed.toString() + " " +
+         millisecondsUntil(this->Deadline, Now) + " #" +
+         std::to_string(this->Session) + " " +
+         describeCall("call", this->Pending, Now);
+}
+
+} // namespace lavenderdale
--- a/src/libs/failover/primaryreplacement.cpp
+++ b/src/libs/failover/primaryreplacement.cpp
@@ -11,17 +11,17 @@
 
 PrimaryReplacement::PrimaryReplacement(std::string Id, const std::string &Owner,
                                        TermStatus Base,
-                                       const std::vector<std::string> &Members,
-                                       PromotionContext &Context)
-    : Id(std::move(Id)), MemberCount(Members.size()),
+                                       const ReplacementMembers &Members,
+                                       bool Planned, PromotionContext &Context)
+    : Id(std::move(Id)), MemberCount(Members.All.size()), Planned(Planned),
       ClaimDeadline(Context.Now + Context.Times.ClaimLifetime),
       FenceDeadline(ClaimDeadline - Context.Times.FenceWait -
                     Context.Times.CallTimeout),
       Sent(std::move(Base)) {
   this->Sent.Claim = PromotionClaim{this->Id, Owner};
-  for (const std::string &Name : Members)
+  for (const std::string &Name : Members.All)
     if (Name != this->Sent.Primary)
-      this->Members.emplace(Name, Member());
+      this->Members[Name].Leaving = Members.Leaving.contains(Name);
   this->sendUpdate(Context);
 }
 
@@ -37,6 +37,7 @@
 std::optional<TermStatus> PrimaryReplacement::released() const {
   const bool Release = this->Failure == GiveUpReason::NoQuorum ||
                        this->Failure == GiveUpReason::FenceChanged ||
+                       this->Failure == GiveUpReason::NotCaughtUp ||
                        this->Failure == GiveUpReason::EvidenceWithdrawn;
   if (!Release)
     return std::nullopt;
@@ -62,6 +63,10 @@
   for (auto &[Name, M] : this->Members)
     if (M.Pending && Context.Now >= M.Pending->Deadline)
       M.Pending.reset();
+  if (this->Receiving) {
+    this->Receiving->expire(Context);
+    this->followCatchUp();
+  }
 }
 
 void PrimaryReplacement::advance(PromotionContext &Context) {
@@ -82,8 +87,18 @@
   case Step::Waiting:
     if (Context.Now < this->WaitUntil)
       return;
+    if (this->Planned) {
+      this->startCatchUp(Context);
+      return;
+    }
     this->Current = Step::Checking;
     break;
+  case Step::CatchingUp:
+    if (this->Receiving) {
+      this->Receiving->advance(Context);
+      return;
+    }
+    break;
   case Step::Checking:
     break;
   }
@@ -125,13 +140,19 @@
 
 void PrimaryReplacement::statusRead(const StatusRead &Answer,
                                     PromotionContext &Context) {
-  if (this->isOver() || !this->ReadBack || this->ReadBack->Call != Answer.Call)
+  const bool IsReadBack = this->ReadBack && this->ReadBack->Call == Answer.Call;
+  if (this->isOver() || (!IsReadBack && !this->Receiving))
     return;
   this->ReadBack.reset();
   if (!Answer.Status)
     return;
   const TermStatus &Read = *Answer.Status;
   this->observe(Read, Context);
+  if (this->Receiving && !this->isOver()) {
+    this->Receiving->statusRead(Answer);
+    this->followCatchUp();
+    return;
+  }
   const bool InUpdate =
       this->Current == Step::Claiming || this->Current == Step::Changing;
   if (this->isOver() || !InUpdate || this->Update)
@@ -167,7 +188,7 @@
   this->Update.reset();
   this->ReadBack.reset();
   this->Current = Step::Fencing;
-  if (!Context.Suspected)
+  if (!Context.Suspected && !this->Planned)
     this->fail(GiveUpReason::EvidenceWithdrawn);
 }
 
@@ -202,6 +223,11 @@
 
 void PrimaryReplacement::memberAnswered(const MemberAnswered &Answer,
                                         PromotionContext &Context) {
+  if (this->Receiving) {
+    this->Receiving->memberAnswered(Answer);
+    this->followCatchUp();
+    return;
+  }
   Member *M = this->isOver() ? nullptr : this->findMember(Answer.Call);
   if (M == nullptr)
     return;
@@ -221,6 +247,11 @@
 
 void PrimaryReplacement::memberPolled(const MemberPolled &Answer,
                                       PromotionContext &Context) {
+  if (this->Receiving) {
+    this->Receiving->memberPolled(Answer, Context);
+    this->followCatchUp();
+    return;
+  }
   Member *M = this->isOver() ? nullptr : this->findMember(Answer.Call);
   if (M == nullptr)
     return;
@@ -235,6 +266,9 @@
     M->Pending = PendingCall{0, Context.Now + FencePollInterval};
   if (this->Current == Step::Fencing && this->isFenceComplete())
     this->startWait(Context);
+  if (this->Current == Step::CatchingUp &&
+      this->countReached(Stage::Fenced) == this->Members.size())
+    this->Current = Step::Checking;
   if (this->Current == Step::Checking &&
       this->countReached(Stage::Checked) == this->Members.size())
     this->changeTerm(Context);
@@ -257,6 +291,8 @@
 bool PrimaryReplacement::isFenceComplete() const {
   if (this->countReached(Stage::Fenced) < fenceQuorum(this->MemberCount))
     return false;
+  if (this->Planned && this->chosen() == this->Members.end())
+    return false;
   const Term Newest = this->Claimed.History.newest();
   bool HasNewest = false;
   bool HasAll = true;
@@ -294,20 +330,58 @@
       [&](const auto &Entry) { return Entry.second.Reached == Reached; }));
 }
 
+bool PrimaryReplacement::mayBeChosen(const Member &M) const {
+  const bool IsFenced =
+      M.Reached == Stage::Fenced || M.Reached == Stage::Checked;
+  if (!this->Planned)
+    return IsFenced;
+  return IsFenced && !M.Leaving && M.Poll.Timeline == this->Claimed.timeline();
+}
+
+/// The highest position, then one that stays, then the first by name.
+std::map<std::string, PrimaryReplacement::Member>::const_iterator
+PrimaryReplacement::chosen() const {
+  auto Best = this->Members.end();
+  for (auto Each = this->Members.begin(); Each != this->Members.end(); ++Each) {
+    const Member &M = Each->second;
+    if (!this->mayBeChosen(M))
+      continue;
+    const auto RankOf = [](const Member &Ranked) {
+      return std::make_pair(
+          Position{Ranked.Poll.Timeline, Ranked.Poll.logEnd()},
+          !Ranked.Leaving);
+    };
+    if (Best == this->Members.end() || RankOf(Best->second) < RankOf(M))
+      Best = Each;
+  }
+  return Best;
+}
+
+void PrimaryReplacement::startCatchUp(PromotionContext &Context) {
+  this->Current = Step::CatchingUp;
+  const auto Best = this->chosen();
+  this->Receiving.emplace(this->Claimed, Best->first,
+                          Best->second.Poll.logEnd(),
+                          this->ClaimDeadline - Context.Times.CallTimeout);
+  this->Receiving->advance(Context);
+}
+
+void PrimaryReplacement::followCatchUp() {
+  if (this->Receiving->isFailed()) {
+    this->fail(GiveUpReason::NotCaughtUp);
+  } else if (this->Receiving->isDone()) {
+    // Fenced again, with the position that it has then.
+    this->Members[this->Receiving->member()].Reached = Stage::Fence;
+    this->Receiving.reset();
+  }
+}
+
 void PrimaryReplacement::changeTerm(PromotionContext &Context) {
   if (this->Claimed.History.newest() > this->Claimed.Current) {
     this->fail(GiveUpReason::BadLineage);
     return;
   }
-  const auto LogEnd = [](const Member &M) {
-    return Position{M.Poll.Timeline, M.Poll.logEnd()};
-  };
-  // Members are ordered by name and max_element returns the first of equals.
-  const auto Chosen =
-      std::max_element(this->Members.begin(), this->Members.end(),
-                       [&](const auto &A, const auto &B) {
-                         return LogEnd(A.second) < LogEnd(B.second);
-                       });
+  const auto Chosen = this->chosen();
   this->Sent = this->Claimed;
   this->Sent.Claim.reset();
   this->Sent.Current = this->Claimed.Current.next();
@@ -333,6 +407,8 @@
           millisecondsUntil(this->FenceDeadline, Now);
   if (this->Current == Step::Waiting)
     Text += " wait " + millisecondsUntil(this->WaitUntil, Now);
+  if (this->Receiving)
+    Text += this->Receiving->describe(Now);
   Text += describeCall("update", this->Update, Now) +
           describeCall("read", this->ReadBack, Now);
   for (const auto &[Name, M] : this->Members) {
--- a/src/libs/failover/primaryreplacement.h
+++ b/src/libs/failover/primaryreplacement.h
@@ -1,23 +1,32 @@
 #pragma once
 
+#include "catchup.h"
 #include "promotioncontext.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace lavenderdale {
 
+/// The members of a group as an attempt takes them.
+struct ReplacementMembers {
+  std::vector<std::string> All;  ///< The primary included.
+  std::set<std::string> Leaving; ///< Replace the primary only if they must.
+};
+
 /// One attempt to replace a primary: steps 2 to 6 of section 4.3 of the design
 /// page. It ends with the change of term, or with a reason why not.
 class PrimaryReplacement {
 public:
   /// Sends the claim.
   /// \param Base the status to claim; the version that the claim replaces.
-  /// \param Members all members of the group, the primary included.
+  /// \param Planned whether the primary is reachable and is replaced since it
+  /// is leaving: a member that stays must have received all of its log.
   PrimaryReplacement(std::string Id, const std::string &Owner, TermStatus Base,
-                     const std::vector<std::string> &Members,
+                     const ReplacementMembers &Members, bool Planned,
                      PromotionContext &Context);
 
   /// Abandons the attempt if the claim's deadline has passed, and counts calls
@@ -53,10 +62,18 @@
   std::string describe(TimePoint Now) const;
 
 private:
-  enum class Step { Claiming, Fencing, Waiting, Checking, Changing };
+  enum class Step {
+    Claiming,
+    Fencing,
+    Waiting,
+    Checking,
+    Changing,
+    CatchingUp, ///< Between Waiting and Checking, only if planned.
+  };
   enum class Stage { EndSessions, Fence, Verify, Fenced, Checked };
 
   struct Member {
+    bool Leaving = false;
     Stage Reached = Stage::EndSessions;
     std::optional<PendingCall> Pending;
     ReplicaPoll Poll; ///< Once fenced.
@@ -72,6 +89,10 @@
   bool isFenceComplete() const;
   void checkFence(Member &M, const ReplicaPoll &Poll);
   void startWait(PromotionContext &Context);
+  void startCatchUp(PromotionContext &Context);
+  void followCatchUp();
+  bool mayBeChosen(const Member &M) const;
+  std::map<std::string, Member>::const_iterator chosen() const;
   void changeTerm(PromotionContext &Context);
   void succeed(const TermStatus &Status);
   std::size_t countReached(Stage Reached) const;
@@ -80,6 +101,8 @@
   std::string Id;
   Step Current = Step::Claiming;
   std::size_t MemberCount;
+  bool Planned;
+  std::optional<CatchUp> Receiving; ///< While CatchingUp.
   TimePoint ClaimDeadline;
   TimePoint FenceDeadline;
   TimePoint WaitUntil;
--- a/src/libs/failover/promotion.cpp
+++ b/src/libs/failover/promotion.cpp
@@ -75,13 +75,22 @@
          Now - this->EvidenceAt <= EvidenceLifetime;
 }
 
+bool Promotion::canBePlanned(TimePoint Now) const {
+  return this->Members.Leaving.contains(this->Status->Primary) &&
+         std::ranges::any_of(this->Members.All, [&](const std::string &Name) {
+           return !this->Members.Leaving.contains(Name) &&
+                  this->Completion.followsPrimary(Name, *this->Status, Now);
+         });
+}
+
 std::vector<PromotionAction>
-Promotion::setMembers(std::vector<std::string> Members, TimePoint Now) {
+Promotion::setMembers(std::vector<std::string> Members, TimePoint Now,
+                      std::set<std::string> Leaving) {
   std::vector<PromotionAction> Actions;
-  if (Members == this->Members)
+  if (Members == this->Members.All && Leaving == this->Members.Leaving)
     return Actions;
   PromotionContext Context = this->context(Now, Actions);
-  this->Members = std::move(Members);
+  this->Members = {std::move(Members), std::move(Leaving)};
   this->Completion.cancel(Context);
   if (this->Attempt) {
     Context.emit(GiveUp{this->Attempt->id(), GiveUpReason::MembersChanged});
@@ -104,7 +113,7 @@
   this->startIfNeeded(Context);
   if (!this->Attempt && this->Status && !this->Status->Claim &&
       Now >= this->CompleteFrom) {
-    this->Completion.update(*this->Status, this->Members, Context);
+    this->Completion.update(*this->Status, this->Members.All, Context);
     this->completeIfNeeded(Context);
   }
   return Actions;
@@ -170,15 +179,18 @@
                                                 this->Times.ClaimLifetime;
   if (this->Status->Claim && !Stuck)
     return;
-  const bool CanFence = this->Completion.reachableReplicas(
-                            this->Members, this->Status->Primary,
-                            Context.Now) >= fenceQuorum(this->Members.size()) &&
-                        !this->Members.empty();
-  if (Context.Suspected && CanFence) {
+  const bool CanFence =
+      this->Completion.reachableReplicas(this->Members.All,
+                                         this->Status->Primary, Context.Now) >=
+          fenceQuorum(this->Members.All.size()) &&
+      !this->Members.All.empty();
+  const bool Planned = !Context.Suspected && this->canBePlanned(Context.Now);
+  if ((Context.Suspected || Planned) && CanFence) {
     this->Completion.cancel(Context);
     this->Attempt.emplace(this->Self + "/" + this->Instance + "/" +
                               std::to_string(++this->LastAttempt),
-                          this->Self, *this->Status, this->Members, Context);
+                          this->Self, *this->Status, this->Members, Planned,
+                          Context);
     return;
   }
   if (!Stuck)
--- a/src/libs/failover/promotion.h
+++ b/src/libs/failover/promotion.h
@@ -19,9 +19,12 @@
   /// \param Instance distinguishes runs of one host; part of attempt ids.
   Promotion(std::string Self, std::string Instance, PromotionTimes Times = {});
 
-  /// Sets the names of the group's members. A change abandons the attempt.
+  /// Sets the names of the group's members, and which of them are leaving. A
+  /// leaving primary is replaced, if a member that stays can take its place. A
+  /// change abandons the attempt.
   std::vector<PromotionAction> setMembers(std::vector<std::string> Members,
-                                          TimePoint Now);
+                                          TimePoint Now,
+                                          std::set<std::string> Leaving = {});
 
   /// Takes one event and returns what to do. Deadlines are checked first, so
   /// that a watcher that was paused acts on nothing that has expired.
@@ -52,11 +55,12 @@
   void refresh(PromotionContext &Context);
   void storeAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
   bool isSuspected(TimePoint Now) const;
+  bool canBePlanned(TimePoint Now) const;
 
   std::string Self;
   std::string Instance;
   PromotionTimes Times;
-  std::vector<std::string> Members;
+  ReplacementMembers Members;
   CallId LastCall = 0;
   unsigned LastAttempt = 0;
   unsigned Failures = 0; ///< Attempts since the last change of term.
--- a/src/libs/failover/promotionmessages.h
+++ b/src/libs/failover/promotionmessages.h
@@ -92,6 +92,15 @@
   Term InTerm;
 };
 
+/// Like PointMember, but with a primary_conninfo that gives no permission for
+/// writes.
+struct CatchUpMember {
+  CallId Call;
+  CallId Session;
+  std::string Member;
+  std::string Primary;
+};
+
 /// Close a session that is not used.
 struct CloseControlSession {
   CallId Session;
@@ -114,6 +123,7 @@
   BadLineage,        ///< The stored lineage has a term above the current one.
   MembersChanged,    ///< The group's members changed.
   EvidenceWithdrawn, ///< The primary is no longer suspected.
+  NotCaughtUp,       ///< Planned change: no replica received all in time.
 };
 
 struct GiveUp {
@@ -125,7 +135,7 @@
 using PromotionAction =
     std::variant<ReadStatus, ClaimStatus, ReleaseClaim, ChangeTerm,
                  CompleteTerm, EndControlSessions, FenceMember, PollMember,
-                 OpenControlSession, PromoteMember, PointMember,
+                 OpenControlSession, PromoteMember, PointMember, CatchUpMember,
                  CloseControlSession, Finished, GiveUp>;
 
 /// \name Events: what the shell reports.
--- a/src/libs/failover/termcompletion.cpp
+++ b/src/libs/failover/termcompletion.cpp
@@ -140,6 +140,17 @@
     this->drop(Entry, false, Context);
 }
 
+bool TermCompletion::followsPrimary(const std::string &Member,
+                                    const TermStatus &Status,
+                                    TimePoint Now) const {
+  const ReplicaPoll *Primary = this->lately(Status.Primary, Now);
+  const ReplicaPoll *Poll = this->lately(Member, Now);
+  return Primary != nullptr && !Primary->InRecovery && Poll != nullptr &&
+         Poll->InRecovery && Poll->Follows == Status.Primary &&
+         Primary->Timeline == Status.timeline() &&
+         Poll->Timeline == Status.timeline();
+}
+
 bool TermCompletion::isReplica(const std::string &Member, TimePoint Since,
                                TimePoint Now) const {
   const ReplicaPoll *Poll = this->lately(Member, Now);
--- a/src/libs/failover/termcompletion.h
+++ b/src/libs/failover/termcompletion.h
@@ -52,6 +52,11 @@
   bool isReplica(const std::string &Member, TimePoint Since,
                  TimePoint Now) const;
 
+  /// Whether the primary of \p Status answered lately, and \p Member did and
+  /// follows it on its timeline.
+  bool followsPrimary(const std::string &Member, const TermStatus &Status,
+                      TimePoint Now) const;
+
   /// \see Promotion::describe()
   std::string describe(TimePoint Now) const;
 
--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -372,7 +372,8 @@
                        UpstreamRole Role, std::optional<TimePoint> WaitUntil,
                        std::vector<Attempt> &Attempts) const {
   const auto *Member = Request.Members->upstream(Upstream);
-  if (!Member || Member->State == UpstreamState::Leaving)
+  if (!Member || (Member->State == UpstreamState::Leaving &&
+                  Role != UpstreamRole::Primary))
     return;
   std::vector<std::string> Holders = this->Fleet()->holders(*Member);
   // This host first: it saves a hop. Otherwise the two share the load.
--- a/src/libs/server/groupqueries.cpp
+++ b/src/libs/server/groupqueries.cpp
@@ -47,11 +47,18 @@
   return Text && (*Text == "t" || *Text == "1");
 }
 
+// Marks a primary_conninfo of a member that receives the last part of a log and
+// gives no permission. PostgreSQL passes the name on to the primary.
+constexpr std::string_view CatchUpName =
+    "application_name=lavenderdale-catch-up";
+
 std::string followedBy(const std::string &Conninfo, const Group &Members) {
   std::istringstream Words(Conninfo);
   std::string Host;
   std::string Port;
   for (std::string Word; Words >> Word;) {
+    if (Word == CatchUpName)
+      return {};
     if (Word.starts_with("host="))
       Host = Word.substr(5);
     if (Word.starts_with("port="))
@@ -73,6 +80,14 @@
   return Names;
 }
 
+std::set<std::string> leavingNames(const Group &Members) {
+  std::set<std::string> Names;
+  for (const Upstream &Member : Members.Upstreams)
+    if (Member.State == UpstreamState::Leaving)
+      Names.insert(Member.Name);
+  return Names;
+}
+
 Statement pollStatement() {
   return {"SELECT pg_is_in_recovery(),"
           " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn()"
@@ -149,6 +164,10 @@
          " user=" + Members.User;
 }
 
+std::string catchUpConninfoOf(const Upstream &Primary, const Group &Members) {
+  return conninfoOf(Primary, Members) + " " + std::string(CatchUpName);
+}
+
 Statement conninfoStatement(const std::string &Conninfo) {
   // ALTER SYSTEM takes no parameters. The text is made of catalogue values
   // that contain no quotes: addresses, ports and names.
--- a/src/libs/server/groupqueries.h
+++ b/src/libs/server/groupqueries.h
@@ -7,6 +7,7 @@
 #include "postgres/statement.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,9 @@
 /// Names of the members of a group.
 std::vector<std::string> memberNames(const Group &Members);
 
+/// Names of the members in state leaving.
+std::set<std::string> leavingNames(const Group &Members);
+
 /// Asks a member for its role, timeline, positions and whom it follows. Only
 /// functions and views that PostgreSQL documents are used.
 Statement pollStatement();
@@ -40,6 +44,10 @@
 Statement replayStatement();
 std::optional<Position> readReplay(const StatementResult &Result);
 
+/// primary_conninfo of a member that receives from \p Primary without giving
+/// permission for writes: readPoll() reports that it follows nobody.
+std::string catchUpConninfoOf(const Upstream &Primary, const Group &Members);
+
 /// primary_conninfo of a replica that follows \p Primary.
 std::string conninfoOf(const Upstream &Primary, const Group &Members);
 
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -84,11 +84,11 @@
     const bool Held = this->Duties.Held.contains(Member.Name);
     const auto Found = this->Upstreams.find(Member.Name);
     if (Found != this->Upstreams.end() && Held) {
-      Found->second->update(Member);
+      Found->second->update(this->effective(Member));
     } else if (Held) {
       auto Service = std::make_shared<UpstreamService>(
           this->Home, connectOptionsOf(this->Members, Member, "lavenderdale"),
-          Member);
+          this->effective(Member));
       Service->start();
       this->Upstreams[Member.Name] = std::move(Service);
     }
@@ -109,6 +109,13 @@
   this->startMonitors();
 }
 
+// A leaving primary serves until another member has replaced it.
+Upstream GroupService::effective(Upstream Member) const {
+  if (Member.Name == this->Status.Primary)
+    Member.State = UpstreamState::Serving;
+  return Member;
+}
+
 void GroupService::startMonitors() {
   const bool Needed = this->Duties.polls(this->Status.Primary);
   // Requests and transactions that began before the duties ended need the polls
@@ -170,6 +177,11 @@
       .add(First ? 0 : 1);
   logInfo("group " + this->Members.Name + ": term " +
           std::to_string(Seen.Current.Value) + ", primary " + Seen.Primary);
+  for (const Upstream &Member : this->Members.Upstreams) {
+    const auto Held = this->Upstreams.find(Member.Name);
+    if (Held != this->Upstreams.end())
+      Held->second->update(this->effective(Member));
+  }
   this->Detector.primaryChanged(Seen.Current, now(), First);
   this->startMonitors();
   this->publish();
@@ -324,7 +336,7 @@
   const auto Found = this->LastReports.find(Member.Name);
   const bool Fresh = Found != this->LastReports.end() && Found->second.Poll &&
                      Now - Found->second.SentAt < ReportLifetime;
-  if (Member.State == UpstreamState::Leaving)
+  if (this->effective(Member).State == UpstreamState::Leaving)
     View.State = UpstreamAvailability::Leaving;
   else if (!Fresh)
     View.State = UpstreamAvailability::Unreachable;
--- a/src/libs/server/groupservice.h
+++ b/src/libs/server/groupservice.h
@@ -84,6 +84,7 @@
   boost::asio::awaitable<void> tickLoop();
   void applyStatus(const TermStatus &Seen);
   void applyDuties();
+  Upstream effective(Upstream Member) const;
   void startMonitors();
   void polled(const PollReport &Report);
   void primaryPolled(const PollReport &Report);
--- a/src/libs/server/promotiondriver.cpp
+++ b/src/libs/server/promotiondriver.cpp
@@ -67,6 +67,15 @@
                        {conninfoStatement(conninfoOf(*Primary, Driver.Members)),
                         reloadStatement()}));
   }
+  void operator()(const CatchUpMember &Action) {
+    const Upstream *Primary = Driver.Members.upstream(Action.Primary);
+    if (!Primary)
+      return;
+    Driver.spawn(Driver.command(
+        Action.Call, Action.Session,
+        {conninfoStatement(catchUpConninfoOf(*Primary, Driver.Members)),
+         reloadStatement()}));
+  }
   void operator()(const CloseControlSession &Action) {
     Driver.Open.erase(Action.Session);
   }
@@ -88,12 +97,13 @@
     : Home(Home), Host(Host), Members(Members), Store(Store),
       Poll(std::move(Poll)), OnStatus(std::move(OnStatus)),
       Machine(std::move(Host), std::to_string(std::random_device{}())) {
-  this->Machine.setMembers(memberNames(Members), now());
+  this->Machine.setMembers(memberNames(Members), now(), leavingNames(Members));
 }
 
 void PromotionDriver::setMembers(const Group &NewMembers) {
   this->Members = NewMembers;
-  this->perform(this->Machine.setMembers(memberNames(NewMembers), now()));
+  this->perform(this->Machine.setMembers(memberNames(NewMembers), now(),
+                                         leavingNames(NewMembers)));
 }
 
 void PromotionDriver::handle(const PromotionEvent &Event) {
--- a/tests/auto/failover/promotionmodel.cpp
+++ b/tests/auto/failover/promotionmodel.cpp
@@ -112,7 +112,10 @@
   for (unsigned I = 0; I < Limits.Watchers; ++I) {
     this->Watchers.emplace_back("w" + std::to_string(I), "1",
                                 modelTimes(Faults));
-    this->Watchers.back().setMembers(AllNames, this->Now);
+    this->Watchers.back().setMembers(AllNames, this->Now,
+                                     Limits.PrimaryLeaving
+                                         ? std::set<std::string>{Names[0]}
+                                         : std::set<std::string>());
     this->Texts.push_back(this->Watchers.back().describe(this->Now) + " ");
   }
   this->Holders.emplace_back().setView({Term{1}, Names[0], AllNames, Term{1}});
@@ -138,7 +141,7 @@
   Poll.InRecovery = M.InRecovery;
   Poll.PrimaryConninfoSet = !M.Follows.empty();
   Poll.ReceiverRunning = !M.Follows.empty();
-  Poll.Follows = M.Follows;
+  Poll.Follows = M.CatchesUp ? "" : M.Follows;
   return Poll;
 }
 
@@ -193,11 +196,12 @@
   PromotionEvent operator()(const FenceMember &A) const {
     Member &M = W.member(A.Member);
     M.Follows.clear();
+    M.CatchesUp = false;
     return MemberAnswered{A.Call, M.InRecovery};
   }
   PromotionEvent operator()(const PollMember &A) const {
     ReplicaPoll Poll = W.poll(W.member(A.Member));
-    if (W.Faults.PositionsHidden)
+    if (W.Faults.PositionsHidden || (W.Faults.NoCatchUp && !Poll.InRecovery))
       Poll.ReceivePosition = {};
     return MemberPolled{A.Call, Poll};
   }
@@ -223,6 +227,15 @@
     if (M.Sessions.erase({Sender, A.Session}) == 0 || !M.InRecovery)
       return MemberAnswered{A.Call, false};
     M.Follows = A.Primary;
+    M.CatchesUp = false;
+    return MemberAnswered{A.Call, true};
+  }
+  PromotionEvent operator()(const CatchUpMember &A) const {
+    Member &M = W.member(A.Member);
+    if (M.Sessions.erase({Sender, A.Session}) == 0 || !M.InRecovery)
+      return MemberAnswered{A.Call, false};
+    M.Follows = A.Primary;
+    M.CatchesUp = true;
     return MemberAnswered{A.Call, true};
   }
   template <typename T> PromotionEvent operator()(const T & /*Report*/) const {
@@ -332,6 +345,7 @@
   M.Log = From.Log;
   M.Timeline = From.Timeline;
   M.Follows = From.Name;
+  M.CatchesUp = false;
   M.Sessions.clear();
 }
 
@@ -435,7 +449,8 @@
   case Step::Kind::Tick:
     if (Limits.Ticks != Bounds::Unlimited)
       --this->Left.Ticks;
-    this->tick(S.Index, this->Status.Current.Value < Limits.MaxTerm);
+    this->tick(S.Index, !Limits.PrimaryLeaving &&
+                            this->Status.Current.Value < Limits.MaxTerm);
     break;
   case QuietTick:
     --this->Left.QuietTicks;
@@ -567,8 +582,12 @@
   if (this->Status.Current > View.Current &&
       MayAcknowledge(0, AcknowledgeMode::Primary))
     this->violate("acknowledgement after the change of term");
+  // A planned change loses no write that the primary alone acknowledged.
+  const AcknowledgeMode Kept = this->Left.PrimaryLeaving
+                                   ? AcknowledgeMode::Primary
+                                   : AcknowledgeMode::Replica;
   for (std::size_t I = 0; IsPrimary && I < Primary.Log.size(); ++I)
-    if (MayAcknowledge(I + 1, AcknowledgeMode::Replica))
+    if (MayAcknowledge(I + 1, Kept))
       this->Acknowledged.insert(Primary.Log[I]);
 }
 
@@ -603,7 +622,8 @@
                     std::to_string(this->Left.Ticks);
   for (const Member &M : this->Members) {
     Key += "|" + M.Name + (M.InRecovery ? "r" : "p") + (M.Dead ? "d" : "") +
-           std::to_string(M.Timeline.Value) + M.Follows + ":";
+           std::to_string(M.Timeline.Value) + M.Follows +
+           (M.CatchesUp ? "c" : "") + ":";
     for (const unsigned Write : M.Log)
       Key += std::to_string(Write) + ",";
   }
--- a/tests/auto/failover/promotionmodel.h
+++ b/tests/auto/failover/promotionmodel.h
@@ -15,6 +15,7 @@
   bool NoFenceWait = false;
   bool SessionsSurvive = false; ///< EndControlSessions does nothing.
   bool FollowsIgnored = false;  ///< Permission from any conninfo.
+  bool NoCatchUp = false;       ///< A caught-up position is made up.
   bool PositionsHidden = false; ///< Fenced members report position 0.
   bool VersionsIgnored = false; ///< The platform stores every update.
 };
@@ -31,10 +32,11 @@
   unsigned Rejoins = 0; ///< Old primaries rebuilt as replicas.
   unsigned Deaths = 0;  ///< Of chosen members before their promotion is stored.
   unsigned MaxTerm = 2; ///< Primaries of lower terms are suspected.
-  unsigned Ticks = Unlimited; ///< Of watchers that find the primary suspect.
-  unsigned QuietTicks = 0;    ///< Ticks of a watcher with no suspicion.
-  bool ReplicaAhead = false;  ///< db-c has a write that db-b lacks.
-  bool LeftFenced = false;    ///< An abandoned attempt left db-b fenced.
+  unsigned Ticks = Unlimited;  ///< Of watchers that find the primary suspect.
+  unsigned QuietTicks = 0;     ///< Ticks of a watcher with no suspicion.
+  bool PrimaryLeaving = false; ///< db-a is leaving, and not suspected.
+  bool ReplicaAhead = false;   ///< db-c has a write that db-b lacks.
+  bool LeftFenced = false;     ///< An abandoned attempt left db-b fenced.
 };
 
 constexpr std::chrono::milliseconds TimeStep{400};
@@ -96,6 +98,7 @@
     Term Timeline{1};
     std::vector<unsigned> Log; ///< Numbers of writes; the size is the position.
     std::string Follows;
+    bool CatchesUp = false; ///< Receives without giving permission.
     std::set<std::pair<std::size_t, CallId>> Sessions;
   };
   struct Request {
--- a/tests/auto/failover/tst_promotion.cpp
+++ b/tests/auto/failover/tst_promotion.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace lavenderdale;
 using namespace std::chrono_literals;
 
@@ -76,6 +78,38 @@
   }
 }
 
+// Guards against a leaving primary that stays although it can be replaced, and
+// against one that is replaced by nobody, by a member that leaves too, or by
+// one that does not follow it.
+TEST_CASE("a leaving primary is replaced if a member stays", "[fencing]") {
+  const auto Claims = [](std::set<std::string> Leaving,
+                         const std::string &Follows) {
+    Promotion P("h1", "1");
+    P.setMembers({"db-a", "db-b", "db-c"}, Start, std::move(Leaving));
+    P.handle(StatusSeen{secondTerm()}, Start);
+    ReplicaPoll Primary = fencedPoll("db-a", Term{2}, 100);
+    Primary.InRecovery = false;
+    P.handle(MemberSeen{Primary}, Start);
+    std::vector<PromotionAction> Actions;
+    for (const char *Name : {"db-b", "db-c"}) {
+      ReplicaPoll Replica = fencedPoll(Name, Term{2}, 90);
+      Replica.PrimaryConninfoSet = Replica.ReceiverRunning = true;
+      Replica.Follows = Follows;
+      const auto More = P.handle(MemberSeen{Replica}, Start);
+      Actions.insert(Actions.end(), More.begin(), More.end());
+    }
+    return std::ranges::any_of(Actions, [](const PromotionAction &A) {
+      return std::holds_alternative<ClaimStatus>(A);
+    });
+  };
+  CHECK(Claims({"db-a"}, "db-a"));
+  CHECK(Claims({"db-a", "db-c"}, "db-a"));
+  CHECK_FALSE(Claims({}, "db-a"));
+  CHECK_FALSE(Claims({"db-b", "db-c"}, "db-a"));
+  CHECK_FALSE(Claims({"db-a", "db-b", "db-c"}, "db-a"));
+  CHECK_FALSE(Claims({"db-a"}, ""));
+}
+
 // Guards against a promoter that acts on an answer to an earlier attempt, or
 // after its claim's deadline.
 TEST_CASE("late answers change nothing", "[fencing]") {
--- a/tests/auto/failover/tst_promotionexploration.cpp
+++ b/tests/auto/failover/tst_promotionexploration.cpp
@@ -94,6 +94,14 @@
   return Limits;
 }
 
+Bounds plannedChange() {
+  Bounds Limits;
+  Limits.Watchers = 1;
+  Limits.TimeSteps = 2;
+  Limits.PrimaryLeaving = true;
+  return Limits;
+}
+
 /// A replica-acknowledged write is in db-c only; db-b would win by name.
 Bounds severalWatchers(unsigned Watchers, unsigned Ticks) {
   Bounds Limits;
@@ -176,6 +184,16 @@
   requireSafe("1 watcher", oneWatcher());
 }
 
+// Guards against an order in which the planned replacement of a leaving primary
+// loses a write that was acknowledged, by the primary alone or with a replica.
+TEST_CASE("every order of a planned change is safe", "[fencing]") {
+  requireSafe("planned change", plannedChange());
+  Defects NoCatchUp;
+  NoCatchUp.NoCatchUp = true;
+  CHECK(violationWith(plannedChange(), NoCatchUp) ==
+        "acknowledged write missing from the chosen primary");
+}
+
 // Guards against the same with watchers that compete for the claim.
 TEST_CASE("every order with two and three watchers is safe", "[fencing]") {
   requireSafe("2 watchers", severalWatchers(2, Bounds::Unlimited));
@@ -281,6 +299,31 @@
   }
 }
 
+// Guards against the same with watchers that compete for a planned change.
+TEST_CASE("random orders of a planned change are safe", "[fencing]") {
+  const unsigned Runs =
+      fromEnvironment("LAVENDERDALE_RANDOM_RUNS", DefaultRandomRuns) / 2;
+  const unsigned FirstSeed = fromEnvironment("LAVENDERDALE_SEED", 1);
+  unsigned Changes = 0;
+  for (unsigned Seed = FirstSeed; Seed < FirstSeed + Runs; ++Seed) {
+    INFO("seed " << Seed);
+    std::mt19937_64 Random(Seed);
+    Bounds Limits = randomBounds(Seed % 2 == 0 ? 3 : 5);
+    Limits.PrimaryLeaving = true;
+    // A write that only the dead member has received is lost with it.
+    Limits.Deaths = 0;
+    World W(Limits, {});
+    runRandomly(W, Random, 400);
+    W.settle(40);
+    INFO(W.violation());
+    REQUIRE(W.violation().empty());
+    REQUIRE(W.isWritable());
+    Changes += W.term() > Term{1} ? 1 : 0;
+  }
+  std::cout << Runs << " random runs, " << Changes << " planned changes\n";
+  CHECK(Changes > Runs / 4);
+}
+
 // Guards against a check for two primaries that can never fail: a platform
 // that ignores versions lets two attempts choose different primaries.
 TEST_CASE("random orders find a platform that ignores versions", "[fencing]") {
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -61,6 +61,7 @@
     daemon: Daemon
     key: str
     first: int
+    route_name: str = "cuts"
     acknowledged: list = field(default_factory=list)
     not_run: list = field(default_factory=list)
     unknown: list = field(default_factory=list)
@@ -82,7 +83,7 @@
     def write(self, number: int):
         try:
             answer = self.cluster.execute(
-                self.daemon, "cuts", "INSERT INTO writes VALUES ($1, 'load')", [number],
+                self.daemon, self.route_name, "INSERT INTO writes VALUES ($1, 'load')", [number],
                 key=self.key, deadline=1000)
         except (OSError, ValueError):
             self.unknown.append(number)
--- a/tests/process/test_failover.py
+++ b/tests/process/test_failover.py
@@ -2,7 +2,8 @@
 import unittest
 
 from cluster import Cluster, wait_until
-from fleet import INIT_SQL, Writer, check_writes, start, written_ids
+from fleet import (INIT_SQL, Writer, catalogue, check_writes, route, start,
+                   written_ids)
 
 
 class FailoverTest(unittest.TestCase):
@@ -49,6 +50,30 @@
         self.run_fault(lambda database: database.process.pause(),
                        lambda database: database.process.resume())
 
+    def test_leaving_primary_is_replaced(self):
+        """Guards against writes that stop or are lost when an operator marks the primary
+        as leaving."""
+        with Cluster(init_sql=INIT_SQL, hosts={"h1": "d1", "h2": "d2", "h3": "d3"}) as cluster:
+            key = start(cluster, catalogue() + [route("plain", acknowledge="primary")])
+            writers = [Writer(cluster, cluster.daemons["h1"], key, 1),
+                       Writer(cluster, cluster.daemons["h2"], key, 1000000, "plain")]
+            for writer in writers:
+                writer.wait_for_more(20)
+            spec = cluster.get("groups", "orders")["spec"]
+            for member in spec["upstreams"]:
+                if member["name"] == "orders-1":
+                    member["state"] = "leaving"
+            cluster.apply([("Group", "orders", spec)])
+            wait_until("another primary is in force",
+                       lambda: cluster.get("groups", "orders")["status"]["primary"] != "orders-1")
+            for writer in writers:
+                writer.wait_for_more(20)
+            cluster.databases["orders-1"].process.kill()
+            for writer in writers:
+                writer.wait_for_more(20)
+                writer.stop()
+            check_writes(self, writers, written_ids(cluster, cluster.daemons["h3"], key))
+
     def test_replication_cut_while_daemons_reach_the_primary(self):
         """Guards against an acknowledgement on a route that waits for a replica while no
         replica receives the write; the primary dies with these writes."""
