--- a/src/libs/consistency/attemptplan.cpp
+++ b/src/libs/consistency/attemptplan.cpp
@@ -8,7 +8,8 @@
 void addPlaces(const ReadCandidate &Candidate, const PlacesOf &Places,
                const std::string &OwnHost, std::vector<Attempt> &Attempts) {
   std::optional<UpstreamPlaces> At = Places(Candidate.Upstream);
-  if (!At || At->IsLeaving)
+  // A leaving primary serves until a planned change has replaced it.
+  if (!At || (At->IsLeaving && Candidate.Role != UpstreamRole::Primary))
     return;
   // This host first: it saves a hop. Otherwise the two share the load.
   const auto Own = std::find(At->Holders.begin(), At->Holders.end(), OwnHost);
--- a/src/libs/consistency/attemptplan.h
+++ b/src/libs/consistency/attemptplan.h
@@ -22,7 +22,8 @@
 
 /// Where an upstream is reached.
 struct UpstreamPlaces {
-  bool IsLeaving = false; ///< In the catalogue: it gets no new work.
+  /// In the catalogue: it gets no new work, unless it is the primary.
+  bool IsLeaving = false;
   std::vector<std::string> Holders;
 };
 
--- a/src/libs/failover/promotion.h
+++ b/src/libs/failover/promotion.h
@@ -19,9 +19,12 @@
   /// \param Instance distinguishes runs of one host; part of attempt ids.
   Promotion(std::string Self, std::string Instance, PromotionTimes Times = {});
 
-  /// Sets the names of the group's members. A change abandons the attempt.
+  /// Sets the names of the group's members, and which of them are leaving. A
+  /// leaving primary is replaced, if a member that stays can take its place. A
+  /// change abandons the attempt.
   std::vector<PromotionAction> setMembers(std::vector<std::string> Members,
-                                          TimePoint Now);
+                                          TimePoint Now,
+                                          std::set<std::string> Leaving = {});
 
   /// Takes one event and returns what to do. Deadlines are checked first, so
   /// that a watcher that was paused acts on nothing that has expired.
@@ -47,20 +50,23 @@
   void noteStatus(const TermStatus &Seen, bool Own, PromotionContext &Context);
   void settleAttempt(PromotionContext &Context);
   void startIfNeeded(PromotionContext &Context);
+  void completeIfNeeded(PromotionContext &Context);
   void release(TermStatus Unclaimed, PromotionContext &Context);
   void refresh(PromotionContext &Context);
-  void releaseAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
+  void storeAnswered(const UpdateAnswered &Answer, PromotionContext &Context);
   bool isSuspected(TimePoint Now) const;
+  bool canBePlanned(TimePoint Now) const;
 
   std::string Self;
   std::string Instance;
   PromotionTimes Times;
-  std::vector<std::string> Members;
+  ReplacementMembers Members;
   CallId LastCall = 0;
   unsigned LastAttempt = 0;
   unsigned Failures = 0; ///< Attempts since the last change of term.
 
   std::optional<TermStatus> Status;
+  TimePoint StatusSeenAt;
   TimePoint ClaimSeenAt;
   TimePoint CompleteFrom; ///< When this watcher may complete the status.
   TimePoint AttemptFrom;  ///< End of the pause after an attempt.
@@ -69,8 +75,8 @@
 
   std::optional<PrimaryReplacement> Attempt;
   TermCompletion Completion;
-  std::optional<PendingCall> Release;
-  TermStatus Released; ///< What Release stores.
+  std::optional<PendingCall> Storing; ///< Release of a claim, or completion.
+  TermStatus Stored;                  ///< What Storing stores.
   std::optional<PendingCall> Refresh;
 };
 
--- a/src/libs/failover/promotionmessages.h
+++ b/src/libs/failover/promotionmessages.h
@@ -37,6 +37,12 @@
   CallId Call;
   TermStatus Status;
 };
+/// Records the timeline of the promoted primary, or that replaced ones may
+/// follow it.
+struct CompleteTerm {
+  CallId Call;
+  TermStatus Status;
+};
 
 /// End all control sessions on the member, this host's included, except the
 /// one that runs this command, and see that they are gone. Answer:
@@ -86,6 +92,15 @@
   Term InTerm;
 };
 
+/// Like PointMember, but with a primary_conninfo that gives no permission for
+/// writes.
+struct CatchUpMember {
+  CallId Call;
+  CallId Session;
+  std::string Member;
+  std::string Primary;
+};
+
 /// Close a session that is not used.
 struct CloseControlSession {
   CallId Session;
@@ -108,6 +123,7 @@
   BadLineage,        ///< The stored lineage has a term above the current one.
   MembersChanged,    ///< The group's members changed.
   EvidenceWithdrawn, ///< The primary is no longer suspected.
+  NotCaughtUp,       ///< Planned change: no replica received all in time.
 };
 
 struct GiveUp {
@@ -118,8 +134,8 @@
 
 using PromotionAction =
     std::variant<ReadStatus, ClaimStatus, ReleaseClaim, ChangeTerm,
-                 EndControlSessions, FenceMember, PollMember,
-                 OpenControlSession, PromoteMember, PointMember,
+                 CompleteTerm, EndControlSessions, FenceMember, PollMember,
+                 OpenControlSession, PromoteMember, PointMember, CatchUpMember,
                  CloseControlSession, Finished, GiveUp>;
 
 /// \name Events: what the shell reports.
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -91,11 +91,11 @@
     const bool Held = this->Duties.Held.contains(Member.Name);
     const auto Found = this->Upstreams.find(Member.Name);
     if (Found != this->Upstreams.end() && Held) {
-      Found->second->update(Member);
+      Found->second->update(this->effective(Member));
     } else if (Held) {
       auto Service = std::make_shared<UpstreamService>(
           this->Home, connectOptionsOf(this->Members, Member, "lavenderdale"),
-          Member,
+          this->effective(Member),
           this->Context.Config.Experiment.Queue == "fifo" ? fifoDiscipline()
                                                           : fairDiscipline());
       Service->start();
@@ -112,11 +112,19 @@
     Entry->second->retire();
     Entry = this->Upstreams.erase(Entry);
   }
-  this->Permission.setView(
-      {this->Status.Current, this->Status.Primary, memberNames(this->Members)});
+  this->Permission.setView({this->Status.Current, this->Status.Primary,
+                            memberNames(this->Members),
+                            this->Status.timeline()});
   this->startMonitors();
 }
 
+// A leaving primary serves until another member has replaced it.
+Upstream GroupService::effective(Upstream Member) const {
+  if (Member.Name == this->Status.Primary)
+    Member.State = UpstreamState::Serving;
+  return Member;
+}
+
 void GroupService::startMonitors() {
   const bool Needed = this->Duties.polls(this->Status.Primary);
   // Requests and transactions that began before the duties ended need the polls
@@ -159,11 +167,16 @@
   if (Seen.Version <= this->Status.Version)
     return;
   const bool Changed = Seen.Current != this->Status.Current;
+  const bool Completed = !Changed && Seen.timeline() != this->Status.timeline();
   const bool First = this->Status.Current.Value == 0;
   const auto Replaced = this->Upstreams.find(this->Status.Primary);
   if (Changed && Replaced != this->Upstreams.end())
     Replaced->second->refuseWaiting();
   this->Status = Seen;
+  this->Permission.setView({Seen.Current, Seen.Primary,
+                            memberNames(this->Members), Seen.timeline()});
+  if (Completed)
+    this->publish();
   if (!Changed)
     return;
   this->Context.Metrics
@@ -173,9 +186,12 @@
       .add(First ? 0 : 1);
   logInfo("group " + this->Members.Name + ": term " +
           std::to_string(Seen.Current.Value) + ", primary " + Seen.Primary);
+  for (const Upstream &Member : this->Members.Upstreams) {
+    const auto Held = this->Upstreams.find(Member.Name);
+    if (Held != this->Upstreams.end())
+      Held->second->update(this->effective(Member));
+  }
   this->Detector.primaryChanged(Seen.Current, now(), First);
-  this->Permission.setView(
-      {Seen.Current, Seen.Primary, memberNames(this->Members)});
   this->startMonitors();
   this->publish();
 }
@@ -204,7 +220,8 @@
   case PollEnd::Answered:
     break;
   }
-  if (Report.Poll->InRecovery || Report.Poll->Timeline != this->Status.Current)
+  if (Report.Poll->InRecovery ||
+      Report.Poll->Timeline != this->Status.timeline())
     return;
   this->Detector.pollAnswered(Report.SentAt, now());
   this->Ages.primaryPolled(
@@ -328,7 +345,7 @@
   const auto Found = this->LastReports.find(Member.Name);
   const bool Fresh = Found != this->LastReports.end() && Found->second.Poll &&
                      Now - Found->second.SentAt < ReportLifetime;
-  if (Member.State == UpstreamState::Leaving)
+  if (this->effective(Member).State == UpstreamState::Leaving)
     View.State = UpstreamAvailability::Leaving;
   else if (!Fresh)
     View.State = UpstreamAvailability::Unreachable;
--- a/tests/auto/faultmatrix/groupfake.h
+++ b/tests/auto/faultmatrix/groupfake.h
@@ -122,6 +122,7 @@
   void start(Write &W);
   void decide(Write &W);
   void changed(const TermStatus &New);
+  void completed(const TermStatus &New);
   void violate(const std::string &What);
 
   GroupFakeOptions Options;
