Prepare the statements of polls and replica reads

Cause: a poll sent 434 bytes of SQL ten times a second to each member. A replica read ran two position statements besides its own, each parsed anew, in three groups that libpq sent one by one; in the stand-in one of them took 170 us more than "SELECT 1".

Change: a statement may have a name. A session prepares it at its first use, and again after DISCARD ALL, DEALLOCATE ALL or SQLSTATE 26000. The poll and the replay position have names. The second position of a read is in the group of its statement, and a read without it is refused as behind instead of answered without a position. The groups of a round trip leave in one segment. The position after a write is still text, since the caller's own statement can drop prepared ones. The database stand-in keeps the plan of a named statement and refuses a taken name, as PostgreSQL does.

Tests: postgres, server, process tests failover, repeat, session, transactions and stop pass.

--- a/src/libs/postgres/postgresconnection.cpp
+++ b/src/libs/postgres/postgresconnection.cpp
@@ -1,6 +1,7 @@
 #include "postgresconnection.h"
 
 #include "base/softassert.h"
+#include "preparedstatements.h"
 #include "resultcollector.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -11,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <libpq-fe.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -65,21 +68,46 @@
   return success();
 }
 
-bool sendStatement(PGconn *Connection, const Statement &Sent) {
+bool sendStatement(PGconn *Connection, const SentStatement &Entry) {
+  const Statement &Sent = *Entry.What;
+  if (Entry.IsPreparation)
+    return PQsendPrepare(Connection, Sent.Name.c_str(), Sent.Sql.c_str(), 0,
+                         nullptr) == 1;
   std::vector<const char *> Values;
   Values.reserve(Sent.Params.size());
   for (const auto &Param : Sent.Params)
     Values.push_back(Param ? Param->c_str() : nullptr);
+  if (!Sent.Name.empty())
+    return PQsendQueryPrepared(Connection, Sent.Name.c_str(),
+                               static_cast<int>(Values.size()), Values.data(),
+                               nullptr, nullptr, 0) == 1;
   return PQsendQueryParams(Connection, Sent.Sql.c_str(),
                            static_cast<int>(Values.size()), nullptr,
                            Values.data(), nullptr, nullptr, 0) == 1;
 }
 
+// Holds back partial segments while it exists. libpq writes to the socket at
+// each sync, and every segment would wake the database separately.
+class SegmentJoiner {
+public:
+  explicit SegmentJoiner(int Socket) : Socket(Socket) { this->set(1); }
+  SegmentJoiner(const SegmentJoiner &) = delete;
+  SegmentJoiner &operator=(const SegmentJoiner &) = delete;
+  ~SegmentJoiner() { this->set(0); }
+
+private:
+  void set(int On) const {
+    ::setsockopt(this->Socket, IPPROTO_TCP, TCP_CORK, &On, sizeof(On));
+  }
+
+  int Socket;
+};
+
 // Sends every group followed by a sync. libpq may write to the socket early.
-bool sendGroups(PGconn *Connection,
-                const std::vector<std::vector<Statement>> &Groups) {
+bool sendGroups(PGconn *Connection, const SentGroups &Groups) {
+  const SegmentJoiner Joiner(PQsocket(Connection));
   for (const auto &Group : Groups) {
-    for (const Statement &Sent : Group)
+    for (const SentStatement &Sent : Group)
       if (!sendStatement(Connection, Sent))
         return false;
     if (PQpipelineSync(Connection) != 1)
@@ -142,6 +170,7 @@
   asio::posix::stream_descriptor Descriptor;
   asio::steady_timer Timer;
   PGconn *Connection = nullptr;
+  PreparedStatements Prepared;
   std::uint64_t ArmCount = 0; // Tells a late timer handler from the current.
   bool Expired = false;
   bool Busy = false;
@@ -270,18 +299,21 @@
     co_return failure(ErrorKind::Unavailable,
                       "the database had closed the connection");
   }
-  ResultCollector Collector(Groups, MaxResultBytes);
+  const SentGroups Sent = Shared->Prepared.plan(Groups);
+  ResultCollector Collector(Sent, MaxResultBytes);
   if (Collector.isComplete())
     co_return Collector.release();
 
   ExchangeGuard<State> Guard(*Shared);
   Shared->arm(Deadline);
-  if (!sendGroups(Shared->Connection, Groups))
+  if (!sendGroups(Shared->Connection, Sent))
     co_return unknownOutcome(trimmed(PQerrorMessage(Shared->Connection)));
   PQsetSingleRowMode(Shared->Connection);
   BOOST_OUTCOME_CO_TRY(co_await exchange(Shared, Collector));
-  Guard.complete();
-  co_return Collector.release();
+  auto Results = Shared->Prepared.take(Sent, Collector.release());
+  if (!Shared->Prepared.hasConflict())
+    Guard.complete();
+  co_return Results;
 }
 
 template <typename State>
--- a/src/libs/postgres/postgresconnection.h
+++ b/src/libs/postgres/postgresconnection.h
@@ -38,6 +38,11 @@
   /// statements of its group are skipped and have AbortedSqlState; the next
   /// group runs again. One run at a time.
   ///
+  /// A statement with a name is prepared in the same round trip if this
+  /// connection has not done so. If the session no longer has it (SQLSTATE
+  /// 26000) that use fails, and the next one prepares it again. If the name is
+  /// taken by a statement of somebody else, the connection is broken after it.
+  ///
   /// Errors after which the connection is unchanged, nothing was sent:
   /// - BadRequest: a zero byte in a text, or more than 65,535 parameters.
   /// - DeadlineExceeded: \p Deadline had passed before the call.
--- a/src/libs/postgres/resultcollector.cpp
+++ b/src/libs/postgres/resultcollector.cpp
@@ -63,8 +63,7 @@
 
 } // namespace
 
-ResultCollector::ResultCollector(
-    const std::vector<std::vector<Statement>> &Groups, std::size_t MaxBytes)
+ResultCollector::ResultCollector(const SentGroups &Groups, std::size_t MaxBytes)
     : BytesLeft(MaxBytes) {
   this->Results.reserve(Groups.size());
   for (const auto &Statements : Groups)
--- a/src/libs/postgres/resultcollector.h
+++ b/src/libs/postgres/resultcollector.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/result.h"
-#include "statement.h"
+#include "preparedstatements.h"
 
 #include <cstddef>
 #include <vector>
@@ -13,10 +13,9 @@
 /// Sorts the results of one exchange into groups and statements.
 class ResultCollector {
 public:
-  /// \param Groups the statements that were sent.
+  /// \param Groups what was sent; each entry has a result.
   /// \param MaxBytes limit of all rows together, see PostgresConnection::run().
-  ResultCollector(const std::vector<std::vector<Statement>> &Groups,
-                  std::size_t MaxBytes);
+  ResultCollector(const SentGroups &Groups, std::size_t MaxBytes);
 
   /// Takes the next value of PQgetResult() and frees it; null ends a statement.
   /// \returns an error if the exchange cannot go on.
--- a/src/libs/postgres/statement.h
+++ b/src/libs/postgres/statement.h
@@ -13,6 +13,9 @@
 struct Statement {
   std::string Sql;
   std::vector<std::optional<std::string>> Params;
+  /// If set, the connection prepares the statement under this name at its first
+  /// use and sends only the name later. One name always has the same text.
+  std::string Name = {};
 };
 
 /// An error reported by the database.
--- a/src/libs/server/groupqueries.cpp
+++ b/src/libs/server/groupqueries.cpp
@@ -84,7 +84,8 @@
           " (SELECT received_tli FROM pg_stat_wal_receiver),"
           " (SELECT timeline_id FROM pg_control_checkpoint()),"
           " current_setting('primary_conninfo')",
-          {}};
+          {},
+          "ld_poll"};
 }
 
 std::optional<ReplicaPoll> readPoll(const StatementResult &Result,
@@ -134,7 +135,8 @@
           " COALESCE((SELECT received_tli FROM pg_stat_wal_receiver),"
           " (SELECT timeline_id FROM pg_control_checkpoint()))"
           " WHERE pg_is_in_recovery()",
-          {}};
+          {},
+          "ld_replay"};
 }
 
 std::optional<Position> readReplay(const StatementResult &Result) {
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -39,7 +39,9 @@
   return Demand;
 }
 
-/// The answer to a read: position, statement, position.
+/// The answer to a read: position, then statement and position in one group.
+/// The first position has a group of its own: under REPEATABLE READ it could
+/// otherwise be newer than the snapshot of the statement.
 ExecutionResult replicaAnswer(const PostgresConnection::GroupResults &Results) {
   const StatementResult &Result = Results[1][0];
   if (Result.Failure)
@@ -48,7 +50,11 @@
   Answer.Body = resultToJson(Result);
   Answer.Role = UpstreamRole::Replica;
   // The data can be newer than the position that was read before it.
-  Answer.Reached = readReplay(Results[2][0]);
+  Answer.Reached = readReplay(Results[1][1]);
+  // Without a position the session could go back to older data.
+  if (!Answer.Reached)
+    return ExecutionResult::failed(ErrorKind::ReplicaBehind, "",
+                                   AttemptOutcome::ReplicaBehind);
   return ExecutionResult::answered(std::move(Answer));
 }
 
@@ -267,7 +273,6 @@
     StatementGroups Statements = oneGroup(replayStatement());
     if (!PositionOnly) {
       Statements = pairOf(replayStatement(), Request.Sql);
-      Statements.push_back({});
       Statements.back().push_back(replayStatement());
     }
     const auto Results = co_await this->run(Target, Held.value(),
--- a/tests/standins/database/clientsession.cpp
+++ b/tests/standins/database/clientsession.cpp
@@ -182,16 +182,21 @@
 
 void ClientSession::parse(MessageReader &Body) {
   std::string Name = Body.text();
-  this->Statements[std::move(Name)] = Body.text();
+  const bool Taken = !Name.empty() && this->Statements.contains(Name);
+  std::string Sql = Body.text();
   // Parameter types are ignored: all values are bound as text.
   for (std::uint16_t Count = Body.int16(); Count > 0 && !Body.isBad(); --Count)
     Body.int32();
+  if (Taken)
+    return this->failExtended({"42P05", "prepared statement already exists"});
+  this->Statements[std::move(Name)] = std::move(Sql);
   this->Wire.put('1', {});
 }
 
 void ClientSession::bind(MessageReader &Body) {
   std::string PortalName = Body.text();
-  const auto Statement = this->Statements.find(Body.text());
+  const std::string StatementName = Body.text();
+  const auto Statement = this->Statements.find(StatementName);
   bool AnyBinary = false;
   for (std::uint16_t Count = Body.int16(); Count > 0 && !Body.isBad(); --Count)
     AnyBinary |= Body.int16() != 0;
@@ -211,6 +216,7 @@
   if (AnyBinary)
     return this->failExtended({"0A000", "binary format is not supported"});
   Bound.Sql = Statement->second;
+  Bound.IsNamed = !StatementName.empty();
   this->Portals[std::move(PortalName)] = std::move(Bound);
   this->Wire.put('2', {});
 }
@@ -247,10 +253,12 @@
   if (Found == this->Portals.end())
     return this->failExtended({"34000", "no such portal"});
   this->State.setSessionStatus(*this->Info, "active");
-  const SqlResult Result =
-      this->Sql->execute(Found->second.Sql, Found->second.Params);
+  const SqlResult Result = this->Sql->execute(
+      Found->second.Sql, Found->second.Params, Found->second.IsNamed);
   if (Result.Failure)
     return this->failExtended(*Result.Failure);
+  if (Result.Tag == "DISCARD ALL" || Result.Tag == "DEALLOCATE ALL")
+    this->Statements.clear();
   this->putResult(Result, Found->second.WantsColumns);
 }
 
--- a/tests/standins/database/clientsession.h
+++ b/tests/standins/database/clientsession.h
@@ -25,6 +25,7 @@
   struct Portal {
     std::string Sql;
     std::vector<std::optional<std::string>> Params;
+    bool IsNamed = false;      // Of a named statement.
     bool WantsColumns = false; // Describe came; answered with the first row.
   };
 
--- a/tests/standins/database/sqlsession.cpp
+++ b/tests/standins/database/sqlsession.cpp
@@ -279,12 +279,14 @@
   Command Run;
 };
 
-SqlResult SqlSession::execute(const std::string &Sql, const Params &Values) {
+SqlResult SqlSession::execute(const std::string &Sql, const Params &Values,
+                              bool Keep) {
   SqlResult Result;
   if (this->isTerminated())
     Result.Failure = terminated();
   else
-    Result = this->dispatch(stripped(Sql), Values);
+    Result = Keep ? this->runKept(Sql, Values)
+                  : this->dispatch(stripped(Sql), Values);
   if (Result.Failure && this->isTerminated())
     Result.Failure = terminated();
   const std::string Answer =
@@ -305,6 +307,7 @@
       CommandRow{"ROLLBACK", &SqlSession::rollback},
       CommandRow{"ABORT", &SqlSession::rollback},
       CommandRow{"DISCARD", &SqlSession::discard},
+      CommandRow{"DEALLOCATE", &SqlSession::deallocate},
       CommandRow{"SET", &SqlSession::set},
       CommandRow{"RESET", &SqlSession::reset},
       CommandRow{"SHOW", &SqlSession::show},
@@ -391,9 +394,17 @@
   if (!startsWith(Words, {"DISCARD", "ALL"}))
     return this->refuse(Words);
   this->Context.SessionSettings.clear();
+  this->Plans.clear();
   return tagged("DISCARD ALL");
 }
 
+SqlResult SqlSession::deallocate(const Tokens &Words) {
+  if (!startsWith(Words, {"DEALLOCATE", "ALL"}))
+    return this->refuse(Words);
+  this->Plans.clear();
+  return tagged("DEALLOCATE ALL");
+}
+
 SqlResult SqlSession::set(const Tokens &Words) {
   if (startsWith(Words, {"SET", "TRANSACTION"})) {
     this->applyOptions(Words);
@@ -554,6 +565,35 @@
   return Result;
 }
 
+// PostgreSQL parses and plans a named statement once. Only reads outside a
+// failed transaction are kept here; all others are parsed each time.
+SqlResult SqlSession::runKept(const std::string &Sql, const Params &Values) {
+  const auto Found = this->Plans.find(Sql);
+  if (this->Current == Mode::Failed || !Values.empty())
+    return this->dispatch(stripped(Sql), Values);
+  if (Found != this->Plans.end()) {
+    this->UsesTables = Found->second.UsesTables;
+    this->Context.Failure.reset();
+    if (this->Current == Mode::None)
+      this->startTransaction(Mode::Implicit);
+    return this->runPrepared(Found->second.Prepared.get(), false,
+                             Found->second.Words);
+  }
+  const std::string Text = stripped(Sql);
+  SqlResult Result = this->dispatch(Text, Values);
+  Tokens Words = tokenize(Text, AllTokens);
+  if (Result.Failure || !startsWith(Words, {"SELECT"}) ||
+      contains(Words, {"FOR", "UPDATE"}))
+    return Result;
+  Plan Kept;
+  Kept.Prepared = this->prepare(Text);
+  Kept.UsesTables = this->UsesTables;
+  Kept.Words = std::move(Words);
+  if (Kept.Prepared)
+    this->Plans[Sql] = std::move(Kept);
+  return Result;
+}
+
 SqlResult SqlSession::runPrepared(sqlite3_stmt *Prepared, bool Write,
                                   const Tokens &Words) {
   if (Write && (this->Context.ReadOnly || this->State.isInRecovery()))
--- a/tests/standins/database/sqlsession.h
+++ b/tests/standins/database/sqlsession.h
@@ -4,6 +4,7 @@
 #include "sqlite.h"
 
 #include <cstdint>
+#include <map>
 
 namespace lavenderdale::standin {
 
@@ -20,8 +21,10 @@
   SqlSession &operator=(const SqlSession &) = delete;
 
   /// Runs one statement.
+  /// \param Keep whether its plan is kept, as for a named statement.
   SqlResult execute(const std::string &Sql,
-                    const std::vector<std::optional<std::string>> &Params);
+                    const std::vector<std::optional<std::string>> &Params,
+                    bool Keep = false);
 
   /// The columns of a statement without running it.
   SqlResult describe(const std::string &Sql, std::size_t &ParamCount);
@@ -42,11 +45,20 @@
   using Command = SqlResult (SqlSession::*)(const Tokens &);
   struct CommandRow;
 
+  /// A named statement after its first use.
+  struct Plan {
+    SqliteStatement Prepared;
+    Tokens Words;
+    bool UsesTables = false;
+  };
+
   SqlResult dispatch(const std::string &Sql, const Params &Values);
+  SqlResult runKept(const std::string &Sql, const Params &Values);
   SqlResult begin(const Tokens &Words);
   SqlResult commit(const Tokens &Words);
   SqlResult rollback(const Tokens &Words);
   SqlResult discard(const Tokens &Words);
+  SqlResult deallocate(const Tokens &Words);
   SqlResult set(const Tokens &Words);
   SqlResult reset(const Tokens &Words);
   SqlResult show(const Tokens &Words);
@@ -77,6 +89,7 @@
   SessionInfo &Session;
   ControlContext Context;
   SqliteHandle Handle;
+  std::map<std::string, Plan> Plans; // By text; destroyed before the handle.
   Mode Current = Mode::None;
   bool IsSnapshot = false;
   bool HoldsWriter = false;
