Ask for a group's view less often

Cause: an entry host asked a watcher for the view of each group in use every 300 ms, whether the request needed a newer one or not.

Change: a view is asked for again after 1 s, or after 300 ms if it leads to no replica, to nothing, or to a member where an attempt failed since. Answers of replicas tell their positions in between. A replica that is behind is no reason to ask, since it tells its position itself.

The counter lavenderdale_view_calls_total is new.

Expected waits and unreachable members may be known up to 1 s late instead of 300 ms.

--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -15,8 +15,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// Views of other hosts' groups are asked for again after this time.
-constexpr milliseconds ViewLifetime{300};
 // Pause before the next round of attempts, for example during a promotion.
 constexpr milliseconds RoundPause{50};
 
@@ -249,13 +247,27 @@
   co_return co_await this->runWithRetries(Caller, Request, std::move(Message));
 }
 
-asio::awaitable<GroupViewPointer> Entry::freshView(std::string Group,
-                                                   bool Force) {
+asio::awaitable<Result<std::vector<Entry::Attempt>>>
+Entry::plan(const CallerRequest &Caller, const Admitted &Request, bool Refresh,
+            std::optional<PrimaryReason> &Reason) {
+  const std::string Group = Request.Target->Group;
+  Result<std::vector<Attempt>> Planned = std::vector<Attempt>();
   GroupViewPointer View = this->Views.find(Group);
-  if (View && !Force && now() - View->At < ViewLifetime)
-    co_return View;
+  if (View && !Refresh) {
+    Planned = this->planWith(Caller, Request, *View, Reason);
+    // The primary may be chosen due to an old view. A replica that is behind
+    // tells its position itself, at less cost than a view.
+    const bool Suffices = Planned && !Planned.value().empty() &&
+                          Reason != PrimaryReason::NoReplica &&
+                          Reason != PrimaryReason::Age;
+    if (!isOutdated(*View, this->Views.doubtedAt(Group), Suffices, now()))
+      co_return Planned;
+  }
   co_await this->RefreshView(Group);
-  co_return this->Views.find(Group);
+  View = this->Views.find(Group);
+  if (View)
+    Planned = this->planWith(Caller, Request, *View, Reason);
+  co_return Planned;
 }
 
 // A request gets further rounds of attempts until its deadline as long as
@@ -270,29 +282,28 @@
   bool Refresh = false;
   std::optional<PrimaryReason> Reason;
   while (now() < Request.Deadline) {
-    const GroupViewPointer View =
-        co_await this->freshView(Message.Group, Refresh);
+    const Result<std::vector<Attempt>> Attempts =
+        co_await this->plan(Caller, Request, Refresh, Reason);
+    if (!Attempts)
+      co_return ExecutionResult::failed(Attempts.error(),
+                                        AttemptOutcome::NotSent);
     Refresh = true;
-    std::vector<Attempt> Attempts;
-    if (View) {
-      Result<std::vector<Attempt>> Planned =
-          this->planAttempts(Caller, Request, *View, Reason);
-      if (!Planned)
-        co_return ExecutionResult::failed(Planned.error(),
-                                          AttemptOutcome::NotSent);
-      Attempts = std::move(Planned.value());
-    }
-    for (const Attempt &Next : Attempts) {
+    for (const Attempt &Next : Attempts.value()) {
       if (now() >= Request.Deadline)
         break;
       Message.Upstream = Next.Upstream;
       Message.Role = Next.Role;
       Message.WaitUntil = Next.WaitUntil;
       Last = co_await this->Run.execute(Next.Host, Message);
-      if (Last.Answer)
+      if (Last.Answer) {
         this->countServed(Caller, *Last.Answer, Reason);
+        if (Last.Answer->Reached && Next.Role == UpstreamRole::Replica)
+          this->Views.reached(Message.Group, Next.Upstream,
+                              *Last.Answer->Reached);
+      }
       if (Last.Answer || isFinal(Last.Failure.Reason.Kind))
         co_return Last;
+      this->Views.doubt(Message.Group, now());
       const AttemptOutcome Outcome = Last.Failure.Outcome;
       const NextStep Step = nextStep(Outcome, Mark);
       if (!isRetry(Step))
@@ -315,9 +326,9 @@
 }
 
 Result<std::vector<Entry::Attempt>>
-Entry::planAttempts(const CallerRequest &Caller, const Admitted &Request,
-                    const PublishedGroupView &View,
-                    std::optional<PrimaryReason> &Reason) {
+Entry::planWith(const CallerRequest &Caller, const Admitted &Request,
+                const PublishedGroupView &View,
+                std::optional<PrimaryReason> &Reason) {
   std::vector<Attempt> Attempts;
   const std::string &Group = Request.Target->Group;
   // A replica that is behind is asked again, so a statement that must not be
@@ -334,7 +345,7 @@
     Read.Demand.AcceptedAge = *Request.Target->Limits.MaxAge;
   Read.OwnFailureDomain = this->Context.Config.Host.FailureDomain;
   Read.Deadline = Request.Deadline;
-  ReadGroupView Routing = View.Routing;
+  ReadGroupView Routing = this->Views.routingOf(Group, View);
   for (UpstreamView &Member : Routing.Upstreams)
     if (Member.Age)
       *Member.Age += now() - View.At;
--- a/src/libs/server/entry.h
+++ b/src/libs/server/entry.h
@@ -71,10 +71,10 @@
   boost::asio::awaitable<ExecutionResult>
   runWithRetries(const CallerRequest &Caller, const Admitted &Request,
                  ExecutionRequest Message);
-  Result<std::vector<Attempt>>
-  planAttempts(const CallerRequest &Caller, const Admitted &Request,
-               const PublishedGroupView &View,
-               std::optional<PrimaryReason> &Reason);
+  Result<std::vector<Attempt>> planWith(const CallerRequest &Caller,
+                                        const Admitted &Request,
+                                        const PublishedGroupView &View,
+                                        std::optional<PrimaryReason> &Reason);
   void countServed(const CallerRequest &Caller, const ExecutionAnswer &Answer,
                    std::optional<PrimaryReason> Reason) const;
   void addHolders(const Admitted &Request, const std::string &Upstream,
@@ -83,8 +83,10 @@
   bool mayRetry(const std::string &Workspace, TimePoint Now);
   void countRequest(const std::string &Workspace, TimePoint Now);
   HttpResponse answer(const Admitted &Request, ExecutionResult Result) const;
-  boost::asio::awaitable<GroupViewPointer> freshView(std::string Group,
-                                                     bool Force);
+  /// Plans with a view that is new enough for the request.
+  boost::asio::awaitable<Result<std::vector<Attempt>>>
+  plan(const CallerRequest &Caller, const Admitted &Request, bool Refresh,
+       std::optional<PrimaryReason> &Reason);
 
   const DaemonContext &Context;
   const ConfigurationSource &Configuration;
--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -208,6 +208,10 @@
       continue;
     Json::Value Params(Json::objectValue);
     Params["group"] = Group;
+    this->Context.Metrics
+        .counter("lavenderdale_view_calls_total",
+                 "Calls to watchers for their view of a group")
+        .add();
     const TimePoint AskedAt = now();
     const auto Answer = co_await this->Context.Rpc.call(
         Peer->Peer, "group.view", Params, AskedAt + ViewLimit);
--- a/src/libs/server/groupviews.cpp
+++ b/src/libs/server/groupviews.cpp
@@ -2,6 +2,7 @@
 
 #include "base/objectreader.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace lavenderdale {
@@ -10,6 +11,12 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
+// A view of this age is asked for again if it does not suffice.
+constexpr std::chrono::milliseconds ViewLifetime{300};
+// A view of this age is asked for again in any case: expected waits and
+// unreachable members are not known otherwise.
+constexpr std::chrono::milliseconds MaxViewAge{1000};
+
 Json::Value lineageToJson(const Lineage &History) {
   Json::Value List(Json::arrayValue);
   for (const Lineage::Entry &Entry : History.entries()) {
@@ -100,6 +107,14 @@
   return View;
 }
 
+bool isOutdated(const PublishedGroupView &View, TimePoint DoubtedAt,
+                bool Suffices, TimePoint Now) {
+  const Duration Age = Now - View.At;
+  if (Age >= MaxViewAge)
+    return true;
+  return Age >= ViewLifetime && (!Suffices || DoubtedAt >= View.At);
+}
+
 std::size_t GroupViews::shardOf(const std::string &Group) {
   return std::hash<std::string>()(Group) % ShardCount;
 }
@@ -120,4 +135,40 @@
   return Found == Owner.Views.end() ? nullptr : Found->second;
 }
 
+void GroupViews::reached(const std::string &Group, const std::string &Upstream,
+                         const Position &Replayed) {
+  Shard &Owner = this->Shards[shardOf(Group)];
+  const std::lock_guard Guard(Owner.Lock);
+  Owner.Reached[Group][Upstream] = Replayed;
+}
+
+ReadGroupView GroupViews::routingOf(const std::string &Group,
+                                    const PublishedGroupView &View) const {
+  ReadGroupView Routing = View.Routing;
+  const Shard &Owner = this->Shards[shardOf(Group)];
+  const std::lock_guard Guard(Owner.Lock);
+  const auto Known = Owner.Reached.find(Group);
+  if (Known == Owner.Reached.end())
+    return Routing;
+  for (UpstreamView &Member : Routing.Upstreams) {
+    const auto Found = Known->second.find(Member.Name);
+    if (Found != Known->second.end() && Found->second.InTerm == Member.Timeline)
+      Member.Replayed = std::max(Member.Replayed, Found->second.Log);
+  }
+  return Routing;
+}
+
+void GroupViews::doubt(const std::string &Group, TimePoint Now) {
+  Shard &Owner = this->Shards[shardOf(Group)];
+  const std::lock_guard Guard(Owner.Lock);
+  Owner.Doubts[Group] = Now;
+}
+
+TimePoint GroupViews::doubtedAt(const std::string &Group) const {
+  const Shard &Owner = this->Shards[shardOf(Group)];
+  const std::lock_guard Guard(Owner.Lock);
+  const auto Found = Owner.Doubts.find(Group);
+  return Found == Owner.Doubts.end() ? TimePoint::min() : Found->second;
+}
+
 } // namespace lavenderdale
