Read a replica's position once when a read demands nothing

Cause: a read without a session and without a greatest age ran a position statement before its own, though any position would have satisfied it.

Change: such a read is judged by the position after it, which is not older than its data. Its own error is told before that, since the position is skipped then.

Tests: postgres, server, process tests failover, repeat, session and transactions pass. A new test reads without a session.

Reads with a session keep both positions.

--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -39,18 +39,29 @@
   return Demand;
 }
 
-/// The answer to a read: position, then statement and position in one group.
-/// The first position has a group of its own: under REPEATABLE READ it could
-/// otherwise be newer than the snapshot of the statement.
+/// A read at a replica: statement and position in the last group. If the
+/// replica must have reached something before, another position precedes them.
+/// It has a group of its own: under REPEATABLE READ it could otherwise be newer
+/// than the snapshot of the statement.
+StatementGroups replicaRead(const Statement &Sql, bool PositionFirst) {
+  StatementGroups Groups(PositionFirst ? 2 : 1);
+  if (PositionFirst)
+    Groups.front().push_back(replayStatement());
+  Groups.back().push_back(Sql);
+  Groups.back().push_back(replayStatement());
+  return Groups;
+}
+
+/// The answer to replicaRead().
 ExecutionResult replicaAnswer(const PostgresConnection::GroupResults &Results) {
-  const StatementResult &Result = Results[1][0];
+  const StatementResult &Result = Results.back()[0];
   if (Result.Failure)
     return sqlFailure(*Result.Failure);
   ExecutionAnswer Answer;
   Answer.Body = resultToJson(Result);
   Answer.Role = UpstreamRole::Replica;
   // The data can be newer than the position that was read before it.
-  Answer.Reached = readReplay(Results[1][1]);
+  Answer.Reached = readReplay(Results.back()[1]);
   // Without a position the session could go back to older data.
   if (!Answer.Reached)
     return ExecutionResult::failed(ErrorKind::ReplicaBehind, "",
@@ -265,24 +276,28 @@
 asio::awaitable<ExecutionResult>
 StatementRunner::readReplica(TargetPointer Target, ExecutionRequest &Request) {
   const ReadDemand Demand{Request.Seen, Request.AcceptedAge};
+  const bool PositionFirst = Demand.Seen || Demand.AcceptedAge;
   bool PositionOnly = Request.WaitUntil.has_value();
   while (true) {
     const auto Held = co_await Target->acquire(demandOf(Request));
     if (!Held)
       co_return runFailure(Held.error());
     StatementGroups Statements = oneGroup(replayStatement());
-    if (!PositionOnly) {
-      Statements = pairOf(replayStatement(), Request.Sql);
-      Statements.back().push_back(replayStatement());
-    }
+    if (!PositionOnly)
+      Statements = replicaRead(Request.Sql, PositionFirst);
     const auto Results = co_await this->run(Target, Held.value(),
                                             std::move(Statements), Request);
     const bool Plain =
-        Results && (PositionOnly || isPlain(Results.value()[1][0]));
+        Results && (PositionOnly || isPlain(Results.value().back()[0]));
     Target->release(Held.value(), Plain);
     if (!Results)
       co_return runFailure(Results.error());
-    const std::optional<Position> Replayed = readReplay(Results.value()[0][0]);
+    const std::vector<StatementResult> &Last = Results.value().back();
+    // Its position was skipped then, so nothing can be judged by it.
+    if (!PositionFirst && !PositionOnly && Last[0].Failure)
+      co_return sqlFailure(*Last[0].Failure);
+    const std::optional<Position> Replayed =
+        readReplay(PositionFirst ? Results.value().front()[0] : Last.back());
     const ReadVerdict Verdict = this->judge(Demand, Replayed);
     if (Verdict == ReadVerdict::WriteLost)
       co_return ExecutionResult::failed(ErrorKind::SessionLost, "",
--- a/tests/process/test_session.py
+++ b/tests/process/test_session.py
@@ -45,6 +45,21 @@
                 return read.headers.get("lavenderdale-served-by") == "replica"
             wait_until("a replica serves the session", replica_read)
 
+    def test_reads_without_a_session(self):
+        """Guards against a first read without a token, and against the loss of a read's error."""
+        with Cluster(init_sql=INIT_SQL) as cluster:
+            key = start(cluster)
+            h1, _ = cluster.daemons.values()
+
+            def replica_read():
+                read = cluster.execute(h1, "cuts", "SELECT 1", key=key, read_only=True)
+                self.assertTrue(session_of(read), read)
+                return read.headers.get("lavenderdale-served-by") == "replica"
+            wait_until("a replica serves the read", replica_read)
+            failed = cluster.execute(h1, "cuts", "SELECT * FROM absent", key=key, read_only=True)
+            self.assertEqual("statement-failed", failed.kind, failed)
+            self.assertIn("42P01", str(failed.body))
+
     def test_roaming_session_with_lagging_replicas(self):
         """Guards against stale reads at replicas that receive and replay late."""
         plan = GroupPlan(options=("--receive-lag-ms", 50, "--replay-lag-ms", 50))
