--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -16,8 +16,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// Views of other hosts' groups are asked for again after this time.
-constexpr milliseconds ViewLifetime{300};
 // Pause before the next round of attempts, for example during a promotion.
 constexpr milliseconds RoundPause{50};
 
@@ -226,13 +224,27 @@
   co_return co_await this->runWithRetries(Caller, Request, std::move(Message));
 }
 
-asio::awaitable<GroupViewPointer> Entry::freshView(std::string Group,
-                                                   bool Force) {
+asio::awaitable<Result<AttemptPlan>> Entry::plan(const CallerRequest &Caller,
+                                                 const Admitted &Request,
+                                                 bool Refresh) {
+  const std::string Group = Request.Target->Group;
+  Result<AttemptPlan> Planned = AttemptPlan();
   GroupViewPointer View = this->Views.find(Group);
-  if (View && !Force && now() - View->At < ViewLifetime)
-    co_return View;
+  if (View && !Refresh) {
+    Planned = this->planFor(Caller, Request, *View);
+    // The primary may be chosen due to an old view. A replica that is behind
+    // tells its position itself, at less cost than a view.
+    const bool Suffices = Planned && !Planned.value().Attempts.empty() &&
+                          Planned.value().Reason != PrimaryReason::NoReplica &&
+                          Planned.value().Reason != PrimaryReason::Age;
+    if (!isOutdated(*View, this->Views.doubtedAt(Group), Suffices, now()))
+      co_return Planned;
+  }
   co_await this->RefreshView(Group);
-  co_return this->Views.find(Group);
+  View = this->Views.find(Group);
+  if (View)
+    Planned = this->planFor(Caller, Request, *View);
+  co_return Planned;
 }
 
 // A request gets further rounds of attempts until its deadline as long as
@@ -247,30 +259,29 @@
   bool Refresh = false;
   std::optional<PrimaryReason> Reason;
   while (now() < Request.Deadline) {
-    const GroupViewPointer View =
-        co_await this->freshView(Message.Group, Refresh);
+    const Result<AttemptPlan> Planned =
+        co_await this->plan(Caller, Request, Refresh);
+    if (!Planned)
+      co_return ExecutionResult::failed(Planned.error(),
+                                        AttemptOutcome::NotSent);
     Refresh = true;
-    std::vector<Attempt> Attempts;
-    if (View) {
-      Result<AttemptPlan> Planned = this->planFor(Caller, Request, *View);
-      if (!Planned)
-        co_return ExecutionResult::failed(Planned.error().Kind,
-                                          "group " + Message.Group,
-                                          AttemptOutcome::NotSent);
-      Attempts = std::move(Planned.value().Attempts);
-      Reason = Planned.value().Reason;
-    }
-    for (const Attempt &Next : Attempts) {
+    Reason = Planned.value().Reason;
+    for (const Attempt &Next : Planned.value().Attempts) {
       if (now() >= Request.Deadline)
         break;
       Message.Upstream = Next.Upstream;
       Message.Role = Next.Role;
       Message.WaitUntil = Next.WaitUntil;
       Last = co_await this->Run.execute(Next.Host, Message);
-      if (Last.Answer)
+      if (Last.Answer) {
         this->countServed(Caller, *Last.Answer, Reason);
+        if (Last.Answer->Reached && Next.Role == UpstreamRole::Replica)
+          this->Views.reached(Message.Group, Next.Upstream,
+                              *Last.Answer->Reached);
+      }
       if (Last.Answer || isFinal(Last.Failure.Reason.Kind))
         co_return Last;
+      this->Views.doubt(Message.Group, now());
       const AttemptOutcome Outcome = Last.Failure.Outcome;
       const NextStep Step = nextStep(Outcome, Mark);
       if (!isRetry(Step))
@@ -318,7 +329,9 @@
   const RoundRobin InTurn(this->Turn++);
   const bool TakesTurns =
       this->Context.Config.Experiment.Reads == "round-robin";
-  return planAttempts({View.Routing, View.Primary, View.At}, Read, Places,
+  const ReadGroupView Routing =
+      this->Views.routingOf(Request.Target->Group, View);
+  return planAttempts({Routing, View.Primary, View.At}, Read, Places,
                       this->Context.hostName(), now(),
                       TakesTurns ? &InTurn : nullptr);
 }
--- a/src/libs/server/entry.h
+++ b/src/libs/server/entry.h
@@ -71,8 +71,9 @@
   bool mayRetry(const std::string &Workspace, TimePoint Now);
   void countRequest(const std::string &Workspace, TimePoint Now);
   HttpResponse answer(const Admitted &Request, ExecutionResult Result) const;
-  boost::asio::awaitable<GroupViewPointer> freshView(std::string Group,
-                                                     bool Force);
+  /// Plans with a view that is new enough for the request.
+  boost::asio::awaitable<Result<AttemptPlan>>
+  plan(const CallerRequest &Caller, const Admitted &Request, bool Refresh);
 
   const DaemonContext &Context;
   const ConfigurationSource &Configuration;
