--- a/src/libs/server/membershipservice.cpp
+++ b/src/libs/server/membershipservice.cpp
@@ -157,7 +157,7 @@
     {
       const std::lock_guard Guard(this->Lock);
       Actions = this->State.tick(now());
-      LeaseUntil = this->State.leaseUntil(now());
+      LeaseUntil = this->State.sharesUntil(now());
     }
     // The whole lease is passed on: grants end with it, and tokens of a grant
     // that ends before they are spent are lost.
--- a/tests/auto/faultmatrix/proxydiesrows.cpp
+++ b/tests/auto/faultmatrix/proxydiesrows.cpp
@@ -11,7 +11,7 @@
        "Grants of the dead entry host expire at the owner, `RateOwner` "
        "(limits/rateowner.cpp); a new owner is placed when the host set "
        "changes",
-       "X1, X2, N1, N2", "rate: restarted_daemon_gives_no_second_burst"},
+       "X1, X2, X5, N1, N2", "rate: restarted_daemon_gives_no_second_burst"},
       {Fault::ProxyDies, Step::Routing, Covered{&RoutedRead},
        "`FleetView::holders` (server/fleetview.cpp), second holder in "
        "`Entry::runWithRetries` (server/entry.cpp): `unavailable` for the "
--- a/tests/auto/faultmatrix/testcodes.cpp
+++ b/tests/auto/faultmatrix/testcodes.cpp
@@ -96,6 +96,8 @@
        "an owner without a lease grants and accrues nothing"},
       {"X4", "limits/tst_rateunits.cpp",
        "a request without a token waits until it gives up"},
+      {"X5", "limits/tst_ratedeath.cpp",
+       "refusals stay below 0.1% when an owner dies"},
       {"N1", "membership/tst_membership.cpp", "no two hosts may use one share"},
       {"N2", "membership/tst_membership.cpp",
        "a dead host is removed within 2 s and its shares move"},
