Fence a majority of a group's members, also in groups of even size

Cause: the fault matrix's author tried a holder that learns late of a member added to a group of three. It counts the primary and one replica as a majority of three, while the promoter fenced two of the three replicas of the group of four, and these need not share a member: a replaced primary kept its permission. The fence was the smallest set that meets majorities of the same members only.

Change: fenceQuorum is a majority of the members (3 in a group of four, 2 before; unchanged for odd sizes), which meets the majorities of the members before one was added or removed. lavenderctl refuses to add or remove more than one member of a group with a primary at once.

Conclusion: one change at a time is safe. A group of four now needs all of its three other members to replace a primary.

--- a/src/libs/administration/administrator.cpp
+++ b/src/libs/administration/administrator.cpp
@@ -77,6 +77,7 @@
   BOOST_OUTCOME_TRY(Made.Steps,
                     planChanges(Made.Stored.Objects, Desired, Missing));
   BOOST_OUTCOME_TRYV(checkBursts(Made.Stored, Desired));
+  BOOST_OUTCOME_TRYV(checkMembers(Made.Stored, Desired));
   BOOST_OUTCOME_TRYV(checkTogether(Made.Stored, Made.Steps));
   return Made;
 }
--- a/src/libs/administration/plancheck.cpp
+++ b/src/libs/administration/plancheck.cpp
@@ -45,6 +45,13 @@
           "and a share below 1 grants nothing");
 }
 
+/// Number of the upstreams of \p Of that \p In does not have.
+std::size_t countMissing(const Group &Of, const Group &In) {
+  return static_cast<std::size_t>(std::count_if(
+      Of.Upstreams.begin(), Of.Upstreams.end(),
+      [&](const Upstream &Each) { return In.upstream(Each.Name) == nullptr; }));
+}
+
 } // namespace
 
 Json::Value shownObject(CatalogueObject Object) {
@@ -113,6 +120,36 @@
   return success();
 }
 
+Result<void> checkMembers(const ObjectList &Stored,
+                          const std::vector<CatalogueObject> &Desired) {
+  for (const CatalogueObject &Object : Desired) {
+    if (Object.Kind != ObjectKind::Group)
+      continue;
+    const auto Found = std::find_if(
+        Stored.Objects.begin(), Stored.Objects.end(),
+        [&](const CatalogueObject &Item) {
+          return Item.Kind == Object.Kind && Item.Name == Object.Name;
+        });
+    if (Found == Stored.Objects.end() || Found->Status.empty())
+      continue;
+    BOOST_OUTCOME_TRY(const Group Before,
+                      Group::fromJson(Found->Name, Found->Spec));
+    BOOST_OUTCOME_TRY(const Group After,
+                      Group::fromJson(Object.Name, Object.Spec));
+    const std::size_t Changed =
+        countMissing(Before, After) + countMissing(After, Before);
+    if (Changed > 1)
+      return failure(ErrorKind::InvalidCatalogue,
+                     Object.label() +
+                         ": spec.upstreams: expected at most one "
+                         "added or removed, found " +
+                         std::to_string(Changed) +
+                         "; change one, wait until it is in force on all "
+                         "hosts, then the next");
+  }
+  return success();
+}
+
 Result<void> checkTogether(const ObjectList &Stored,
                            const std::vector<Change> &Steps) {
   SnapshotBuilder Builder;
--- a/src/libs/administration/plancheck.h
+++ b/src/libs/administration/plancheck.h
@@ -25,6 +25,12 @@
 Result<void> checkBursts(const ObjectList &Stored,
                          const std::vector<CatalogueObject> &Desired);
 
+/// \returns InvalidCatalogue if more than one member of a group with a primary
+/// is added or removed. Hosts learn of a change at different times, and
+/// majorities of the members before and after meet only for one at a time.
+Result<void> checkMembers(const ObjectList &Stored,
+                          const std::vector<CatalogueObject> &Desired);
+
 /// \returns InvalidCatalogue for a plan after which an object that is in force
 /// now would not be.
 Result<void> checkTogether(const ObjectList &Stored,
--- a/src/libs/failover/failoverlimits.h
+++ b/src/libs/failover/failoverlimits.h
@@ -64,9 +64,12 @@
 }
 
 /// Members other than the primary that have to be fenced so that the others
-/// cannot form a majority with the primary. For odd sizes this is a majority.
+/// cannot form a majority with the primary. A holder that learns late of a
+/// change may count a majority of the members before one was added or removed;
+/// a majority of the members now meets that one too.
 constexpr std::size_t fenceQuorum(std::size_t Members) {
-  return Members - replicasForMajority(Members);
+  return Members <= 2 ? Members - replicasForMajority(Members)
+                      : majority(Members);
 }
 
 } // namespace lavenderdale::failoverlimits
--- a/tests/auto/administration/tst_administrator.cpp
+++ b/tests/auto/administration/tst_administrator.cpp
@@ -239,6 +239,45 @@
   CHECK(Admin.status().Text.find("term 3, primary g-1") != std::string::npos);
 }
 
+// Guards against two changes of members at once: a holder that still has the
+// members before may then keep its permission when the primary is replaced.
+TEST_CASE("members of a group are added and removed one at a time",
+          "[fencing]") {
+  PlatformThread Platform;
+  Administrator Admin(Platform.Endpoint,
+                      std::chrono::steady_clock::now() + 60s);
+  const auto Apply = [&](const std::vector<std::string> &Names) {
+    Json::Value Object;
+    Object["kind"] = "Group";
+    Object["name"] = "g";
+    Object["spec"]["database"] = Object["spec"]["user"] = "app";
+    for (const std::string &Name : Names) {
+      Json::Value Member;
+      Member["name"] = Name;
+      Member["address"] = "127.0.0.1";
+      Member["port"] =
+          static_cast<Json::UInt>(1 + Object["spec"]["upstreams"].size());
+      Member["failureDomain"] = "d";
+      Member["connections"] = 16;
+      Member["slots"] = 2;
+      Object["spec"]["upstreams"].append(Member);
+    }
+    return Admin.apply(readObjectText(writeCompactJson(Object), false).value(),
+                       MissingObjects::Keep, false);
+  };
+  REQUIRE(Apply({"a", "b", "c"}).Code == ExitCode::Done);
+  REQUIRE(Apply({"a", "b", "c", "d", "e"}).Code == ExitCode::Done);
+  REQUIRE(Admin.initGroup("g", "a", 1).Code == ExitCode::Done);
+  for (const auto &Names : std::vector<std::vector<std::string>>{
+           {"a", "b", "c"}, {"a", "b", "c", "d", "f"}}) {
+    const Report Refused = Apply(Names);
+    CHECK(Refused.Code == ExitCode::Refused);
+    CHECK(Refused.Text.find("at most one added or removed, found 2") !=
+          std::string::npos);
+  }
+  CHECK(Apply({"a", "b", "c", "d"}).Code == ExitCode::Done);
+}
+
 // Guards against a burst of which no failure domain's share is a whole token,
 // so that every request is refused.
 TEST_CASE("a burst below the number of failure domains is refused", "[rate]") {
--- a/tests/auto/failover/tst_writepermission.cpp
+++ b/tests/auto/failover/tst_writepermission.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <bit>
+#include <vector>
+
 using namespace lavenderdale;
 using namespace std::chrono_literals;
 
@@ -120,3 +123,33 @@
   CHECK(Decide(Term{2}, 99, Primary, 1ms, 810ms) == AckDecision::Withhold);
   CHECK(Decide(Term{2}, 99, Primary, 801ms, 810ms) == AckDecision::Acknowledge);
 }
+
+// Guards against a fence that leaves a permission to a holder which still
+// counts the members before one was added or removed.
+TEST_CASE("a fence meets each majority of the members before a change",
+          "[fencing]") {
+  // Members are bits; member 0 is the primary, which cannot be fenced.
+  const auto Meets = [](std::size_t Before, std::size_t After) {
+    const auto Sets = [](std::size_t Members, std::size_t Size) {
+      std::vector<unsigned> Found;
+      for (unsigned Set = 0; Set < (1U << Members); Set += 2)
+        if (static_cast<std::size_t>(std::popcount(Set)) == Size)
+          Found.push_back(Set);
+      return Found;
+    };
+    using namespace failoverlimits;
+    for (const unsigned Permitting : Sets(Before, replicasForMajority(Before)))
+      for (const unsigned Fenced : Sets(After, fenceQuorum(After)))
+        if ((Permitting & Fenced) == 0)
+          return false;
+    return true;
+  };
+  for (std::size_t Members = 2; Members <= 8; ++Members) {
+    CAPTURE(Members);
+    CHECK(Meets(Members, Members));
+    CHECK(Meets(Members, Members + 1));
+    if (Members > 3)
+      CHECK(Meets(Members, Members - 1));
+  }
+  CHECK_FALSE(Meets(3, 5));
+}
