--- a/src/libs/failover/promotionmessages.h
+++ b/src/libs/failover/promotionmessages.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace lavenderdale {
@@ -126,6 +127,9 @@
   NotCaughtUp,       ///< Planned change: no replica received all in time.
 };
 
+/// Name in logs, for example "no-quorum".
+std::string_view toString(GiveUpReason Reason);
+
 struct GiveUp {
   std::string AttemptId;
   GiveUpReason Reason;
--- a/src/libs/server/promotiondriver.cpp
+++ b/src/libs/server/promotiondriver.cpp
@@ -85,8 +85,7 @@
   }
   void operator()(const GiveUp &Action) {
     logWarn("group " + Driver.Members.Name + ": promotion " + Action.AttemptId +
-            " ended without a change, reason " +
-            std::to_string(static_cast<int>(Action.Reason)));
+            " ended without a change: " + std::string(toString(Action.Reason)));
   }
 };
 
--- a/tests/auto/failover/tst_promotion.cpp
+++ b/tests/auto/failover/tst_promotion.cpp
@@ -138,3 +138,10 @@
   REQUIRE(Next.size() == 2);
   CHECK(std::holds_alternative<EndControlSessions>(Next[0]));
 }
+
+// Guards against names in the log that are not those of the reasons.
+TEST_CASE("each reason to give up has its name") {
+  CHECK(toString(GiveUpReason::ClaimConflict) == "claim-conflict");
+  CHECK(toString(GiveUpReason::NoQuorum) == "no-quorum");
+  CHECK(toString(GiveUpReason::NotCaughtUp) == "not-caught-up");
+}
--- a/tests/auto/faultmatrix/domainscutoffrows.cpp
+++ b/tests/auto/faultmatrix/domainscutoffrows.cpp
@@ -49,7 +49,7 @@
       {Fault::DomainsCutOff, Step::Fence, Covered{&ReplacedPrimary},
        "`PrimaryReplacement` step Fencing (failover/primaryreplacement.cpp), "
        "`PromotionDriver::fence` (server/promotiondriver.cpp): fails with "
-       "reason 3 on the side without a majority",
+       "`no-quorum` on the side without a majority",
        "", ""},
       {Fault::DomainsCutOff, Step::Wait, Covered{&ReplacedPrimary},
        "`PrimaryReplacement` steps Waiting and Checking "
--- a/tests/auto/faultmatrix/platformdownrows.cpp
+++ b/tests/auto/faultmatrix/platformdownrows.cpp
@@ -38,7 +38,7 @@
        "A3, C2", ""},
       {Fault::PlatformDown, Step::Claim, Covered{&ReplacedPrimary},
        "`PrimaryReplacement` step Claiming (failover/primaryreplacement.cpp): "
-       "waits, reason 2",
+       "waits, `platform-failed`",
        "", ""},
       {Fault::PlatformDown, Step::Fence, Unaffected{"needs no platform"}, "",
        "", ""},
