--- a/src/libs/administration/plancheck.cpp
+++ b/src/libs/administration/plancheck.cpp
@@ -45,6 +45,16 @@
           "and a share below 1 grants nothing");
 }
 
+const CatalogueObject *findStored(const ObjectList &Stored,
+                                  const CatalogueObject &Object) {
+  const auto Found = std::find_if(Stored.Objects.begin(), Stored.Objects.end(),
+                                  [&](const CatalogueObject &Item) {
+                                    return Item.Kind == Object.Kind &&
+                                           Item.Name == Object.Name;
+                                  });
+  return Found == Stored.Objects.end() ? nullptr : &*Found;
+}
+
 /// Number of the upstreams of \p Of that \p In does not have.
 std::size_t countMissing(const Group &Of, const Group &In) {
   return static_cast<std::size_t>(std::count_if(
@@ -75,13 +85,8 @@
   for (const CatalogueObject &Object : Desired) {
     if (Object.Version == 0)
       continue;
-    const auto Found = std::find_if(
-        Stored.Objects.begin(), Stored.Objects.end(),
-        [&](const CatalogueObject &Item) {
-          return Item.Kind == Object.Kind && Item.Name == Object.Name;
-        });
-    const std::uint64_t Version =
-        Found == Stored.Objects.end() ? 0 : Found->Version;
+    const CatalogueObject *Found = findStored(Stored, Object);
+    const std::uint64_t Version = Found ? Found->Version : 0;
     if (Version != Object.Version)
       return failure(
           ErrorKind::VersionConflict,
@@ -125,12 +130,8 @@
   for (const CatalogueObject &Object : Desired) {
     if (Object.Kind != ObjectKind::Group)
       continue;
-    const auto Found = std::find_if(
-        Stored.Objects.begin(), Stored.Objects.end(),
-        [&](const CatalogueObject &Item) {
-          return Item.Kind == Object.Kind && Item.Name == Object.Name;
-        });
-    if (Found == Stored.Objects.end() || Found->Status.empty())
+    const CatalogueObject *Found = findStored(Stored, Object);
+    if (!Found || Found->Status.empty())
       continue;
     BOOST_OUTCOME_TRY(const Group Before,
                       Group::fromJson(Found->Name, Found->Spec));
--- a/src/libs/settings/tomlreader.cpp
+++ b/src/libs/settings/tomlreader.cpp
@@ -30,6 +30,11 @@
   return Text.str();
 }
 
+std::optional<IpEndpoint> endpointIn(const toml::value &Value) {
+  return Value.is_string() ? parseIpEndpoint(Value.as_string().str)
+                           : std::nullopt;
+}
+
 std::string trim(const std::string &Text) {
   const auto First = Text.find_first_not_of(" \t\r[");
   if (First == std::string::npos)
@@ -227,9 +232,7 @@
   const toml::value *Value = this->D->require(Key, Expected);
   if (!Value)
     return;
-  const std::optional<IpEndpoint> Endpoint =
-      Value->is_string() ? parseIpEndpoint(Value->as_string().str)
-                         : std::nullopt;
+  const std::optional<IpEndpoint> Endpoint = endpointIn(*Value);
   if (!Endpoint)
     return this->D->reject(Key, *Value, Expected);
   Target = *Endpoint;
@@ -240,9 +243,7 @@
   const toml::value *Value = this->D->find(Key);
   if (!Value)
     return;
-  const std::optional<IpEndpoint> Endpoint =
-      Value->is_string() ? parseIpEndpoint(Value->as_string().str)
-                         : std::nullopt;
+  const std::optional<IpEndpoint> Endpoint = endpointIn(*Value);
   if (!Endpoint || Endpoint->Port == 0)
     return this->D->reject(Key, *Value,
                            "\"IP:PORT\" with a numeric IP and a port from 1");
@@ -260,8 +261,7 @@
     return this->D->reject(Key, *Value, Expected);
   std::vector<IpEndpoint> Read;
   for (const toml::value &Item : Value->as_array()) {
-    const std::optional<IpEndpoint> Endpoint =
-        Item.is_string() ? parseIpEndpoint(Item.as_string().str) : std::nullopt;
+    const std::optional<IpEndpoint> Endpoint = endpointIn(Item);
     if (Endpoint && Endpoint->Port != 0)
       Read.push_back(*Endpoint);
     else
