Open rate ledgers and read platform objects in one place; copy views once

Cause: grants and loans opened their ledgers by the same lines, three platform calls ended alike, and each request copied the group's view twice and advanced the shared counter of round robin, also for writes and without that policy.

Change: RateOwner::open and PlatformClient::callForObject. The view is copied once and for reads only, and the counter moves only where it is used.

--- a/src/libs/consistency/attemptplan.cpp
+++ b/src/libs/consistency/attemptplan.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-Result<AttemptPlan> planAttempts(const TimedGroupView &View,
+Result<AttemptPlan> planAttempts(TimedGroupView View,
                                  const std::optional<ReadRequest> &Read,
                                  const PlacesOf &Places,
                                  const std::string &OwnHost, TimePoint Now,
@@ -33,12 +33,12 @@
               OwnHost, Planned.Attempts);
     return Planned;
   }
-  ReadGroupView Routing = View.Routing;
-  for (UpstreamView &Member : Routing.Upstreams)
+  for (UpstreamView &Member : View.Routing.Upstreams)
     if (Member.Age)
       *Member.Age += Now - View.At;
-  const ReadPlan Plan = Policy ? ReadRouter::plan(Routing, *Read, Now, *Policy)
-                               : ReadRouter::plan(Routing, *Read, Now);
+  const ReadPlan Plan =
+      Policy ? ReadRouter::plan(View.Routing, *Read, Now, *Policy)
+             : ReadRouter::plan(View.Routing, *Read, Now);
   if (Plan.Result == ReadPlan::Outcome::SessionLost)
     return failure(ErrorKind::SessionLost, "a write of the session was lost");
   Planned.Reason = Plan.Reason;
--- a/src/libs/consistency/attemptplan.h
+++ b/src/libs/consistency/attemptplan.h
@@ -34,7 +34,7 @@
 
 /// A group's view and when it was made: ages in it grow since then.
 struct TimedGroupView {
-  const ReadGroupView &Routing;
+  ReadGroupView Routing; ///< Used for reads only.
   const std::string &Primary;
   TimePoint At;
 };
@@ -51,7 +51,7 @@
 /// primary only.
 /// \param Policy chooses the replicas of a read; by their positions if null.
 /// \returns the plan, or SessionLost.
-Result<AttemptPlan> planAttempts(const TimedGroupView &View,
+Result<AttemptPlan> planAttempts(TimedGroupView View,
                                  const std::optional<ReadRequest> &Read,
                                  const PlacesOf &Places,
                                  const std::string &OwnHost, TimePoint Now,
--- a/src/libs/limits/rateowner.cpp
+++ b/src/libs/limits/rateowner.cpp
@@ -215,29 +215,43 @@
   this->LeaseUntil = std::max(this->LeaseUntil, ValidUntil);
 }
 
+template <typename Request>
+OpenedLedger RateOwner::open(RateLedgers OwnedRate::*Ledgers,
+                             const Request &Asked, TimePoint Now) {
+  OpenedLedger Opened;
+  Opened.Owned = this->find(Asked.Workspace);
+  if (Opened.Owned == nullptr)
+    return Opened;
+  this->settle(*Opened.Owned, Now);
+  Opened.Status = GrantStatus::NotReady;
+  if (!this->ready(*Opened.Owned, Now))
+    return Opened;
+  RateLedgers &Known = Opened.Owned->*Ledgers;
+  removeUnused(Known, Now);
+  const auto [Place, IsNew] =
+      Known.try_emplace({Asked.Host, Asked.Incarnation});
+  Opened.Status = GrantStatus::Stale;
+  if (Asked.Sequence < Place->second.Sequence)
+    return Opened;
+  Opened.Status = GrantStatus::Granted;
+  Opened.Ledger = &Place->second;
+  Opened.IsNew = IsNew;
+  Opened.IsRepeat = !IsNew && Asked.Sequence == Place->second.Sequence;
+  return Opened;
+}
+
 GrantAnswer RateOwner::grant(const GrantRequest &Request, TimePoint Now) {
-  GrantAnswer Answer{.Workspace = Request.Workspace,
-                     .Incarnation = Request.Incarnation,
-                     .Sequence = Request.Sequence};
-  OwnedRate *Owned = this->find(Request.Workspace);
-  if (Owned == nullptr)
-    return Answer;
-  this->settle(*Owned, Now);
-  Answer.Status = GrantStatus::NotReady;
-  if (!this->ready(*Owned, Now))
-    return Answer;
-  removeUnused(Owned->Grants, Now);
-  const auto [Place, Opened] =
-      Owned->Grants.try_emplace({Request.Host, Request.Incarnation});
-  RateLedger &Ledger = Place->second;
-  if (Opened)
-    Ledger.SpentBefore = Request.Spent;
-  Answer.Status = GrantStatus::Stale;
-  if (Request.Sequence < Ledger.Sequence)
-    return Answer;
-  if (Opened || Request.Sequence > Ledger.Sequence)
-    this->addGrant(*Owned, Ledger, Request, Now);
-  return Ledger.LastGrant;
+  const OpenedLedger Opened = this->open(&OwnedRate::Grants, Request, Now);
+  if (Opened.Status != GrantStatus::Granted)
+    return {.Workspace = Request.Workspace,
+            .Incarnation = Request.Incarnation,
+            .Sequence = Request.Sequence,
+            .Status = Opened.Status};
+  if (Opened.IsNew)
+    Opened.Ledger->SpentBefore = Request.Spent;
+  if (!Opened.IsRepeat)
+    this->addGrant(*Opened.Owned, *Opened.Ledger, Request, Now);
+  return Opened.Ledger->LastGrant;
 }
 
 void RateOwner::addGrant(OwnedRate &Owned, RateLedger &Ledger,
@@ -264,26 +278,15 @@
 }
 
 LoanAnswer RateOwner::lend(const LoanRequest &Request, TimePoint Now) {
-  LoanAnswer Answer{.Workspace = Request.Workspace,
-                    .Incarnation = Request.Incarnation,
-                    .Sequence = Request.Sequence};
-  OwnedRate *Owned = this->find(Request.Workspace);
-  if (Owned == nullptr)
-    return Answer;
-  this->settle(*Owned, Now);
-  Answer.Status = GrantStatus::NotReady;
-  if (!this->ready(*Owned, Now))
-    return Answer;
-  removeUnused(Owned->Loans, Now);
-  const auto [Place, Opened] =
-      Owned->Loans.try_emplace({Request.Host, Request.Incarnation});
-  RateLedger &Ledger = Place->second;
-  Answer.Status = GrantStatus::Stale;
-  if (Request.Sequence < Ledger.Sequence)
-    return Answer;
-  if (Opened || Request.Sequence > Ledger.Sequence)
-    this->addLoan(*Owned, Ledger, Request, Now);
-  return Ledger.LastLoan;
+  const OpenedLedger Opened = this->open(&OwnedRate::Loans, Request, Now);
+  if (Opened.Status != GrantStatus::Granted)
+    return {.Workspace = Request.Workspace,
+            .Incarnation = Request.Incarnation,
+            .Sequence = Request.Sequence,
+            .Status = Opened.Status};
+  if (!Opened.IsRepeat)
+    this->addLoan(*Opened.Owned, *Opened.Ledger, Request, Now);
+  return Opened.Ledger->LastLoan;
 }
 
 void RateOwner::addLoan(OwnedRate &Owned, RateLedger &Ledger,
--- a/src/libs/limits/rateowner.h
+++ b/src/libs/limits/rateowner.h
@@ -109,6 +109,15 @@
   auto operator<=>(const OwnedRate &) const = default;
 };
 
+/// The ledger of a request, or why there is none.
+struct OpenedLedger {
+  GrantStatus Status = GrantStatus::NotOwner; ///< Granted with a ledger.
+  OwnedRate *Owned = nullptr;
+  RateLedger *Ledger = nullptr;
+  bool IsNew = false;    ///< The first request of its process.
+  bool IsRepeat = false; ///< Answered before; gets the same answer.
+};
+
 } // namespace detail
 
 /// The rate owner of one host: for each workspace that the host owns in its
@@ -172,6 +181,9 @@
   auto operator<=>(const RateOwner &) const = default;
 
 private:
+  template <typename Request>
+  detail::OpenedLedger open(detail::RateLedgers detail::OwnedRate::*Ledgers,
+                            const Request &Asked, TimePoint Now);
   detail::OwnedRate *find(const std::string &Workspace);
   bool ready(const detail::OwnedRate &Owned, TimePoint Now) const;
   void settle(detail::OwnedRate &Owned, TimePoint Now) const;
--- a/src/libs/platform/platformclient.cpp
+++ b/src/libs/platform/platformclient.cpp
@@ -279,9 +279,7 @@
 }
 
 PlatformClient::Call<CatalogueObject>
-PlatformClient::get(ObjectKind Kind, std::string Name, TimePoint Deadline) {
-  PlatformRequest Request;
-  Request.Target = pathOf(Kind, Name);
+PlatformClient::callForObject(PlatformRequest Request, TimePoint Deadline) {
   const Result<PlatformResponse> Answer =
       co_await this->Impl->call(std::move(Request), Deadline);
   if (!Answer)
@@ -289,6 +287,14 @@
   co_return readAnswer(Answer.value());
 }
 
+PlatformClient::Call<CatalogueObject>
+PlatformClient::get(ObjectKind Kind, const std::string &Name,
+                    TimePoint Deadline) {
+  PlatformRequest Request;
+  Request.Target = pathOf(Kind, Name);
+  return this->callForObject(std::move(Request), Deadline);
+}
+
 PlatformClient::Call<CatalogueObject>
 PlatformClient::create(CatalogueObject Object, TimePoint Deadline) {
   Object.Version = 0;
@@ -296,11 +302,7 @@
   Request.Method = HttpMethod::Post;
   Request.Target = pathOf(Object.Kind);
   Request.Body = writeCompactJson(Object.toJson());
-  const Result<PlatformResponse> Answer =
-      co_await this->Impl->call(std::move(Request), Deadline);
-  if (!Answer)
-    co_return Answer.error();
-  co_return readAnswer(Answer.value());
+  return this->callForObject(std::move(Request), Deadline);
 }
 
 PlatformClient::Call<CatalogueObject>
@@ -309,11 +311,7 @@
   Request.Method = HttpMethod::Put;
   Request.Target = pathOf(Object.Kind, Object.Name);
   Request.Body = writeCompactJson(Object.toJson());
-  const Result<PlatformResponse> Answer =
-      co_await this->Impl->call(std::move(Request), Deadline);
-  if (!Answer)
-    co_return Answer.error();
-  co_return readAnswer(Answer.value());
+  return this->callForObject(std::move(Request), Deadline);
 }
 
 PlatformClient::Call<void> PlatformClient::remove(ObjectKind Kind,
--- a/src/libs/platform/platformclient.h
+++ b/src/libs/platform/platformclient.h
@@ -16,6 +16,8 @@
 
 namespace lavenderdale {
 
+struct PlatformRequest;
+
 /// One message of a watch.
 struct WatchMessage {
   enum class Type {
@@ -55,7 +57,7 @@
   /// wrong is listed with a spec that does not pass validation.
   Call<ObjectList> list(std::optional<ObjectKind> Kind, TimePoint Deadline);
 
-  Call<CatalogueObject> get(ObjectKind Kind, std::string Name,
+  Call<CatalogueObject> get(ObjectKind Kind, const std::string &Name,
                             TimePoint Deadline);
 
   /// \returns the object as stored, with its version.
@@ -96,6 +98,9 @@
   using StoreMethod = Call<CatalogueObject> (PlatformClient::*)(CatalogueObject,
                                                                 TimePoint);
 
+  Call<CatalogueObject> callForObject(PlatformRequest Request,
+                                      TimePoint Deadline);
+
   /// \param Object without a version if it is to be created.
   Call<CatalogueObject> storeResolved(StoreMethod Store, CatalogueObject Object,
                                       TimePoint Deadline);
--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -326,14 +326,15 @@
     return UpstreamPlaces{Member->State == UpstreamState::Leaving,
                           this->Fleet()->holders(*Member)};
   };
-  const RoundRobin InTurn(this->Turn++);
-  const bool TakesTurns =
-      this->Context.Config.Experiment.Reads == "round-robin";
-  const ReadGroupView Routing =
-      this->Views.routingOf(Request.Target->Group, View);
-  return planAttempts({Routing, View.Primary, View.At}, Read, Places,
+  ReadGroupView Routing;
+  if (Read)
+    Routing = this->Views.routingOf(Request.Target->Group, View);
+  std::optional<RoundRobin> InTurn;
+  if (Read && this->Context.Config.Experiment.Reads == "round-robin")
+    InTurn.emplace(this->Turn++);
+  return planAttempts({std::move(Routing), View.Primary, View.At}, Read, Places,
                       this->Context.hostName(), now(),
-                      TakesTurns ? &InTurn : nullptr);
+                      InTurn ? &*InTurn : nullptr);
 }
 
 void Entry::countServed(const CallerRequest &Caller,
