--- a/src/libs/server/platformaccess.cpp
+++ b/src/libs/server/platformaccess.cpp
@@ -55,8 +55,7 @@
 
 asio::awaitable<Result<CatalogueObject>>
 PlatformAccess::get(ObjectKind Kind, std::string Name, TimePoint Deadline) {
-  co_return this->noted(
-      co_await this->current().get(Kind, std::move(Name), Deadline));
+  co_return this->noted(co_await this->current().get(Kind, Name, Deadline));
 }
 
 asio::awaitable<Result<CatalogueObject>>
