--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -7,6 +7,7 @@
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
 find_package(toml11 REQUIRED)
+find_package(nlohmann_json REQUIRED)
 find_package(Catch2 2 REQUIRED)
 
 find_library(JSONRPC_COMMON jsonrpccpp-common REQUIRED)
--- a/src/libs/base/errorkind.cpp
+++ b/src/libs/base/errorkind.cpp
@@ -54,6 +54,8 @@
                 "The host cannot confirm that its configuration is current"},
     ErrorAnswer{UnknownTransaction, "unknown-transaction", 404, NotRun, Never,
                 "No such transaction"},
+    ErrorAnswer{UnknownStatement, "unknown-statement", 404, NotRun, Never,
+                "No such prepared statement"},
     ErrorAnswer{TransactionLost, "transaction-lost", 409, NotRun, Never,
                 "The transaction was rolled back"},
     ErrorAnswer{TransactionBusy, "transaction-busy", 409, NotRun, After,
--- a/src/libs/base/errorkind.h
+++ b/src/libs/base/errorkind.h
@@ -28,6 +28,7 @@
   ReplicaBehind,
   ConfigurationStale,
   UnknownTransaction,
+  UnknownStatement,
   TransactionLost,
   TransactionBusy,
   StatementFailed,
--- /dev/null
+++ b/src/libs/consistency/verifiedpositions.cpp
@@ -0,0 +1,41 @@
+#include "verifiedpositions.h"
+
+#include <algorithm>
+
+namespace lavenderdale {
+
+void VerifiedPositions::add(BootTime Sent, const Position &At) {
+  // A proof that arrives out of order, or is of an older term, adds nothing.
+  if (!this->Entries.empty() &&
+      (Sent <= this->Entries.back().Sent || At < this->Entries.back().At))
+    return;
+  while (!this->Entries.empty() &&
+         this->Entries.front().Sent + Retention < Sent)
+    this->Entries.pop_front();
+  // Replacing the last entry keeps the one before it within Spacing.
+  if (this->Entries.size() >= 2 &&
+      Sent - this->Entries[this->Entries.size() - 2].Sent < Spacing)
+    this->Entries.pop_back();
+  this->Entries.push_back({Sent, At});
+}
+
+std::optional<Position> VerifiedPositions::includingAll(BootTime Since) const {
+  const auto Found = std::lower_bound(
+      this->Entries.begin(), this->Entries.end(), Since,
+      [](const Entry &Each, BootTime Time) { return Each.Sent < Time; });
+  if (Found == this->Entries.end())
+    return std::nullopt;
+  return Found->At;
+}
+
+BootTime VerifiedPositions::newest() const {
+  return this->Entries.empty() ? BootTime{} : this->Entries.back().Sent;
+}
+
+std::optional<Position> VerifiedPositions::newestPosition() const {
+  if (this->Entries.empty())
+    return std::nullopt;
+  return this->Entries.back().At;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/failover/primarytracker.cpp
@@ -0,0 +1,136 @@
+#include "primarytracker.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <tuple>
+
+namespace lavenderdale {
+
+void PrimaryTracker::setMembers(const std::vector<Member> &NewMembers,
+                                TimePoint Now) {
+  std::set<std::string> Present;
+  for (const Member &Each : NewMembers) {
+    Present.insert(Each.Id);
+    State &Known = this->Members[Each.Id];
+    if (Each.ClaimsPrimary && !Known.Entry.ClaimsPrimary) {
+      Known.ClaimedSince = Now;
+      Known.RefusedAt = {};
+    }
+    Known.Entry = Each;
+  }
+  std::erase_if(this->Members, [&Present](const auto &Each) {
+    return !Present.count(Each.first);
+  });
+}
+
+void PrimaryTracker::proved(const std::string &Id, Term InTerm, TimePoint Now) {
+  if (InTerm < this->ProvenTerm)
+    return;
+  this->Proven = Id;
+  this->ProvenTerm = InTerm;
+  this->ProvenAt = Now;
+  this->FailedSince.reset();
+  const auto Found = this->Members.find(Id);
+  if (Found != this->Members.end())
+    Found->second.RefusedAt = {};
+}
+
+void PrimaryTracker::refused(const std::string &Id, TimePoint Now) {
+  const auto Found = this->Members.find(Id);
+  if (Found != this->Members.end())
+    Found->second.RefusedAt = Now;
+  if (!this->FailedSince)
+    this->FailedSince = Now;
+  this->LastFailure = Now;
+}
+
+void PrimaryTracker::unreachable(const std::string &Id, TimePoint Now) {
+  // Replicas are probed only when the primary is not known.
+  if (this->Members.count(Id) == 0)
+    return;
+  if (!this->FailedSince)
+    this->FailedSince = Now;
+  this->LastFailure = Now;
+}
+
+void PrimaryTracker::promotionOrdered(const std::string &Id, TimePoint Now) {
+  const auto Found = this->Members.find(Id);
+  if (Found == this->Members.end())
+    return;
+  Found->second.OrderedAt = Now;
+  Found->second.RefusedAt = {};
+}
+
+bool PrimaryTracker::mayLead(const State &Each, TimePoint Now) const {
+  return Each.RefusedAt == TimePoint{} ||
+         Now - Each.RefusedAt > RefusalLifetime;
+}
+
+std::optional<std::string> PrimaryTracker::primary(TimePoint Now) const {
+  // Ordered by evidence: a proof that was not refused since, a recent order,
+  // the newest claim.
+  const State *Best = nullptr;
+  using Rank = std::tuple<int, TimePoint>;
+  Rank BestRank{0, {}};
+  for (const auto &[Id, Each] : this->Members) {
+    if (!this->mayLead(Each, Now))
+      continue;
+    Rank Own{0, {}};
+    if (Id == this->Proven && Each.RefusedAt == TimePoint{})
+      Own = {3, {}};
+    else if (Each.OrderedAt != TimePoint{} &&
+             Now - Each.OrderedAt < PromotionPreference)
+      Own = {2, Each.OrderedAt};
+    else if (Each.Entry.ClaimsPrimary)
+      Own = {1, Each.ClaimedSince};
+    if (std::get<0>(Own) == 0 || (Best && Own <= BestRank))
+      continue;
+    Best = &Each;
+    BestRank = Own;
+  }
+  if (!Best)
+    return std::nullopt;
+  return Best->Entry.Id;
+}
+
+std::optional<std::string> PrimaryTracker::probeTarget(TimePoint Now) {
+  if (this->Members.empty())
+    return std::nullopt;
+  const std::optional<std::string> Likely = this->primary(Now);
+  // Every other probe goes to the likely one while it fails.
+  if (Likely && (!this->FailedSince || this->ProbeTurn++ % 2 == 0))
+    return Likely;
+  const std::size_t Index = (this->ProbeTurn++ / 2) % this->Members.size();
+  return std::next(this->Members.begin(), static_cast<std::ptrdiff_t>(Index))
+      ->first;
+}
+
+bool PrimaryTracker::suspected(TimePoint Now,
+                               std::chrono::milliseconds Limit) const {
+  if (!this->FailedSince)
+    return false;
+  const TimePoint Since =
+      this->ProvenAt ? std::max(*this->ProvenAt, *this->FailedSince - Limit / 2)
+                     : *this->FailedSince;
+  return Now - Since >= Limit;
+}
+
+std::optional<Duration> PrimaryTracker::provenAge(TimePoint Now) const {
+  if (!this->ProvenAt)
+    return std::nullopt;
+  return Now - *this->ProvenAt;
+}
+
+std::optional<std::string> PrimaryTracker::lastPrimary() const {
+  if (this->Members.count(this->Proven) == 0)
+    return std::nullopt;
+  return this->Proven;
+}
+
+bool PrimaryTracker::isLeaving(const std::string &Id) const {
+  const auto Found = this->Members.find(Id);
+  return Found != this->Members.end() && Found->second.Entry.Leaving;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/failover/promotionvote.cpp
@@ -0,0 +1,39 @@
+#include "promotionvote.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lavenderdale {
+
+bool decidePromotion(std::span<const PrimaryOpinion> Others, std::size_t Hosts,
+                     std::size_t Rank, std::chrono::milliseconds SuspectedFor,
+                     const PromotionLimits &Limits) {
+  std::size_t Suspecting = 1;
+  for (const PrimaryOpinion &Each : Others) {
+    if (Each.ProvenAge && *Each.ProvenAge < Limits.RecentProof)
+      return false;
+    Suspecting += Each.Suspects ? 1 : 0;
+  }
+  const std::size_t Heard = Others.size() + 1;
+  if (2 * Suspecting <= Heard && Heard > 1)
+    return false;
+  const auto Turn = Limits.RankDelay * static_cast<int>(Rank);
+  if (2 * Heard >= Hosts)
+    return SuspectedFor >= Turn;
+  return SuspectedFor >= Limits.MinorityPatience + Turn;
+}
+
+std::optional<std::string>
+choosePromotion(std::span<const PromotionCandidate> Candidates) {
+  const auto Best = std::max_element(
+      Candidates.begin(), Candidates.end(),
+      [](const PromotionCandidate &A, const PromotionCandidate &B) {
+        return std::tuple(!A.Leaving, A.Received, B.Id) <
+               std::tuple(!B.Leaving, B.Received, A.Id);
+      });
+  if (Best == Candidates.end())
+    return std::nullopt;
+  return Best->Id;
+}
+
+} // namespace lavenderdale
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -71,8 +71,10 @@
 
 class HttpClient::Private {
 public:
-  Private(asio::any_io_executor Executor, Endpoint Where)
-      : Executor(std::move(Executor)), Where(std::move(Where)) {}
+  Private(asio::any_io_executor Executor, Endpoint Where,
+          IdleConnections IdlePolicy)
+      : Executor(std::move(Executor)), Where(std::move(Where)),
+        IdlePolicy(IdlePolicy) {}
 
   asio::awaitable<Result<HttpResponse>> send(HttpRequest Request,
                                              TimePoint Deadline) {
@@ -97,7 +99,9 @@
       const Duration IdleTime = now() - Candidate->IdleSince;
       if (IdleTime > DropAfterIdle)
         continue;
-      if (IdleTime <= CheckAfterIdle ||
+      if (IdleTime <= CheckAfterIdle)
+        co_return Candidate;
+      if (this->IdlePolicy == IdleConnections::Check &&
           co_await this->answersCheck(*Candidate, Deadline))
         co_return Candidate;
     }
@@ -168,10 +172,13 @@
 
   asio::any_io_executor Executor;
   Endpoint Where;
+  IdleConnections IdlePolicy;
 };
 
-HttpClient::HttpClient(asio::any_io_executor Executor, Endpoint Where)
-    : P(std::make_shared<Private>(std::move(Executor), std::move(Where))) {}
+HttpClient::HttpClient(asio::any_io_executor Executor, Endpoint Where,
+                       IdleConnections Idle)
+    : P(std::make_shared<Private>(std::move(Executor), std::move(Where),
+                                  Idle)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -12,16 +12,22 @@
 
 namespace lavenderdale {
 
+/// What to do with a connection that was idle for more than a second, and may
+/// have gone silent meanwhile.
+enum class IdleConnections {
+  Check,     ///< Send GET /healthz first; for our own servers.
+  Reconnect, ///< Open a new one; for servers without that path.
+};
+
 /// An HTTP/1.1 client of one endpoint with kept-alive connections. Used on
 /// its own executor only, which must not run on several threads.
 class HttpClient {
 public:
-  HttpClient(boost::asio::any_io_executor Executor, Endpoint Where);
+  HttpClient(boost::asio::any_io_executor Executor, Endpoint Where,
+             IdleConnections Idle = IdleConnections::Check);
   ~HttpClient();
 
-  /// Sends \p Request and reads the whole response. A connection that was idle
-  /// for more than a second is checked with GET /healthz first, so that one
-  /// that went silent costs no request.
+  /// Sends \p Request and reads the whole response.
   /// \returns the response; Unavailable if no byte of the request was sent;
   /// OutcomeUnknown if some was and no whole response came until \p Deadline.
   boost::asio::awaitable<Result<HttpResponse>> send(HttpRequest Request,
--- /dev/null
+++ b/src/libs/limits/sharedrate.cpp
@@ -0,0 +1,143 @@
+#include "sharedrate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lavenderdale {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+double secondsBetween(BootTime From, BootTime To) {
+  return std::max(0.0, Seconds(To - From).count());
+}
+
+} // namespace
+
+void SharedRate::setLimits(double NewRate, double NewBurst, BootTime Now) {
+  this->Rate = NewRate;
+  this->Burst = NewBurst;
+  if (!this->Started) {
+    this->StartedAt = Now;
+    this->Tokens = this->limit(); // Cut to this host's part at the division.
+  }
+  this->Started = true;
+  this->DividedIn = -1;
+}
+
+void SharedRate::report(const std::string &Host, const Report &Told,
+                        BootTime Now) {
+  Peer &Each = this->Peers[Host];
+  if (Each.At != BootTime{} && Told.StartedAt != Each.Last.StartedAt) {
+    Each.UsedBefore = Each.Last.Used;
+    Each.UsedBeforeAt = Each.At;
+  }
+  Each.Last = Told;
+  Each.At = Now;
+}
+
+SharedRate::SlotNumber SharedRate::slotOf(BootTime Time) {
+  return Time.time_since_epoch() / SlotLength;
+}
+
+double SharedRate::fading(double Used, BootTime Since, BootTime Now) {
+  const double Left = 1 - secondsBetween(Since, Now) / Seconds(Window).count();
+  return Used * std::max(0.0, Left);
+}
+
+double SharedRate::limit() const {
+  return this->Rate * Seconds(Window).count() + this->Burst;
+}
+
+double SharedRate::demand(BootTime Now) const {
+  const double Decay = std::exp(-secondsBetween(this->DemandAt, Now) /
+                                Seconds(DemandWindow).count());
+  return this->SmoothedDemand * Decay;
+}
+
+void SharedRate::countDemand(BootTime Now) {
+  this->SmoothedDemand =
+      this->demand(Now) + 1.0 / Seconds(DemandWindow).count();
+  this->DemandAt = Now;
+}
+
+double SharedRate::used(BootTime Now) const {
+  const SlotNumber Current = slotOf(Now);
+  double Sum = 0;
+  for (const Slot &Each : this->Admitted)
+    if (Each.Number > Current - static_cast<SlotNumber>(Slots))
+      Sum += Each.Admitted;
+  return Sum;
+}
+
+double SharedRate::usedByPeers(std::size_t Hosts, BootTime Now) const {
+  const double Equal =
+      this->limit() / static_cast<double>(std::max<std::size_t>(Hosts, 1));
+  double Sum = 0;
+  std::size_t Heard = 1;
+  for (const auto &[Host, Each] : this->Peers) {
+    Sum += fading(Each.UsedBefore, Each.UsedBeforeAt, Now);
+    if (Now - Each.At > ReportLifetime) {
+      // Counted below if it still belongs to the fleet.
+      continue;
+    }
+    ++Heard;
+    Sum += Each.Last.Used;
+  }
+  if (Hosts > Heard)
+    Sum += Equal * static_cast<double>(Hosts - Heard);
+  return Sum;
+}
+
+double SharedRate::usedByAll(std::size_t Hosts, BootTime Now) const {
+  return this->used(Now) + this->usedByPeers(Hosts, Now);
+}
+
+// Divides what is left of the window among the hosts.
+void SharedRate::divide(std::size_t Hosts, BootTime Now) {
+  const double Equal =
+      this->limit() / static_cast<double>(std::max<std::size_t>(Hosts, 1));
+  const double Before = fading(Equal * SpentBeforeStart, this->StartedAt, Now);
+  const double Left = this->limit() - this->usedByAll(Hosts, Now) - Before;
+  double Others = 0;
+  for (const auto &[Host, Each] : this->Peers)
+    if (Now - Each.At <= ReportLifetime)
+      Others += Each.Last.Demand;
+  const double Own = std::max(this->demand(Now), 1.0);
+  const double Part = Own / (Own + Others);
+  const double Pace = this->limit() / Slots + Left * BurstPart;
+  this->Tokens = std::max(
+      0.0, std::min(this->Tokens + Pace * Part, std::max(Left * Part, 0.0)));
+  // A part below one operation must not shut the host out.
+  if (Left >= 1 && this->Tokens < 1 && Left * Part < 1)
+    this->Tokens = 1;
+}
+
+bool SharedRate::admit(std::size_t Hosts, BootTime Now) {
+  this->countDemand(Now);
+  const SlotNumber Current = slotOf(Now);
+  if (Current != this->DividedIn) {
+    this->DividedIn = Current;
+    this->divide(Hosts, Now);
+  }
+  if (this->Tokens < 1)
+    return false;
+  this->Tokens -= 1;
+  Slot &Into =
+      this->Admitted[static_cast<std::size_t>(Current) % this->Admitted.size()];
+  if (Into.Number != Current)
+    Into = {Current, 0};
+  Into.Admitted += 1;
+  return true;
+}
+
+// The next division is the first moment at which something can change.
+std::chrono::milliseconds SharedRate::retryAfter(BootTime Now) const {
+  const BootTime Next(
+      std::chrono::duration_cast<BootTime::duration>(SlotLength) *
+      (slotOf(Now) + 1));
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Next - Now) +
+         std::chrono::milliseconds(1);
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -0,0 +1,416 @@
+#include "callersession.h"
+
+#include "socketoptions.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <sys/socket.h>
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+auto resumeWith(error_code &Failure) {
+  return asio::redirect_error(asio::use_awaitable, Failure);
+}
+
+} // namespace
+
+CallerSession::CallerSession(asio::ip::tcp::socket Socket, ProxyState &State,
+                             StatementExecutor &Executor,
+                             const CallerProtocol &Protocol)
+    : Socket(std::move(Socket)), State(State), Executor(Executor),
+      Protocol(Protocol) {
+  setLivenessOptions(this->Socket, UnacknowledgedLimit);
+}
+
+asio::awaitable<void> CallerSession::run() {
+  const std::shared_ptr<CallerSession> Keep = this->shared_from_this();
+  this->Limit = now() + StartLimit;
+  if (co_await this->start())
+    while (co_await this->serveNext())
+      ;
+  this->Limit.reset();
+  // The caller left in the middle of a transaction, or was told of its end.
+  this->Executor.rollBack(std::move(this->Pinned));
+  error_code Ignored;
+  this->Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+  this->Socket.close(Ignored);
+}
+
+asio::awaitable<bool> CallerSession::start() {
+  const std::optional<std::string> Line = co_await this->readLine();
+  if (!Line)
+    co_return false;
+  this->Limit.reset();
+  std::string Out;
+  Result<SessionStart> Decoded = this->Protocol.decodeStart(*Line);
+  Result<std::string> Admitted =
+      Decoded ? this->State.admitSession(Decoded.value(), now())
+              : Result<std::string>(Decoded.error());
+  if (!Admitted) {
+    logInfo(std::string("event=session_refused database=") +
+            (Decoded ? Decoded.value().Database : "unreadable") +
+            " kind=" + std::string(errorAnswer(Admitted.error().Kind).Name) +
+            " reason=\"" + Admitted.error().Detail + "\" catalogue=" +
+            std::to_string(this->State.catalogue()
+                               ? this->State.catalogue()->Version
+                               : 0));
+    this->Protocol.encodeError(Admitted.error(), Out);
+    co_await this->write(std::move(Out));
+    co_return false;
+  }
+  this->Start = Decoded.value();
+  this->Workspace = Admitted.value();
+  this->Protocol.encodeReady(TransactionPhase::None, std::nullopt, Out);
+  co_return co_await this->write(std::move(Out));
+}
+
+asio::awaitable<bool> CallerSession::serveNext() {
+  if (this->Ending || (this->Closing && !this->Session.inTransaction()))
+    co_return false;
+  const std::optional<std::string> Line = co_await this->readLine();
+  this->Limit.reset();
+  if (!Line)
+    co_return false;
+  Result<std::optional<Statement>> Decoded =
+      this->Protocol.decodeStatement(*Line);
+  std::string Out;
+  if (!Decoded) {
+    this->Protocol.encodeError(Decoded.error(), Out);
+    co_await this->write(std::move(Out));
+    co_return false;
+  }
+  if (!Decoded.value())
+    co_return false;
+  this->Serving = true;
+  co_await this->handle(*Decoded.value(), Out);
+  this->Serving = false;
+  if (this->Departed)
+    co_return false;
+  if (this->Session.inTransaction() && this->State.catalogue())
+    this->Limit = now() + this->State.catalogue()->TransactionIdle;
+  co_return co_await this->write(std::move(Out));
+}
+
+void CallerSession::checkLimits(TimePoint Now) {
+  if (this->Limit && *this->Limit <= Now) {
+    logInfo("event=session_limit workspace=" + this->Workspace +
+            (this->Session.inTransaction() ? " reason=transaction_idle"
+                                           : " reason=no_start"));
+    this->closeNow();
+  }
+}
+
+void CallerSession::closeWhenIdle() {
+  this->Closing = true;
+  if (!this->Serving && !this->Session.inTransaction())
+    this->closeNow();
+}
+
+void CallerSession::endTransaction() {
+  this->Closing = true;
+  this->Ending = true;
+  if (!this->Serving)
+    this->closeNow();
+}
+
+void CallerSession::stopWaiting() {
+  this->Abandoned = true;
+  if (this->Wait.Cancel)
+    this->Wait.Cancel();
+}
+
+void CallerSession::closeNow() {
+  this->Limit.reset();
+  error_code Ignored;
+  this->Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+  this->Socket.cancel(Ignored);
+}
+
+asio::awaitable<std::optional<std::string>> CallerSession::readLine() {
+  error_code Failure;
+  const std::size_t Size = co_await asio::async_read_until(
+      this->Socket, asio::dynamic_buffer(this->Buffer, MaxLineBytes), '\n',
+      resumeWith(Failure));
+  if (Failure == asio::error::not_found) {
+    std::string Out;
+    this->Protocol.encodeError(
+        failure(ErrorKind::PayloadTooLarge, "the message is too long"), Out);
+    co_await this->write(std::move(Out));
+  }
+  if (Failure)
+    co_return std::nullopt;
+  std::string Line = this->Buffer.substr(0, Size - 1);
+  this->Buffer.erase(0, Size);
+  if (!Line.empty() && Line.back() == '\r')
+    Line.pop_back();
+  co_return Line;
+}
+
+asio::awaitable<bool> CallerSession::write(std::string Out) {
+  error_code Failure;
+  co_await asio::async_write(this->Socket, asio::buffer(Out),
+                             resumeWith(Failure));
+  co_return !Failure;
+}
+
+// A caller sends nothing while it waits for an answer; when its connection
+// becomes readable meanwhile, it has closed it.
+void CallerSession::watchDeparture() {
+  if (this->Watching)
+    return;
+  this->Watching = true;
+  this->Socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [Self = this->shared_from_this()](error_code Failure) {
+        Self->Watching = false;
+        if (Failure || !Self->Serving)
+          return;
+        char Byte = 0;
+        const ssize_t Size = recv(Self->Socket.native_handle(), &Byte, 1,
+                                  MSG_PEEK | MSG_DONTWAIT);
+        if (Size > 0 || (Size < 0 && errno == EAGAIN))
+          return;
+        Self->Departed = true;
+        Self->stopWaiting();
+      });
+}
+
+CallerSession::Handler CallerSession::handlerOf(StatementKind Kind) {
+  struct Row {
+    StatementKind Kind;
+    Handler Handle;
+  };
+  static constexpr std::array<Row, 11> Table = {{
+      {StatementKind::Begin, &CallerSession::begin},
+      {StatementKind::BeginReadOnly, &CallerSession::begin},
+      {StatementKind::Commit, &CallerSession::commit},
+      {StatementKind::Rollback, &CallerSession::rollBack},
+      {StatementKind::Read, &CallerSession::access},
+      {StatementKind::Write, &CallerSession::access},
+      {StatementKind::SetValue, &CallerSession::changeSession},
+      {StatementKind::Prepare, &CallerSession::changeSession},
+      {StatementKind::Execute, &CallerSession::access},
+      {StatementKind::Deallocate, &CallerSession::changeSession},
+      {StatementKind::Malformed, &CallerSession::reject},
+  }};
+  for (const Row &Each : Table)
+    if (Each.Kind == Kind)
+      return Each.Handle;
+  return &CallerSession::reject;
+}
+
+asio::awaitable<void> CallerSession::handle(const Statement &Request,
+                                            std::string &Out) {
+  const bool Ends = Request.Kind == StatementKind::Rollback ||
+                    Request.Kind == StatementKind::Commit;
+  if (this->Session.phase() == TransactionPhase::Failed && !Ends) {
+    this->answerError(
+        failure(ErrorKind::BadRequest, "the transaction has failed"), Request,
+        Out);
+    co_return;
+  }
+  co_await (this->*handlerOf(Request.Kind))(Request, Out);
+}
+
+Result<void> CallerSession::checkAccess() {
+  const Result<std::string> Admitted =
+      this->State.admitSession(this->Start, now());
+  if (!Admitted)
+    return Admitted.error();
+  this->Workspace = Admitted.value();
+  this->Route = *this->State.catalogue()->findRoute(this->Start.Database);
+  this->Group = this->State.findGroup(this->Route.Group);
+  if (!this->Group)
+    return failure(ErrorKind::Unavailable, "the group has no upstreams");
+  return success();
+}
+
+// Key, route and rate are checked once for each operation: a single statement
+// or a whole transaction.
+Result<void> CallerSession::admitOperation() {
+  BOOST_OUTCOME_TRY(this->checkAccess());
+  return this->State.admitOperation(this->Workspace, BootClock::now());
+}
+
+asio::awaitable<void> CallerSession::begin(const Statement &Request,
+                                           std::string &Out) {
+  if (this->Session.inTransaction()) {
+    this->answerError(
+        failure(ErrorKind::BadRequest, "a transaction is already open"),
+        Request, Out);
+    co_return;
+  }
+  if (const Result<void> Admitted = this->admitOperation(); !Admitted) {
+    this->answerError(Admitted.error(), Request, Out);
+    co_return;
+  }
+  const Result<void> Begun =
+      this->Session.begin(Request.Kind == StatementKind::BeginReadOnly);
+  if (!Begun)
+    this->answerError(Begun.error(), Request, Out);
+  else
+    this->answerLocally(Out);
+}
+
+asio::awaitable<void> CallerSession::rollBack(const Statement &Request,
+                                              std::string &Out) {
+  if (!this->Session.inTransaction()) {
+    this->answerError(failure(ErrorKind::BadRequest, "no transaction is open"),
+                      Request, Out);
+    co_return;
+  }
+  this->Executor.rollBack(std::move(this->Pinned));
+  this->Session.endTransaction();
+  this->answerLocally(Out);
+}
+
+asio::awaitable<void> CallerSession::commit(const Statement &Request,
+                                            std::string &Out) {
+  if (!this->Session.inTransaction()) {
+    this->answerError(failure(ErrorKind::BadRequest, "no transaction is open"),
+                      Request, Out);
+    co_return;
+  }
+  if (this->Session.phase() == TransactionPhase::Failed) {
+    this->Session.endTransaction();
+    this->answerError(
+        failure(ErrorKind::TransactionLost, "the transaction was rolled back"),
+        Request, Out);
+    co_return;
+  }
+  co_await this->forward(Request, nullptr, false, Out);
+  // A commit that could not be sent ends the transaction as well.
+  if (this->Session.inTransaction()) {
+    this->Executor.rollBack(std::move(this->Pinned));
+    this->Session.endTransaction();
+  }
+}
+
+asio::awaitable<void> CallerSession::access(const Statement &Request,
+                                            std::string &Out) {
+  const PreparedStatement *Prepared = nullptr;
+  bool Writes = Request.Kind == StatementKind::Write;
+  if (Request.Kind == StatementKind::Execute) {
+    Prepared = this->Session.findPrepared(Request.Name);
+    if (!Prepared) {
+      this->answerError(
+          failure(ErrorKind::UnknownStatement, "no statement " + Request.Name),
+          Request, Out);
+      co_return;
+    }
+    Writes = Prepared->Writes;
+  }
+  if (!this->Session.inTransaction())
+    if (const Result<void> Admitted = this->admitOperation(); !Admitted) {
+      this->answerError(Admitted.error(), Request, Out);
+      co_return;
+    }
+  co_await this->forward(Request, Prepared, Writes, Out);
+}
+
+asio::awaitable<void> CallerSession::forward(const Statement &Request,
+                                             const PreparedStatement *Prepared,
+                                             bool Writes, std::string &Out) {
+  StatementCall Call{this->Route,
+                     this->Workspace,
+                     this->Group,
+                     this->Session,
+                     this->Pinned,
+                     Request,
+                     Prepared,
+                     Writes,
+                     now(),
+                     BootClock::now(),
+                     this->Wait,
+                     this->Abandoned,
+                     {},
+                     {},
+                     0,
+                     {}};
+  this->Abandoned = this->Departed;
+  this->watchDeparture();
+  StatementOutcome Outcome;
+  if (this->Session.inTransaction())
+    Outcome = co_await this->Executor.runInTransaction(Call);
+  else
+    Outcome = co_await this->Executor.runSingle(Call);
+  if (const Error *Failure = std::get_if<Error>(&Outcome)) {
+    this->Protocol.encodeError(*Failure, Out);
+    this->Protocol.encodeReady(this->Session.phase(), std::nullopt, Out);
+    co_return;
+  }
+  this->logIfSlow(Call);
+  const UpstreamReply &Reply = std::get<UpstreamReply>(Outcome);
+  this->Protocol.encodeReply(Reply, Out);
+  this->Protocol.encodeReady(this->Session.phase(), Reply.At, Out);
+}
+
+void CallerSession::logIfSlow(const StatementCall &Call) const {
+  const Duration Took = now() - Call.Arrived;
+  if (Took < this->Route.LatencyObjective / 2)
+    return;
+  const auto Milliseconds = [](Duration Length) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Length).count());
+  };
+  logInfo("event=served_slowly id=" + Call.Request.Id +
+          " group=" + Call.Route.Group + " upstream=" + Call.Upstream +
+          " workspace=" + Call.Workspace + " took_ms=" + Milliseconds(Took) +
+          " waited_ms=" + Milliseconds(Call.Waited) + " ran_ms=" +
+          Milliseconds(Call.Ran) + " tries=" + std::to_string(Call.Tries) +
+          " priority=" + std::to_string(Call.Route.Priority));
+}
+
+asio::awaitable<void> CallerSession::changeSession(const Statement &Request,
+                                                   std::string &Out) {
+  Result<void> Changed = success();
+  if (Request.Kind == StatementKind::SetValue)
+    Changed = this->Session.setValue(Request.Name, Request.Argument);
+  else if (Request.Kind == StatementKind::Prepare)
+    Changed = this->Session.prepare(
+        Request.Name, {Request.Argument, Request.DefinitionWrites});
+  else
+    Changed = this->Session.deallocate(Request.Name);
+  if (!Changed)
+    this->answerError(Changed.error(), Request, Out);
+  else
+    this->answerLocally(Out);
+  co_return;
+}
+
+asio::awaitable<void> CallerSession::reject(const Statement &Request,
+                                            std::string &Out) {
+  this->answerError(failure(ErrorKind::BadRequest, "unknown statement"),
+                    Request, Out);
+  co_return;
+}
+
+void CallerSession::answerError(const Error &Failure, const Statement &Request,
+                                std::string &Out) {
+  logInfo("event=refused id=" + Request.Id + " database=" +
+          this->Start.Database + " workspace=" + this->Workspace +
+          " kind=" + std::string(errorAnswer(Failure.Kind).Name) +
+          " detail=\"" + Failure.Detail + "\"");
+  this->Protocol.encodeError(Failure, Out);
+  this->Protocol.encodeReady(this->Session.phase(), std::nullopt, Out);
+}
+
+void CallerSession::answerLocally(std::string &Out) {
+  this->Protocol.encodeLocalCompletion(Out);
+  this->Protocol.encodeReady(this->Session.phase(), std::nullopt, Out);
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -0,0 +1,163 @@
+#include "fleetlink.h"
+
+#include "base/strictjson.h"
+#include "http/httpclient.h"
+#include "http/sleepuntil.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+FleetLink::FleetLink(asio::any_io_executor Executor, ProxyState &State,
+                     const RecordDecoder &Decoder, Endpoint Reports,
+                     std::uint16_t CataloguePort, std::string CataloguePath)
+    : Executor(Executor), State(State), Decoder(Decoder),
+      Reports(std::move(Reports)), CataloguePort(CataloguePort),
+      CataloguePath(std::move(CataloguePath)), Socket(Executor) {}
+
+Result<void> FleetLink::start() {
+  error_code Failure;
+  const auto Address = asio::ip::make_address(this->Reports.Address, Failure);
+  if (!Failure)
+    this->Socket.open(udp::v4(), Failure);
+  if (!Failure)
+    this->Socket.bind(udp::endpoint(Address, this->Reports.Port), Failure);
+  if (!Failure)
+    this->Socket.non_blocking(true, Failure);
+  if (Failure)
+    return failure(ErrorKind::Unavailable,
+                   "cannot bind the report port: " + Failure.message());
+  asio::co_spawn(this->Executor, this->receive(), asio::detached);
+  asio::co_spawn(this->Executor, this->sendLoop(), asio::detached);
+  return success();
+}
+
+void FleetLink::stop() {
+  this->Stopped = true;
+  error_code Ignored;
+  this->Socket.close(Ignored);
+}
+
+void FleetLink::leave() {
+  this->Leaving = true;
+  this->sendReports();
+}
+
+asio::awaitable<void> FleetLink::receive() {
+  const std::shared_ptr<FleetLink> Keep = this->shared_from_this();
+  while (!this->Stopped) {
+    udp::endpoint From;
+    error_code Failure;
+    const std::size_t Size = co_await this->Socket.async_receive_from(
+        asio::buffer(this->Buffer), From,
+        asio::redirect_error(asio::use_awaitable, Failure));
+    if (this->Stopped)
+      co_return;
+    if (Failure) {
+      logDebug("event=report_receive_failed error=\"" + Failure.message() +
+               "\"");
+      co_await sleepUntil(now() + ReportInterval);
+      continue;
+    }
+    const Result<HostReport> Report = decodeReport({this->Buffer.data(), Size});
+    if (!Report) {
+      logInfo("event=report_unreadable error=\"" + Report.error().Detail +
+              "\"");
+      continue;
+    }
+    this->State.heard(Report.value());
+    this->considerFetch(Report.value(), From.address().to_string());
+  }
+}
+
+asio::awaitable<void> FleetLink::sendLoop() {
+  const std::shared_ptr<FleetLink> Keep = this->shared_from_this();
+  while (!this->Stopped) {
+    this->sendReports();
+    this->State.applyFleet();
+    co_await sleepUntil(now() + ReportInterval);
+  }
+}
+
+void FleetLink::sendReports() {
+  HostReport Report = this->State.report(BootClock::now(), this->Leaving);
+  Report.Address = toString(this->Reports);
+  const std::string Bytes = encodeReport(Report);
+  for (const auto &[Name, Host] : this->State.fleet().hosts()) {
+    error_code Failure;
+    const auto Address = asio::ip::make_address(Host.Address.Address, Failure);
+    if (Failure)
+      continue;
+    // A lost report is replaced by the next one.
+    this->Socket.send_to(asio::buffer(Bytes),
+                         udp::endpoint(Address, Host.Address.Port), 0, Failure);
+    if (Failure)
+      logDebug("event=report_send_failed host=" + Name + " error=\"" +
+               Failure.message() + "\"");
+  }
+}
+
+void FleetLink::considerFetch(const HostReport &Report,
+                              const std::string &Address) {
+  const std::uint64_t Own =
+      this->State.catalogue() ? this->State.catalogue()->Version : 0;
+  if (Report.CatalogueVersion <= Own) {
+    if (Report.CatalogueVersion == Own)
+      this->BehindSince.reset();
+    return;
+  }
+  const TimePoint Now = now();
+  if (!this->BehindSince)
+    this->BehindSince = Now;
+  if (this->Fetching || Now - *this->BehindSince < FetchAfter)
+    return;
+  this->Fetching = true;
+  asio::co_spawn(this->Executor, this->fetch(Address), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::fetch(std::string Address) {
+  const std::shared_ptr<FleetLink> Keep = this->shared_from_this();
+  HttpClient Client(this->Executor, {Address, this->CataloguePort},
+                    IdleConnections::Reconnect);
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Target = this->CataloguePath;
+  const Result<HttpResponse> Response =
+      co_await Client.send(std::move(Request), now() + FetchLimit);
+  this->Fetching = false;
+  this->BehindSince.reset();
+  if (!Response || Response.value().Status != 200) {
+    logInfo("event=catalogue_fetch_failed host=" + Address);
+    co_return;
+  }
+  const Result<Json::Value> Document = parseStrictJson(Response.value().Body);
+  Result<SessionCatalogue> Decoded =
+      Document ? this->Decoder.decodeCatalogue(Document.value())
+               : Result<SessionCatalogue>(Document.error());
+  if (!Decoded) {
+    logWarn("event=catalogue_unreadable host=" + Address + " error=\"" +
+            Decoded.error().Detail + "\"");
+    co_return;
+  }
+  this->State.offerCatalogue(
+      std::make_shared<const SessionCatalogue>(std::move(Decoded.value())),
+      Address);
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/fleetlink.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "proxystate.h"
+#include "recorddecoder.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+
+namespace lavenderdale {
+
+/// Exchanges reports between hosts over UDP, and fetches a newer catalogue
+/// from a host that has one.
+class FleetLink : public std::enable_shared_from_this<FleetLink> {
+public:
+  /// Rates are shared by what was told last; a quarter of a second lets a
+  /// changed demand reach all hosts well inside the rate's window of 5 s.
+  static constexpr std::chrono::milliseconds ReportInterval{250};
+  /// The store's watch brings a new catalogue to all hosts within
+  /// milliseconds; a host that still lacks it after this time asks another.
+  static constexpr std::chrono::milliseconds FetchAfter{400};
+  static constexpr std::chrono::milliseconds FetchLimit{800};
+  static constexpr std::size_t MaxReportBytes = 65536;
+
+  /// \param Reports UDP endpoint of this host.
+  /// \param CataloguePort TCP port at which every host serves its catalogue.
+  FleetLink(boost::asio::any_io_executor Executor, ProxyState &State,
+            const RecordDecoder &Decoder, Endpoint Reports,
+            std::uint16_t CataloguePort, std::string CataloguePath);
+
+  /// Errors: Unavailable if the endpoint cannot be bound.
+  Result<void> start();
+  void stop();
+  /// Tells the other hosts that this one is leaving, at once and from now on.
+  void leave();
+
+private:
+  boost::asio::awaitable<void> receive();
+  boost::asio::awaitable<void> sendLoop();
+  void sendReports();
+  void considerFetch(const HostReport &Report, const std::string &Address);
+  boost::asio::awaitable<void> fetch(std::string Address);
+
+  boost::asio::any_io_executor Executor;
+  ProxyState &State;
+  const RecordDecoder &Decoder;
+  const Endpoint Reports;
+  const std::uint16_t CataloguePort;
+  const std::string CataloguePath;
+  boost::asio::ip::udp::socket Socket;
+  std::array<char, MaxReportBytes> Buffer{};
+  std::optional<TimePoint> BehindSince;
+  bool Fetching = false;
+  bool Leaving = false;
+  bool Stopped = false;
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -0,0 +1,85 @@
+#include "fleetview.h"
+
+#include <algorithm>
+
+namespace lavenderdale {
+
+void FleetView::setRegistered(const std::map<std::string, Endpoint> &Registered,
+                              BootTime Now) {
+  for (auto &[Name, Each] : this->Hosts)
+    Each.Registered = false;
+  for (const auto &[Name, Address] : Registered) {
+    if (Name == this->OwnName)
+      continue;
+    Host &Each = this->Hosts[Name];
+    if (Each.KnownSince == BootTime{})
+      Each.KnownSince = Now;
+    Each.Registered = true;
+    Each.Address = Address;
+  }
+  std::erase_if(this->Hosts, [&](const auto &Each) {
+    return !Each.second.Registered && !this->isFresh(Each.second, Now);
+  });
+}
+
+bool FleetView::heard(const HostReport &Report, BootTime Now) {
+  if (Report.Host == this->OwnName)
+    return false;
+  Host &Each = this->Hosts[Report.Host];
+  if (Each.KnownSince == BootTime{})
+    Each.KnownSince = Now;
+  if (Each.Last && (Report.StartedAt < Each.Last->StartedAt ||
+                    (Report.StartedAt == Each.Last->StartedAt &&
+                     Report.Sequence <= Each.Last->Sequence)))
+    return false;
+  const Result<Endpoint> Address = parseEndpoint(Report.Address);
+  if (Address)
+    Each.Address = Address.value();
+  Each.Last = Report;
+  Each.HeardAt = Now;
+  return true;
+}
+
+std::size_t FleetView::size(BootTime Now) const {
+  const auto Others = std::count_if(
+      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
+        if (this->isFresh(Each.second, Now))
+          return !Each.second.Last->Leaving;
+        const BootTime Known =
+            std::max(Each.second.HeardAt, Each.second.KnownSince);
+        return Each.second.Registered && Now - Known < GoneAfter;
+      });
+  return static_cast<std::size_t>(Others) + 1;
+}
+
+std::vector<const FleetView::Host *> FleetView::fresh(BootTime Now) const {
+  std::vector<const Host *> Found;
+  for (const auto &[Name, Each] : this->Hosts)
+    if (this->isFresh(Each, Now))
+      Found.push_back(&Each);
+  return Found;
+}
+
+std::size_t FleetView::rank(BootTime Now) const {
+  const auto Before = std::count_if(
+      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
+        return Each.first < this->OwnName && this->isFresh(Each.second, Now) &&
+               !Each.second.Last->Leaving;
+      });
+  return static_cast<std::size_t>(Before);
+}
+
+std::vector<std::string> FleetView::gone(BootTime Now) const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Each] : this->Hosts)
+    if (Each.Registered &&
+        Now - std::max(Each.HeardAt, Each.KnownSince) >= GoneAfter)
+      Names.push_back(Name);
+  return Names;
+}
+
+bool FleetView::isFresh(const Host &Each, BootTime Now) const {
+  return Each.Last && Now - Each.HeardAt < ReportLifetime;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/hostreport.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lavenderdale {
+
+/// What a host reports of one group.
+struct GroupReport {
+  std::string Group;
+  std::string Primary; ///< The member that led last; empty if unknown.
+  std::int64_t ProvenAgeMs = -1; ///< Age of the last proof; -1 without one.
+  bool Suspects = false;
+  std::string Ordered; ///< Member whose promotion this host ordered lately.
+};
+
+/// What a host reports of one workspace.
+struct DemandReport {
+  std::string Workspace;
+  double Demand = 0; ///< Operations per second, refused ones included.
+  double Used = 0;   ///< Operations admitted in the last window.
+};
+
+/// The message that hosts send each other at intervals.
+struct HostReport {
+  static constexpr std::uint32_t CurrentFormat = 1;
+
+  std::uint32_t Format = CurrentFormat;
+  std::string Host;
+  std::string Address;         ///< Of the sender's port for reports.
+  std::uint64_t StartedAt = 0; ///< Milliseconds; tells processes apart.
+  std::uint64_t Sequence = 0;
+  std::uint64_t CatalogueVersion = 0;
+  bool Leaving = false;
+  std::vector<GroupReport> Groups;
+  std::vector<DemandReport> Demands;
+};
+
+/// Encodes \p Report as CBOR.
+std::string encodeReport(const HostReport &Report);
+
+/// Errors: BadRequest for bytes that are not a report of this format.
+Result<HostReport> decodeReport(std::string_view Bytes);
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -0,0 +1,288 @@
+#include "proxygroup.h"
+
+#include "http/sleepuntil.h"
+#include "placement/memberchoice.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using Command = UpstreamCommand;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+// How long what a replica's log lacked says something about it.
+constexpr std::chrono::milliseconds PositionLifetime{300};
+
+} // namespace
+
+ProxyGroup::ProxyGroup(asio::any_io_executor Executor,
+                       const UpstreamProtocol &Protocol, std::string Name,
+                       std::string OwnDomain)
+    : Executor(Executor), Protocol(Protocol), Name(std::move(Name)),
+      OwnDomain(std::move(OwnDomain)), PrimaryChanged(Executor) {
+  this->PrimaryChanged.expires_at(TimePoint::max());
+}
+
+void ProxyGroup::start() {
+  asio::co_spawn(this->Executor, this->probeLoop(), asio::detached);
+}
+
+void ProxyGroup::stop() {
+  this->Stopped = true;
+  for (const auto &[Id, Gate] : this->Gates)
+    Gate->retire();
+  this->Gates.clear();
+  this->PrimaryChanged.cancel();
+}
+
+void ProxyGroup::setMembers(const std::vector<UpstreamEntry> &Entries) {
+  std::set<std::string> Present;
+  std::vector<PrimaryTracker::Member> Members;
+  for (const UpstreamEntry &Each : Entries) {
+    Present.insert(Each.Id);
+    Members.push_back({Each.Id, Each.ClaimsPrimary, Each.Leaving});
+    std::shared_ptr<UpstreamGate> &Gate = this->Gates[Each.Id];
+    if (Gate) {
+      Gate->update(Each);
+      continue;
+    }
+    Gate = std::make_shared<UpstreamGate>(this->Executor, this->Protocol, Each);
+    Gate->pool().setCapacity(this->Guaranteed, this->Most);
+  }
+  std::erase_if(this->Gates, [&Present](const auto &Each) {
+    if (Present.count(Each.first))
+      return false;
+    Each.second->retire();
+    return true;
+  });
+  this->Tracker.setMembers(Members, now());
+  this->PrimaryChanged.cancel();
+}
+
+void ProxyGroup::setConnectionShare(std::size_t Guaranteed, std::size_t Most) {
+  this->Guaranteed = Guaranteed;
+  this->Most = Most;
+  for (const auto &[Id, Gate] : this->Gates)
+    Gate->pool().setCapacity(Guaranteed, Most);
+}
+
+void ProxyGroup::countUse(const std::string &Workspace, TimePoint Now) {
+  this->LastUse = Now;
+  if (this->LastWorkspace != Workspace)
+    this->LastWorkspace = Workspace;
+}
+
+bool ProxyGroup::inUse(TimePoint Now) const {
+  return !this->LastWorkspace.empty() && Now - this->LastUse < IdleAfter;
+}
+
+std::shared_ptr<UpstreamGate> ProxyGroup::primary(TimePoint Now) {
+  const std::optional<std::string> Id = this->Tracker.primary(Now);
+  if (!Id)
+    return nullptr;
+  const auto Found = this->Gates.find(*Id);
+  return Found == this->Gates.end() ? nullptr : Found->second;
+}
+
+asio::awaitable<std::shared_ptr<UpstreamGate>>
+ProxyGroup::waitForPrimary(TimePoint Until, WaitHandle &Wait) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  bool Cancelled = false;
+  Wait.Cancel = [this, &Cancelled] {
+    Cancelled = true;
+    this->PrimaryChanged.cancel();
+  };
+  std::shared_ptr<UpstreamGate> Gate;
+  while (!Cancelled && !this->Stopped) {
+    Gate = this->primary(now());
+    if (Gate || now() >= Until)
+      break;
+    // A refusal lapses without an event, so the wait is cut into steps.
+    asio::steady_timer Step(this->Executor);
+    Step.expires_at(std::min(Until, now() + std::chrono::milliseconds(25)));
+    boost::system::error_code Ignored;
+    co_await Step.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+  Wait.Cancel = nullptr;
+  co_return Gate;
+}
+
+// A replica lacks a position for as long as it has lately been behind.
+bool ProxyGroup::knownBehind(const UpstreamGate &Gate, const Position &After,
+                             TimePoint Now) const {
+  return Gate.lastPosition() && *Gate.lastPosition() < After &&
+         Now - Gate.lastPositionAt() < PositionLifetime &&
+         Now - Gate.behindAt() < PositionLifetime;
+}
+
+std::shared_ptr<UpstreamGate>
+ProxyGroup::chooseReader(const std::string &Workspace, const Position &After,
+                         const std::set<std::string> &Excluded, TimePoint Now) {
+  std::vector<ReadCandidate> Candidates;
+  std::vector<std::shared_ptr<UpstreamGate>> Members;
+  const std::optional<std::string> Primary = this->Tracker.primary(Now);
+  bool OthersStay = false;
+  for (const auto &[Id, Gate] : this->Gates)
+    OthersStay = OthersStay || !Gate->entry().Leaving;
+  for (const auto &[Id, Gate] : this->Gates) {
+    if (Excluded.count(Id) || (Gate->entry().Leaving && OthersStay))
+      continue;
+    const UpstreamPool &Pool = Gate->pool();
+    ReadCandidate Each;
+    Each.Reachable = !Pool.failing() || Pool.connections() > 0;
+    Each.Primary = Primary == Id;
+    Each.SameDomain = Gate->entry().FailureDomain == this->OwnDomain;
+    Each.KnownBehind = this->knownBehind(*Gate, After, Now);
+    Each.IdleConnection = Pool.hasIdle(Workspace);
+    Each.Service = Gate->service(Now);
+    Each.InFlight = Pool.assigned() + Pool.waiting();
+    Each.Capacity = std::max<std::size_t>(Pool.capacity(), 1);
+    Candidates.push_back(Each);
+    Members.push_back(Gate);
+  }
+  const std::optional<std::size_t> Chosen = chooseReadMember(Candidates, {});
+  return Chosen ? Members[*Chosen] : nullptr;
+}
+
+void ProxyGroup::proved(const UpstreamGate &Gate, BootTime Sent,
+                        const Position &At) {
+  const std::string &Id = Gate.entry().Id;
+  if (At.InTerm != this->Tracker.term())
+    logInfo("event=primary_proved group=" + this->Name + " upstream=" + Id +
+            " term=" + std::to_string(At.InTerm.Value) +
+            " position=" + std::to_string(At.Log.Value));
+  this->Tracker.proved(Id, At.InTerm, now());
+  this->Verified.add(Sent, At);
+  this->updateSuspicion(now());
+}
+
+void ProxyGroup::refusedLead(const UpstreamGate &Gate) {
+  logInfo("event=primary_refused group=" + this->Name +
+          " upstream=" + Gate.entry().Id);
+  this->Tracker.refused(Gate.entry().Id, now());
+}
+
+void ProxyGroup::promotionOrdered(const std::string &Id) {
+  this->Tracker.promotionOrdered(Id, now());
+}
+
+void ProxyGroup::updateSuspicion(TimePoint Now) {
+  const bool Suspects = this->Tracker.suspected(Now, SuspectAfter);
+  if (Suspects == this->SuspectedSince.has_value())
+    return;
+  this->SuspectedSince =
+      Suspects ? std::optional<TimePoint>(Now) : std::nullopt;
+  logInfo(std::string("event=") +
+          (Suspects ? "primary_suspected" : "primary_trusted") +
+          " group=" + this->Name +
+          " upstream=" + this->Tracker.lastPrimary().value_or("none"));
+}
+
+asio::awaitable<void> ProxyGroup::probeLoop() {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  while (!this->Stopped) {
+    const TimePoint Now = now();
+    const std::optional<Duration> Age = this->Tracker.provenAge(Now);
+    if (this->inUse(Now) && (!Age || *Age >= ProofInterval))
+      co_await this->probe();
+    this->updateSuspicion(now());
+    co_await sleepUntil(now() + SearchInterval);
+  }
+}
+
+asio::awaitable<ConnectionLease>
+ProxyGroup::probeConnection(const std::shared_ptr<UpstreamGate> &Gate,
+                            TimePoint Limit) {
+  ConnectionLease Idle = Gate->borrow();
+  if (Idle)
+    co_return Idle;
+  WaitHandle Wait;
+  PoolWaiter Waiter;
+  Waiter.Workspace = this->LastWorkspace;
+  Waiter.Target = now();
+  Waiter.GiveUp = Limit;
+  co_return co_await Gate->acquire(std::move(Waiter), Wait);
+}
+
+asio::awaitable<void> ProxyGroup::probe() {
+  const std::optional<std::string> Target = this->Tracker.probeTarget(now());
+  const auto Found = Target ? this->Gates.find(*Target) : this->Gates.end();
+  if (Found == this->Gates.end())
+    co_return;
+  const std::shared_ptr<UpstreamGate> Gate = Found->second;
+  const TimePoint Limit = now() + ProbeLimit;
+  ConnectionLease Lease = co_await this->probeConnection(Gate, Limit);
+  // All connections in use by statements say nothing about the member.
+  if (!Lease) {
+    if (Gate->pool().connections() == 0)
+      this->Tracker.unreachable(*Target, now());
+    co_return;
+  }
+  std::vector<UpstreamCommand> Commands(2);
+  Commands[0].Type = Command::Kind::Begin;
+  Commands[1].Type = Command::Kind::Rollback;
+  const ExchangeResult Exchange =
+      co_await Lease->exchange(std::move(Commands), Limit);
+  const TimePoint Now = now();
+  if (Exchange.Replies.empty() || Exchange.Lost) {
+    Gate->countFailure(Now);
+    this->Tracker.unreachable(*Target, Now);
+    logInfo("event=probe_failed group=" + this->Name + " upstream=" + *Target);
+    co_return;
+  }
+  Gate->countSuccess(Now);
+  if (Exchange.Replies.back().State == TransactionState::None)
+    Lease.keep();
+  const UpstreamReply &Begun = Exchange.Replies.front();
+  if (Begun.At)
+    Gate->sawPosition(*Begun.At, Now);
+  if (Begun.ok() && Begun.At)
+    this->proved(*Gate, Exchange.SentAt, *Begun.At);
+  else if (Begun.Failure == UpstreamFailure::ReadOnly)
+    this->refusedLead(*Gate);
+}
+
+asio::awaitable<std::vector<std::pair<std::string, UpstreamStatus>>>
+ProxyGroup::askStatus(TimePoint Deadline) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  std::vector<std::pair<std::string, UpstreamStatus>> Answers;
+  const auto Members = this->Gates;
+  for (const auto &[Id, Gate] : Members) {
+    if (now() >= Deadline)
+      break;
+    // One member that is silent must not use up the time of the others.
+    const TimePoint Limit =
+        std::min(Deadline, now() + std::chrono::milliseconds(250));
+    ConnectionLease Lease = co_await this->probeConnection(Gate, Limit);
+    if (!Lease)
+      continue;
+    std::vector<UpstreamCommand> Commands(1);
+    Commands[0].Type = Command::Kind::Status;
+    const ExchangeResult Exchange =
+        co_await Lease->exchange(std::move(Commands), Limit);
+    if (Exchange.Lost || Exchange.Replies.empty())
+      continue;
+    Lease.keep();
+    const Result<UpstreamStatus> Status =
+        this->Protocol.decodeStatus(Exchange.Replies.front());
+    if (Status)
+      Answers.emplace_back(Id, Status.value());
+    else
+      logInfo("event=status_unreadable upstream=" + Id + " error=\"" +
+              Status.error().Detail + "\"");
+  }
+  co_return Answers;
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -0,0 +1,222 @@
+#include "proxystate.h"
+
+#include "telemetry/logging.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+// How long an order is told to other hosts; it takes effect within a second
+// or two.
+constexpr std::chrono::milliseconds OrderReported{3000};
+
+} // namespace
+
+ProxyState::ProxyState(boost::asio::any_io_executor Executor,
+                       const UpstreamProtocol &Protocol, ProxyIdentity Identity)
+    : Executor(std::move(Executor)), Protocol(Protocol),
+      Identity(std::move(Identity)), Fleet(this->Identity.Host) {}
+
+void ProxyState::offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
+                                const std::string &Source) {
+  if (this->Catalogue && Offered->Version <= this->Catalogue->Version)
+    return;
+  logInfo("event=catalogue_in_force version=" +
+          std::to_string(Offered->Version) + " before=" +
+          std::to_string(this->Catalogue ? this->Catalogue->Version : 0) +
+          " routes=" + std::to_string(Offered->Routes.size()) +
+          " source=" + Source);
+  this->Catalogue = std::move(Offered);
+  const BootTime Now = BootClock::now();
+  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces)
+    this->Rates[Name].setLimits(Workspace.Rate, Workspace.Burst, Now);
+  std::erase_if(this->Rates, [this](const auto &Each) {
+    return !this->Catalogue->Workspaces.count(Each.first);
+  });
+  this->applyUpstreams();
+  this->ShareHosts = 0;
+  this->applyFleet();
+}
+
+void ProxyState::applyUpstreams() {
+  const auto ByGroup = this->Directory.byGroup();
+  std::set<std::string> Wanted;
+  if (this->Catalogue)
+    for (const auto &[Name, Group] : this->Catalogue->Groups)
+      Wanted.insert(Name);
+  for (const std::string &Name : Wanted) {
+    std::shared_ptr<ProxyGroup> &Group = this->Groups[Name];
+    if (!Group) {
+      Group = std::make_shared<ProxyGroup>(this->Executor, this->Protocol, Name,
+                                           this->Identity.FailureDomain);
+      Group->start();
+      this->ShareHosts = 0;
+    }
+    const auto Members = ByGroup.find(Name);
+    Group->setMembers(Members == ByGroup.end() ? std::vector<UpstreamEntry>()
+                                               : Members->second);
+  }
+  std::erase_if(this->Groups, [&Wanted](const auto &Each) {
+    if (Wanted.count(Each.first))
+      return false;
+    Each.second->stop();
+    return true;
+  });
+  if (this->ShareHosts == 0)
+    this->applyFleet();
+}
+
+void ProxyState::applyFleet() {
+  const std::size_t Hosts = this->Fleet.size(BootClock::now());
+  if (Hosts == this->ShareHosts)
+    return;
+  this->ShareHosts = Hosts;
+  this->applyConnectionShares();
+}
+
+// Every host may count on an equal part of an upstream's connections; beyond
+// it the upstream's limit decides, and surplus connections are soon closed.
+void ProxyState::applyConnectionShares() {
+  if (!this->Catalogue)
+    return;
+  for (const auto &[Name, Group] : this->Groups) {
+    const auto Found = this->Catalogue->Groups.find(Name);
+    if (Found == this->Catalogue->Groups.end())
+      continue;
+    const std::size_t Limit = Found->second.ConnectionLimit;
+    const std::size_t Usable =
+        Limit > SpareConnections ? Limit - SpareConnections : Limit;
+    const std::size_t Part =
+        std::max<std::size_t>(1, Usable / this->ShareHosts);
+    Group->setConnectionShare(Part, std::max(Part, std::min(Part * 2, Usable)));
+  }
+}
+
+void ProxyState::heard(const HostReport &Report) {
+  const BootTime Now = BootClock::now();
+  if (!this->Fleet.heard(Report, Now))
+    return;
+  // A workspace that the host has nothing to tell of is left out.
+  std::map<std::string, SharedRate::Report> Told;
+  for (const DemandReport &Each : Report.Demands)
+    Told[Each.Workspace] = {Report.StartedAt, Report.Leaving ? 0 : Each.Demand,
+                            Each.Used};
+  for (auto &[Name, Rate] : this->Rates) {
+    const auto Found = Told.find(Name);
+    Rate.report(Report.Host,
+                Found == Told.end() ? SharedRate::Report{Report.StartedAt, 0, 0}
+                                    : Found->second,
+                Now);
+  }
+  for (const GroupReport &Each : Report.Groups) {
+    const std::shared_ptr<ProxyGroup> Group = this->findGroup(Each.Group);
+    if (Group && !Each.Ordered.empty())
+      Group->promotionOrdered(Each.Ordered);
+  }
+  this->applyFleet();
+}
+
+bool ProxyState::loaded() const {
+  return this->Catalogue && this->Directory.size() > 0;
+}
+
+bool ProxyState::confirmed(TimePoint Now) const {
+  return this->ConfirmedAt && Now - *this->ConfirmedAt < CatalogueConfirmation;
+}
+
+Result<std::string> ProxyState::admitSession(const SessionStart &Start,
+                                             TimePoint Now) const {
+  const Error Stale = failure(ErrorKind::ConfigurationStale,
+                              "the catalogue could not be confirmed lately");
+  if (!this->Catalogue)
+    return Stale;
+  const SessionRoute *Route = this->Catalogue->findRoute(Start.Database);
+  if (!Route)
+    return this->confirmed(Now) ? failure(ErrorKind::UnknownRoute,
+                                          "no database " + Start.Database)
+                                : Stale;
+  const SessionWorkspace *Owner = this->Catalogue->findKey(Start.Key);
+  if (Owner)
+    return Owner->Name;
+  if (Route->Open)
+    return std::string();
+  if (!this->confirmed(Now))
+    return Stale;
+  return failure(Start.Key.empty() ? ErrorKind::MissingKey : ErrorKind::BadKey,
+                 "the key is not known");
+}
+
+Result<void> ProxyState::admitOperation(const std::string &Workspace,
+                                        BootTime Now) {
+  const auto Found = this->Rates.find(Workspace);
+  if (Found == this->Rates.end())
+    return success();
+  const std::size_t Hosts = this->Fleet.size(Now);
+  if (Found->second.admit(Hosts, Now))
+    return success();
+  const SharedRate &Rate = Found->second;
+  return failure(
+      ErrorKind::RateLimited,
+      "retry-after-ms=" + std::to_string(Rate.retryAfter(Now).count()) +
+          " used=" + std::to_string(std::lround(Rate.usedByAll(Hosts, Now))) +
+          " limit=" + std::to_string(std::lround(Rate.limit())) +
+          " window-ms=" + std::to_string(SharedRate::Window.count()));
+}
+
+std::shared_ptr<ProxyGroup>
+ProxyState::findGroup(const std::string &Name) const {
+  const auto Found = this->Groups.find(Name);
+  return Found == this->Groups.end() ? nullptr : Found->second;
+}
+
+HostReport ProxyState::report(BootTime Now, bool Leaving) {
+  constexpr double LeastDemand = 0.5; // Operations per second.
+  HostReport Report;
+  Report.Host = this->Identity.Host;
+  Report.StartedAt = this->Identity.StartedAt;
+  Report.Sequence = ++this->Sequence;
+  Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
+  Report.Leaving = Leaving;
+  for (const auto &[Name, Rate] : this->Rates) {
+    const double Demand = Rate.demand(Now);
+    const double Used = Rate.used(Now);
+    if (Demand >= LeastDemand || Used > 0)
+      Report.Demands.push_back({Name, Demand, Used});
+  }
+  const TimePoint Steady = now();
+  for (const auto &[Name, Group] : this->Groups) {
+    GroupReport Each;
+    Each.Group = Name;
+    Each.Primary = Group->tracker().lastPrimary().value_or("");
+    if (const std::optional<Duration> Age = Group->tracker().provenAge(Steady))
+      Each.ProvenAgeMs =
+          std::chrono::duration_cast<std::chrono::milliseconds>(*Age).count();
+    Each.Suspects = Group->suspectedSince().has_value();
+    const auto Ordered = this->Orders.find(Name);
+    if (Ordered != this->Orders.end() &&
+        Steady - Ordered->second.At < OrderReported)
+      Each.Ordered = Ordered->second.Member;
+    if (Group->inUse(Steady) || !Each.Ordered.empty())
+      Report.Groups.push_back(std::move(Each));
+  }
+  return Report;
+}
+
+void ProxyState::setOrdered(const std::string &Group, const std::string &Member,
+                            TimePoint Now) {
+  this->Orders[Group] = {Member, Now};
+}
+
+void ProxyState::stop() {
+  for (const auto &[Name, Group] : this->Groups)
+    Group->stop();
+  this->Groups.clear();
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/proxystate.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "base/boottime.h"
+#include "fleetview.h"
+#include "limits/sharedrate.h"
+#include "protocols.h"
+#include "proxygroup.h"
+#include "sessioncatalogue.h"
+#include "upstreamdirectory.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lavenderdale {
+
+/// Who this host is.
+struct ProxyIdentity {
+  std::string Host;
+  std::string FailureDomain;
+  std::uint64_t StartedAt = 0; ///< Milliseconds of the time of day.
+};
+
+/// What a host knows and decides with: the catalogue, the groups, the rates
+/// and the fleet. Changed by events only; nothing here waits.
+class ProxyState {
+public:
+  /// Beyond this age of the last confirmation, a missing name or key may be
+  /// one that was added since. Catalogues are in force within 3 s.
+  static constexpr std::chrono::milliseconds CatalogueConfirmation{3500};
+  /// Connections of an upstream left free for hosts that start.
+  static constexpr std::size_t SpareConnections = 1;
+
+  ProxyState(boost::asio::any_io_executor Executor,
+             const UpstreamProtocol &Protocol, ProxyIdentity Identity);
+
+  /// Takes a catalogue into force if it is newer than the present one.
+  /// \param Source who brought it, for the log.
+  void offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
+                      const std::string &Source);
+  /// The catalogue in force is the current one at \p Now.
+  void confirmCatalogue(TimePoint Now) { this->ConfirmedAt = Now; }
+
+  /// The directory changed.
+  void applyUpstreams();
+  /// Hosts came or went.
+  void applyFleet();
+  void heard(const HostReport &Report);
+
+  /// Whether this host can serve: it has a catalogue and upstreams.
+  bool loaded() const;
+
+  /// Checks database and key. \returns the workspace.
+  /// Errors: UnknownRoute, MissingKey, BadKey, ConfigurationStale.
+  Result<std::string> admitSession(const SessionStart &Start,
+                                   TimePoint Now) const;
+
+  /// Counts an operation against its workspace's rate. Errors: RateLimited.
+  Result<void> admitOperation(const std::string &Workspace, BootTime Now);
+
+  /// Returns the group called \p Name, or nullptr.
+  std::shared_ptr<ProxyGroup> findGroup(const std::string &Name) const;
+
+  /// The report for the other hosts.
+  HostReport report(BootTime Now, bool Leaving);
+
+  void stop();
+
+  const std::shared_ptr<const SessionCatalogue> &catalogue() const {
+    return this->Catalogue;
+  }
+  const std::map<std::string, std::shared_ptr<ProxyGroup>> &groups() const {
+    return this->Groups;
+  }
+  UpstreamDirectory &directory() { return this->Directory; }
+  FleetView &fleet() { return this->Fleet; }
+  const ProxyIdentity &identity() const { return this->Identity; }
+
+  /// Member whose promotion this host ordered, by group.
+  void setOrdered(const std::string &Group, const std::string &Member,
+                  TimePoint Now);
+
+private:
+  struct Order {
+    std::string Member;
+    TimePoint At{};
+  };
+
+  bool confirmed(TimePoint Now) const;
+  void applyConnectionShares();
+
+  boost::asio::any_io_executor Executor;
+  const UpstreamProtocol &Protocol;
+  const ProxyIdentity Identity;
+  std::shared_ptr<const SessionCatalogue> Catalogue;
+  std::optional<TimePoint> ConfirmedAt;
+  UpstreamDirectory Directory;
+  std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
+  std::map<std::string, SharedRate> Rates;
+  FleetView Fleet;
+  std::size_t ShareHosts = 0;
+  std::map<std::string, Order> Orders;
+  std::uint64_t Sequence = 0;
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -0,0 +1,124 @@
+#include "sessionproxy.h"
+
+#include "base/strictjson.h"
+#include "http/sleepuntil.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+SessionProxy::SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
+                           SessionProxyParts Parts)
+    : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
+      State(this->Executor, Parts.Upstreams, this->Settings.Identity),
+      Statements(this->Executor),
+      Server(std::make_shared<SessionServer>(this->Executor, this->State,
+                                             this->Statements, Parts.Callers)),
+      Follower(std::make_shared<StoreFollower>(
+          this->Executor, Parts.Store, this->State, Parts.Records,
+          toString(this->Settings.Reports))),
+      Fleet(std::make_shared<FleetLink>(
+          this->Executor, this->State, Parts.Records, this->Settings.Reports,
+          this->Settings.Internal.Port, CataloguePath)),
+      Duty(std::make_shared<PromotionDuty>(this->Executor, Parts.Store,
+                                           Parts.Authority, this->State)),
+      ReadinessServer(Workers, HttpServerLimits(),
+                      [this](HttpRequest Request) {
+                        return this->answerReadiness(std::move(Request));
+                      }),
+      InternalServer(Workers, HttpServerLimits(), [this](HttpRequest Request) {
+        return this->answerInternal(std::move(Request));
+      }) {}
+
+Result<void> SessionProxy::start() {
+  BOOST_OUTCOME_TRY(this->ReadinessServer.listen(this->Settings.Readiness));
+  BOOST_OUTCOME_TRY(this->InternalServer.listen(this->Settings.Internal));
+  BOOST_OUTCOME_TRY(this->Fleet->start());
+  BOOST_OUTCOME_TRY(this->Server->listen(this->Settings.Callers));
+  this->Follower->start();
+  this->Duty->start();
+  asio::co_spawn(this->Executor, this->watchDirectory(), asio::detached);
+  logInfo("event=started callers=" + toString(this->Settings.Callers) +
+          " domain=" + this->Settings.Identity.FailureDomain);
+  return success();
+}
+
+asio::awaitable<void> SessionProxy::waitForSessions(TimePoint Until) {
+  constexpr std::chrono::milliseconds Step{50};
+  while (this->Server->sessions() > 0 && now() < Until)
+    co_await sleepUntil(now() + Step);
+}
+
+asio::awaitable<void> SessionProxy::stop() {
+  const TimePoint Start = now();
+  const TimePoint End = Start + this->Settings.StopGrace - ExitReserve;
+  this->Stopping = true;
+  logInfo("event=stopping sessions=" +
+          std::to_string(this->Server->sessions()));
+  this->Duty->stop();
+  this->Follower->stop();
+  this->Fleet->leave();
+  asio::co_spawn(this->Executor, this->Follower->unregister(), asio::detached);
+  co_await sleepUntil(Start + LeaveRotation);
+  this->Server->closeIdle();
+  co_await this->waitForSessions(Start + this->Settings.StopGrace / 2);
+  if (this->Server->sessions() > 0)
+    logInfo("event=stop_ends_transactions sessions=" +
+            std::to_string(this->Server->sessions()));
+  this->Server->endTransactions();
+  co_await this->waitForSessions(End - WaitingReserve);
+  this->Server->stopWaiting();
+  co_await this->waitForSessions(End);
+  this->Fleet->stop();
+  this->State.stop();
+  logInfo("event=stopped sessions=" + std::to_string(this->Server->sessions()));
+}
+
+asio::awaitable<void> SessionProxy::watchDirectory() {
+  while (!this->Stopping) {
+    co_await sleepUntil(now() + std::chrono::milliseconds(250));
+    if (this->State.directory().dropLapsed(now()))
+      this->State.applyUpstreams();
+  }
+}
+
+asio::awaitable<HttpResponse>
+SessionProxy::answerReadiness(HttpRequest Request) {
+  HttpResponse Response;
+  const bool Ready = this->State.loaded() && !this->Stopping;
+  Response.Status = Ready ? 200 : 503;
+  if (Request.Target != this->Settings.ReadinessPath)
+    Response.Status = 404;
+  co_return Response;
+}
+
+asio::awaitable<HttpResponse>
+SessionProxy::answerInternal(HttpRequest Request) {
+  HttpResponse Response;
+  if (Request.Target == MetricsPath) {
+    Response.ContentType = "text/plain; version=0.0.4";
+    Response.Body = this->metrics();
+    co_return Response;
+  }
+  if (Request.Target == CataloguePath && this->State.catalogue()) {
+    Response.Body = writeCompactJson(this->State.catalogue()->Document);
+    co_return Response;
+  }
+  Response.Status = 404;
+  co_return Response;
+}
+
+std::string SessionProxy::metrics() const { return {}; }
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/sessionserver.cpp
@@ -0,0 +1,111 @@
+#include "sessionserver.h"
+
+#include "http/sleepuntil.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+SessionServer::SessionServer(asio::any_io_executor Executor, ProxyState &State,
+                             StatementExecutor &Statements,
+                             const CallerProtocol &Protocol)
+    : Executor(Executor), State(State), Statements(Statements),
+      Protocol(Protocol), Acceptor(Executor) {}
+
+Result<void> SessionServer::listen(const Endpoint &Where) {
+  error_code Failure;
+  const auto Address = asio::ip::make_address(Where.Address, Failure);
+  const tcp::endpoint Local(Address, Where.Port);
+  if (!Failure)
+    this->Acceptor.open(Local.protocol(), Failure);
+  if (!Failure)
+    this->Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure)
+    this->Acceptor.bind(Local, Failure);
+  if (!Failure)
+    this->Acceptor.listen(Backlog, Failure);
+  if (Failure)
+    return failure(ErrorKind::Unavailable, "cannot listen on " +
+                                               toString(Where) + ": " +
+                                               Failure.message());
+  asio::co_spawn(this->Executor, this->accept(), asio::detached);
+  asio::co_spawn(this->Executor, this->checkLimits(), asio::detached);
+  return success();
+}
+
+asio::awaitable<void> SessionServer::accept() {
+  const std::shared_ptr<SessionServer> Keep = this->shared_from_this();
+  constexpr std::chrono::milliseconds PauseAfterFailure{20};
+  while (!this->Stopped) {
+    error_code Failure;
+    tcp::socket Socket = co_await this->Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, Failure));
+    if (this->Stopped)
+      co_return;
+    if (Failure) {
+      logWarn("event=accept_failed sessions=" +
+              std::to_string(this->Sessions.size()) + " error=\"" +
+              Failure.message() + "\"");
+      co_await sleepUntil(now() + PauseAfterFailure);
+      continue;
+    }
+    auto Session = std::make_shared<CallerSession>(
+        std::move(Socket), this->State, this->Statements, this->Protocol);
+    asio::co_spawn(this->Executor, this->serve(std::move(Session)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void>
+SessionServer::serve(std::shared_ptr<CallerSession> Session) {
+  const std::shared_ptr<SessionServer> Keep = this->shared_from_this();
+  const auto Place = this->Sessions.insert(this->Sessions.end(), Session);
+  co_await Session->run();
+  this->Sessions.erase(Place);
+}
+
+asio::awaitable<void> SessionServer::checkLimits() {
+  const std::shared_ptr<SessionServer> Keep = this->shared_from_this();
+  while (!this->Stopped) {
+    co_await sleepUntil(now() + CheckInterval);
+    const TimePoint Now = now();
+    for (const std::shared_ptr<CallerSession> &Each : this->Sessions)
+      Each->checkLimits(Now);
+  }
+}
+
+void SessionServer::closeIdle() {
+  this->Stopped = true;
+  error_code Ignored;
+  this->Acceptor.close(Ignored);
+  for (const std::shared_ptr<CallerSession> &Each : this->Sessions)
+    Each->closeWhenIdle();
+}
+
+void SessionServer::endTransactions() {
+  for (const std::shared_ptr<CallerSession> &Each : this->Sessions)
+    Each->endTransaction();
+}
+
+void SessionServer::stopWaiting() {
+  for (const std::shared_ptr<CallerSession> &Each : this->Sessions)
+    Each->stopWaiting();
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/upstreamentry.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "http/endpoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace lavenderdale {
+
+/// An upstream as it announces itself.
+struct UpstreamEntry {
+  std::string Id;
+  std::string Group;
+  Endpoint Address;
+  std::string FailureDomain;
+  std::size_t Slots = 1;
+  bool Leaving = false;
+  bool ClaimsPrimary = false;
+  std::uint64_t StartedAt = 0; ///< Tells a restart under the same id.
+
+  bool operator==(const UpstreamEntry &) const = default;
+};
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/upstreamlink.cpp
@@ -0,0 +1,173 @@
+#include "upstreamlink.h"
+
+#include "socketoptions.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+auto resumeWith(error_code &Failure) {
+  return asio::redirect_error(asio::use_awaitable, Failure);
+}
+
+Error refusal(const UpstreamReply &Reply) {
+  const std::string Text = Reply.FailureCode + " " + Reply.FailureText;
+  if (Reply.Failure == UpstreamFailure::ConnectionLimit)
+    return failure(ErrorKind::TooManyConnections, Text);
+  if (Reply.Failure == UpstreamFailure::WrongUpstream)
+    return failure(ErrorKind::NotFound, Text);
+  return failure(ErrorKind::Unavailable, Text);
+}
+
+} // namespace
+
+UpstreamLink::UpstreamLink(asio::any_io_executor Executor,
+                           const UpstreamProtocol &Protocol)
+    : Socket(Executor), Timer(Executor), Protocol(Protocol) {}
+
+asio::awaitable<Result<void>> UpstreamLink::connect(Endpoint Where,
+                                                    UpstreamGreeting Greeting,
+                                                    TimePoint Deadline) {
+  const std::shared_ptr<UpstreamLink> Keep = this->shared_from_this();
+  error_code Failure;
+  const auto Address = asio::ip::make_address(Where.Address, Failure);
+  if (Failure)
+    co_return failure(ErrorKind::Unavailable, "bad address " + Where.Address);
+  this->limit(Deadline);
+  const asio::ip::tcp::endpoint Peer(Address, Where.Port);
+  co_await this->Socket.async_connect(Peer, resumeWith(Failure));
+  if (Failure) {
+    this->close();
+    co_return failure(ErrorKind::Unavailable, "connect: " + Failure.message());
+  }
+  setLivenessOptions(this->Socket, UnacknowledgedLimit);
+  const std::string Out = this->Protocol.encodeGreeting(Greeting);
+  co_await asio::async_write(this->Socket, asio::buffer(Out),
+                             resumeWith(Failure));
+  UpstreamReply Reply;
+  std::optional<Error> Lost;
+  if (Failure)
+    Lost = failure(ErrorKind::Unavailable, "greeting: " + Failure.message());
+  else
+    Lost = co_await this->readReply(Reply);
+  this->Deadline.reset();
+  // A refused greeting is followed by a close, not by a ready message.
+  if (!Reply.ok() || Lost) {
+    this->close();
+    co_return Reply.ok() ? *Lost : refusal(Reply);
+  }
+  this->Open = true;
+  co_return success();
+}
+
+asio::awaitable<ExchangeResult>
+UpstreamLink::exchange(std::vector<UpstreamCommand> Commands,
+                       TimePoint Deadline) {
+  const std::shared_ptr<UpstreamLink> Keep = this->shared_from_this();
+  ExchangeResult Result;
+  Result.SentAt = BootClock::now();
+  std::string Out;
+  for (const UpstreamCommand &Each : Commands)
+    this->Protocol.encode(Each, Out);
+  this->limit(Deadline);
+  error_code Failure;
+  const std::size_t Sent = co_await asio::async_write(
+      this->Socket, asio::buffer(Out), resumeWith(Failure));
+  Result.Sent = Sent > 0;
+  if (Failure)
+    Result.Lost = failure(ErrorKind::Unavailable, "send: " + Failure.message());
+  while (!Result.Lost && Result.Replies.size() < Commands.size()) {
+    UpstreamReply Reply;
+    Result.Lost = co_await this->readReply(Reply);
+    if (!Result.Lost)
+      Result.Replies.push_back(std::move(Reply));
+  }
+  this->Deadline.reset();
+  if (Result.Lost)
+    this->close();
+  co_return Result;
+}
+
+bool UpstreamLink::closedByPeer() {
+  char Byte = 0;
+  const ssize_t Size =
+      recv(this->Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // An idle upstream has nothing to say; bytes would shift all replies.
+  return Size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void UpstreamLink::close() {
+  this->Open = false;
+  this->Deadline.reset();
+  error_code Ignored;
+  this->Socket.close(Ignored);
+  this->Timer.cancel();
+}
+
+asio::awaitable<std::optional<Error>>
+UpstreamLink::readReply(UpstreamReply &Reply) {
+  std::string Line;
+  while (true) {
+    if (std::optional<Error> Lost = co_await this->readLine(Line))
+      co_return Lost;
+    const UpstreamProtocol::Progress Progress =
+        this->Protocol.decode(Line, Reply);
+    if (Progress == UpstreamProtocol::Progress::Done)
+      co_return std::nullopt;
+    if (Progress == UpstreamProtocol::Progress::Malformed)
+      co_return failure(ErrorKind::OutcomeUnknown, "malformed reply");
+  }
+}
+
+asio::awaitable<std::optional<Error>>
+UpstreamLink::readLine(std::string &Line) {
+  error_code Failure;
+  const std::size_t Size = co_await asio::async_read_until(
+      this->Socket, asio::dynamic_buffer(this->Buffer, MaxLineBytes), '\n',
+      resumeWith(Failure));
+  if (Failure)
+    co_return failure(ErrorKind::OutcomeUnknown, "read: " + Failure.message());
+  Line.assign(this->Buffer, 0, Size - 1);
+  if (!Line.empty() && Line.back() == '\r')
+    Line.pop_back();
+  this->Buffer.erase(0, Size);
+  co_return std::nullopt;
+}
+
+// The timer is left armed when an exchange ends in time, as nearly all do, and
+// armed anew when it fires; this spares two system calls for each exchange.
+void UpstreamLink::limit(TimePoint Deadline) {
+  this->Deadline = Deadline;
+  if (!this->TimerArmed || Deadline < this->TimerAt)
+    this->armTimer();
+}
+
+void UpstreamLink::armTimer() {
+  this->TimerArmed = true;
+  this->TimerAt = *this->Deadline;
+  this->Timer.expires_at(*this->Deadline);
+  this->Timer.async_wait([Weak = this->weak_from_this()](error_code Failure) {
+    const std::shared_ptr<UpstreamLink> Self = Weak.lock();
+    if (!Self || Failure)
+      return;
+    Self->TimerArmed = false;
+    if (!Self->Deadline)
+      return;
+    if (*Self->Deadline <= std::chrono::steady_clock::now())
+      Self->close();
+    else
+      Self->armTimer();
+  });
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/statements/sessionstate.cpp
@@ -0,0 +1,68 @@
+#include "sessionstate.h"
+
+#include "base/softassert.h"
+
+#include <utility>
+
+namespace lavenderdale {
+
+Result<void> SessionState::setValue(const std::string &Name,
+                                    const std::string &Value) {
+  if (this->Values.size() >= MaxValues && !this->Values.count(Name))
+    return failure(ErrorKind::BadRequest, "the session has too many values");
+  this->Values[Name] = Value;
+  return success();
+}
+
+Result<void> SessionState::prepare(const std::string &Name,
+                                   PreparedStatement Prepared) {
+  if (this->Prepared.size() >= MaxPrepared && !this->Prepared.count(Name))
+    return failure(ErrorKind::BadRequest,
+                   "the session has too many prepared statements");
+  this->Prepared[Name] = std::move(Prepared);
+  return success();
+}
+
+Result<void> SessionState::deallocate(const std::string &Name) {
+  if (this->Prepared.erase(Name) == 0)
+    return failure(ErrorKind::UnknownStatement, "no statement " + Name);
+  return success();
+}
+
+const PreparedStatement *
+SessionState::findPrepared(const std::string &Name) const {
+  const auto Found = this->Prepared.find(Name);
+  return Found == this->Prepared.end() ? nullptr : &Found->second;
+}
+
+Result<void> SessionState::begin(bool ReadOnly) {
+  if (this->inTransaction())
+    return failure(ErrorKind::BadRequest, "a transaction is already open");
+  this->Phase = TransactionPhase::Announced;
+  this->ReadOnly = ReadOnly;
+  return success();
+}
+
+void SessionState::opened() {
+  if (softAssert(this->Phase == TransactionPhase::Announced,
+                 "an announced transaction is opened"))
+    this->Phase = TransactionPhase::Open;
+}
+
+void SessionState::failTransaction() {
+  if (softAssert(this->inTransaction(), "a transaction can fail"))
+    this->Phase = TransactionPhase::Failed;
+}
+
+void SessionState::endTransaction() {
+  this->Phase = TransactionPhase::None;
+  this->ReadOnly = false;
+  this->Written = false;
+}
+
+void SessionState::committedAt(const Position &At) {
+  if (!this->LastCommit || *this->LastCommit < At)
+    this->LastCommit = At;
+}
+
+} // namespace lavenderdale
