Keep promotions of two hosts apart; hold a rate's window over restarts

A claim is now respected for 3.5 s after it was first seen, orders of other hosts are heard, a member that says it leads ends the attempt, and the need is checked again after the claim.

A starting host counts what its demand would have spent.

--- a/src/libs/base/boottime.h
+++ b/src/libs/base/boottime.h
@@ -11,6 +11,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): named by the standard.
   static constexpr bool is_steady = true;
 
   static time_point now();
--- a/src/libs/failover/primarytracker.cpp
+++ b/src/libs/failover/primarytracker.cpp
@@ -97,7 +97,7 @@
 std::optional<std::string> PrimaryTracker::probeTarget(TimePoint Now) {
   if (this->Members.empty())
     return std::nullopt;
-  const std::optional<std::string> Likely = this->primary(Now);
+  std::optional<std::string> Likely = this->primary(Now);
   // Every other probe goes to the likely one while it fails.
   if (Likely && (!this->FailedSince || this->ProbeTurn++ % 2 == 0))
     return Likely;
@@ -116,6 +116,15 @@
   return Now - Since >= Limit;
 }
 
+bool PrimaryTracker::orderedWithin(std::chrono::milliseconds Limit,
+                                   TimePoint Now) const {
+  return std::any_of(this->Members.begin(), this->Members.end(),
+                     [Limit, Now](const auto &Each) {
+                       return Each.second.OrderedAt != TimePoint{} &&
+                              Now - Each.second.OrderedAt < Limit;
+                     });
+}
+
 std::optional<Duration> PrimaryTracker::provenAge(TimePoint Now) const {
   if (!this->ProvenAt)
     return std::nullopt;
--- a/src/libs/failover/primarytracker.h
+++ b/src/libs/failover/primarytracker.h
@@ -51,6 +51,9 @@
   /// Whether no member has led for \p Limit although one was probed since.
   bool suspected(TimePoint Now, std::chrono::milliseconds Limit) const;
 
+  /// Whether a promotion was ordered within \p Limit.
+  bool orderedWithin(std::chrono::milliseconds Limit, TimePoint Now) const;
+
   /// Time since the last proof; nothing without one.
   std::optional<Duration> provenAge(TimePoint Now) const;
 
--- a/src/libs/failover/promotionvote.cpp
+++ b/src/libs/failover/promotionvote.cpp
@@ -25,6 +25,9 @@
 
 std::optional<std::string>
 choosePromotion(std::span<const PromotionCandidate> Candidates) {
+  for (const PromotionCandidate &Each : Candidates)
+    if (Each.Leads && !Each.Leaving)
+      return std::nullopt;
   const auto Best = std::max_element(
       Candidates.begin(), Candidates.end(),
       [](const PromotionCandidate &A, const PromotionCandidate &B) {
@@ -36,4 +39,18 @@
   return Best->Id;
 }
 
+void ClaimWatch::saw(std::uint64_t NewRevision, const std::string &NewHolder,
+                     BootTime Now) {
+  if (NewRevision <= this->Revision)
+    return;
+  this->Revision = NewRevision;
+  this->Holder = NewHolder;
+  this->Since = Now;
+}
+
+bool ClaimWatch::isFree(const std::string &Host, BootTime Now) const {
+  return this->Holder.empty() || this->Holder == Host ||
+         Now - this->Since >= Lease;
+}
+
 } // namespace lavenderdale
--- a/src/libs/failover/promotionvote.h
+++ b/src/libs/failover/promotionvote.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "base/boottime.h"
 #include "consistency/position.h"
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -46,11 +48,37 @@
   std::string Id;
   Position Received;
   bool Leaving = false;
+  bool Leads = false; ///< It answered that it is the primary.
 };
 
 /// The member that received most; one that is leaving only if no other is
-/// there. \returns nothing without members.
+/// there.
+/// \returns nothing without members, or if one that stays leads already: a
+///          host that was cut off learns of the new primary in this way, and
+///          must not undo the promotion.
 std::optional<std::string>
 choosePromotion(std::span<const PromotionCandidate> Candidates);
 
+/// Decides when a host may take over the claim to promote. The claim of
+/// another host is respected for a time after it was last seen to change, so
+/// that two hosts do not promote in turn, and a host that was cut off first
+/// learns what the others did.
+class ClaimWatch {
+public:
+  /// Longer than the 3 s within which two holders must not take turns, by the
+  /// time a holder needs from its claim to its order.
+  static constexpr std::chrono::milliseconds Lease{3500};
+
+  /// A claim was read. \param Holder empty if the claim was given up.
+  void saw(std::uint64_t Revision, const std::string &Holder, BootTime Now);
+
+  /// Whether \p Host may claim now.
+  bool isFree(const std::string &Host, BootTime Now) const;
+
+private:
+  std::uint64_t Revision = 0;
+  std::string Holder;
+  BootTime Since{};
+};
+
 } // namespace lavenderdale
--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -8,20 +8,19 @@
 
 using Seconds = std::chrono::duration<double>;
 
+// Hosts without demand, as all are at their start, count as if they had this
+// much; otherwise the first to be asked would take the whole limit.
+constexpr double LeastDemand = 1; // Operations per second.
+
 double secondsBetween(BootTime From, BootTime To) {
   return std::max(0.0, Seconds(To - From).count());
 }
 
 } // namespace
 
-void SharedRate::setLimits(double NewRate, double NewBurst, BootTime Now) {
+void SharedRate::setLimits(double NewRate, double NewBurst) {
   this->Rate = NewRate;
   this->Burst = NewBurst;
-  if (!this->Started) {
-    this->StartedAt = Now;
-    this->Tokens = this->limit(); // Cut to this host's part at the division.
-  }
-  this->Started = true;
   this->DividedIn = -1;
 }
 
@@ -61,9 +60,42 @@
   this->DemandAt = Now;
 }
 
-double SharedRate::used(BootTime Now) const {
+double SharedRate::equalPart(std::size_t Hosts) const {
+  return this->limit() / static_cast<double>(std::max<std::size_t>(Hosts, 1));
+}
+
+// This host's part of the demand of the hosts that are heard; an equal part
+// without any.
+double SharedRate::partOfDemand(std::size_t Hosts, BootTime Now) const {
+  double Others = 0;
+  bool Heard = false;
+  for (const auto &[Host, Each] : this->Peers) {
+    if (Now - Each.At > ReportLifetime)
+      continue;
+    Heard = true;
+    Others += std::max(Each.Last.Demand, LeastDemand);
+  }
+  if (!Heard)
+    return 1.0 / static_cast<double>(std::max<std::size_t>(Hosts, 1));
+  const double Own = std::max(this->demand(Now), LeastDemand);
+  return Own / (Own + Others);
+}
+
+double SharedRate::spentBeforeStart(std::size_t Hosts, BootTime Now) const {
+  const double Age = secondsBetween(this->StartedAt, Now);
+  const double Held = Seconds(SpentBeforeHeld).count();
+  const double Length = Seconds(Window).count();
+  if (Age >= Length)
+    return 0;
+  const double Spent = std::min(this->demand(Now) * Length,
+                                this->limit() * this->partOfDemand(Hosts, Now) *
+                                    MostSpentBefore);
+  return Age < Held ? Spent : Spent * (Length - Age) / (Length - Held);
+}
+
+double SharedRate::used(std::size_t Hosts, BootTime Now) const {
   const SlotNumber Current = slotOf(Now);
-  double Sum = 0;
+  double Sum = this->spentBeforeStart(Hosts, Now);
   for (const Slot &Each : this->Admitted)
     if (Each.Number > Current - static_cast<SlotNumber>(Slots))
       Sum += Each.Admitted;
@@ -71,8 +103,6 @@
 }
 
 double SharedRate::usedByPeers(std::size_t Hosts, BootTime Now) const {
-  const double Equal =
-      this->limit() / static_cast<double>(std::max<std::size_t>(Hosts, 1));
   double Sum = 0;
   std::size_t Heard = 1;
   for (const auto &[Host, Each] : this->Peers) {
@@ -85,27 +115,23 @@
     Sum += Each.Last.Used;
   }
   if (Hosts > Heard)
-    Sum += Equal * static_cast<double>(Hosts - Heard);
+    Sum += this->equalPart(Hosts) * static_cast<double>(Hosts - Heard);
   return Sum;
 }
 
 double SharedRate::usedByAll(std::size_t Hosts, BootTime Now) const {
-  return this->used(Now) + this->usedByPeers(Hosts, Now);
+  return this->used(Hosts, Now) + this->usedByPeers(Hosts, Now);
 }
 
 // Divides what is left of the window among the hosts.
 void SharedRate::divide(std::size_t Hosts, BootTime Now) {
-  const double Equal =
-      this->limit() / static_cast<double>(std::max<std::size_t>(Hosts, 1));
-  const double Before = fading(Equal * SpentBeforeStart, this->StartedAt, Now);
-  const double Left = this->limit() - this->usedByAll(Hosts, Now) - Before;
-  double Others = 0;
-  for (const auto &[Host, Each] : this->Peers)
-    if (Now - Each.At <= ReportLifetime)
-      Others += Each.Last.Demand;
-  const double Own = std::max(this->demand(Now), 1.0);
-  const double Part = Own / (Own + Others);
-  const double Pace = this->limit() / Slots + Left * BurstPart;
+  const double Left = this->limit() - this->usedByAll(Hosts, Now);
+  const double Part = this->partOfDemand(Hosts, Now);
+  // Right after the start, what was spent before cannot be told from the
+  // demand yet.
+  const double Burst =
+      Now - this->StartedAt < DemandWindow ? 0 : Left * BurstPart;
+  const double Pace = this->limit() / Slots + Burst;
   this->Tokens = std::max(
       0.0, std::min(this->Tokens + Pace * Part, std::max(Left * Part, 0.0)));
   // A part below one operation must not shut the host out.
--- a/src/libs/limits/sharedrate.h
+++ b/src/libs/limits/sharedrate.h
@@ -41,13 +41,19 @@
   /// beyond the even pace; lets bursts through while the window is far from
   /// full, and uses up what an uneven demand left.
   static constexpr double BurstPart = 0.15;
-  /// Part of its equal share of a window that a starting host takes as spent
-  /// by the process before it.
-  static constexpr double SpentBeforeStart = 0.6;
+  /// A starting host takes the operations of the process before it as spent:
+  /// as many as its demand would have been, up to this part of the limit.
+  static constexpr double MostSpentBefore = 0.85;
+  /// They count whole for this long after the start, and less and less until
+  /// they have left the window.
+  static constexpr std::chrono::milliseconds SpentBeforeHeld{3000};
+
+  /// \param ProcessStart when this process started to serve.
+  explicit SharedRate(BootTime ProcessStart) : StartedAt(ProcessStart) {}
 
   /// \param Rate operations a second over all hosts.
   /// \param Burst operations at once over all hosts.
-  void setLimits(double Rate, double Burst, BootTime Now);
+  void setLimits(double Rate, double Burst);
 
   /// What another host told.
   struct Report {
@@ -64,8 +70,9 @@
   /// Smoothed demand of this host, refused operations included, per second.
   double demand(BootTime Now) const;
 
-  /// Operations that this host admitted in the last window.
-  double used(BootTime Now) const;
+  /// Operations that this host admitted in the last window, with those that
+  /// the process before it may have admitted.
+  double used(std::size_t Hosts, BootTime Now) const;
 
   /// Operations of all hosts in the last window, as far as is known.
   double usedByAll(std::size_t Hosts, BootTime Now) const;
@@ -96,12 +103,14 @@
   double usedByPeers(std::size_t Hosts, BootTime Now) const;
   void divide(std::size_t Hosts, BootTime Now);
   void countDemand(BootTime Now);
+  double equalPart(std::size_t Hosts) const;
+  double partOfDemand(std::size_t Hosts, BootTime Now) const;
+  double spentBeforeStart(std::size_t Hosts, BootTime Now) const;
   static double fading(double Used, BootTime Since, BootTime Now);
 
   double Rate = 0;
   double Burst = 0;
-  bool Started = false;
-  BootTime StartedAt{};
+  BootTime StartedAt;
   std::array<Slot, Slots> Admitted{};
   double Tokens = 0;
   SlotNumber DividedIn = -1;
--- a/src/libs/sessionproxy/fleetlink.cpp
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-FleetLink::FleetLink(asio::any_io_executor Executor, ProxyState &State,
+FleetLink::FleetLink(const asio::any_io_executor &Executor, ProxyState &State,
                      const RecordDecoder &Decoder, Endpoint Reports,
                      std::uint16_t CataloguePort, std::string CataloguePath)
     : Executor(Executor), State(State), Decoder(Decoder),
--- a/src/libs/sessionproxy/fleetlink.h
+++ b/src/libs/sessionproxy/fleetlink.h
@@ -28,7 +28,7 @@
 
   /// \param Reports UDP endpoint of this host.
   /// \param CataloguePort TCP port at which every host serves its catalogue.
-  FleetLink(boost::asio::any_io_executor Executor, ProxyState &State,
+  FleetLink(const boost::asio::any_io_executor &Executor, ProxyState &State,
             const RecordDecoder &Decoder, Endpoint Reports,
             std::uint16_t CataloguePort, std::string CataloguePath);
 
--- a/src/libs/sessionproxy/promotionduty.cpp
+++ b/src/libs/sessionproxy/promotionduty.cpp
@@ -17,18 +17,12 @@
 
 constexpr const char *HolderMember = "holder";
 constexpr const char *AttemptMember = "attempt";
-constexpr const char *DoneMember = "done";
 
 std::string textOf(const Json::Value &Spec, const char *Member) {
   return Spec.isObject() && Spec[Member].isString() ? Spec[Member].asString()
                                                     : std::string();
 }
 
-bool isDone(const Json::Value &Spec) {
-  return Spec.isObject() && Spec[DoneMember].isBool() &&
-         Spec[DoneMember].asBool();
-}
-
 std::chrono::milliseconds toMilliseconds(Duration Length) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Length);
 }
@@ -42,6 +36,26 @@
 
 void PromotionDuty::start() {
   asio::co_spawn(this->Executor, this->run(), asio::detached);
+  asio::co_spawn(this->Executor, this->listClaims(), asio::detached);
+}
+
+PromotionDuty::Task<void> PromotionDuty::listClaims() {
+  const std::shared_ptr<PromotionDuty> Keep = this->shared_from_this();
+  while (!this->Stopped) {
+    const Result<StoredObjects> Listed = co_await this->Store.list(
+        Collection::Promotions, ListFreshness::MayBeStale, now() + CallLimit);
+    if (Listed)
+      for (const StoredObject &Each : Listed.value().Objects)
+        this->sawClaim(Each);
+    else
+      logInfo("event=claims_unknown error=\"" + Listed.error().Detail + "\"");
+    co_await sleepUntil(now() + ListInterval);
+  }
+}
+
+void PromotionDuty::sawClaim(const StoredObject &Claim) {
+  this->Duties[Claim.Name].Claim.saw(
+      Claim.Revision, textOf(Claim.Spec, HolderMember), BootClock::now());
 }
 
 PromotionDuty::Task<void> PromotionDuty::run() {
@@ -65,6 +79,8 @@
   const BootTime BootNow = BootClock::now();
   const std::size_t Rank = Fleet.rank(BootNow);
   const PromotionLimits Limits;
+  if (Group.tracker().orderedWithin(OrderLifetime, Now))
+    return false;
   const std::optional<std::string> Primary = Group.tracker().primary(Now);
   const bool Leaving = Primary && Group.tracker().isLeaving(*Primary);
   if (!Leaving)
@@ -101,18 +117,26 @@
   const std::string Name = Group->name();
   GroupDuty &Duty = this->Duties[Name];
   Duty.NotBefore = now() + AttemptPause;
+  const Result<std::string> Member = co_await this->chooseMember(*Group, Duty);
+  if (!Member) {
+    logInfo("event=promotion_no_candidate group=" + Name + " reason=\"" +
+            Member.error().Detail + "\"");
+    Duty.Active = false;
+    co_return;
+  }
   const Result<std::uint64_t> Token = co_await this->claim(Name, Duty);
-  if (!Token) {
+  const BootTime ClaimedAt = BootClock::now();
+  // The others may have acted, and the primary may be back, since the check.
+  if (!Token || Group->tracker().orderedWithin(OrderLifetime, now()) ||
+      !this->isDue(*Group, Duty, now())) {
     logInfo("event=promotion_not_claimed group=" + Name + " reason=\"" +
-            Token.error().Detail + "\"");
+            (Token ? "no longer due" : Token.error().Detail) + "\"");
+    Duty.NotBefore = now() + ClaimPause;
     Duty.Active = false;
     co_return;
   }
-  const Result<std::string> Member = co_await this->chooseMember(*Group, Duty);
-  if (!Member) {
-    logInfo("event=promotion_no_candidate group=" + Name + " reason=\"" +
-            Member.error().Detail + "\"");
-    co_await this->markDone(Name, Token.value());
+  if (BootClock::now() - ClaimedAt > OrderAfterClaim) {
+    logInfo("event=promotion_claim_expired group=" + Name);
     Duty.Active = false;
     co_return;
   }
@@ -131,7 +155,6 @@
   } else if (Ordered.error().Kind == ErrorKind::VersionConflict) {
     Duty.RefusedAt[Member.value()] = Now;
   }
-  co_await this->markDone(Name, Token.value());
   Duty.Active = false;
 }
 
@@ -145,7 +168,6 @@
   const std::string Attempt = std::to_string(this->Random());
   Claim.Spec[HolderMember] = this->State.identity().Host;
   Claim.Spec[AttemptMember] = Attempt;
-  Claim.Spec[DoneMember] = false;
   const Result<StoredObject> Present = co_await this->Store.get(
       Collection::Promotions, Group, now() + CallLimit);
   Result<StoredObject> Stored = Present;
@@ -154,13 +176,8 @@
                                          now() + CallLimit);
   } else if (Present) {
     const StoredObject &Old = Present.value();
-    if (Old.Revision != Duty.ClaimRevision) {
-      Duty.ClaimRevision = Old.Revision;
-      Duty.ClaimSeen = now();
-    }
-    if (!isDone(Old.Spec) &&
-        textOf(Old.Spec, HolderMember) != this->State.identity().Host &&
-        now() - Duty.ClaimSeen < ClaimLifetime)
+    this->sawClaim(Old);
+    if (!Duty.Claim.isFree(this->State.identity().Host, BootClock::now()))
       co_return failure(ErrorKind::VersionConflict,
                         "claimed by " + textOf(Old.Spec, HolderMember));
     Claim.Revision = Old.Revision;
@@ -184,7 +201,7 @@
   constexpr std::chrono::milliseconds AskLimit{600};
   const auto Answers = co_await Group.askStatus(now() + AskLimit);
   const TimePoint Now = now();
-  const std::optional<std::string> Primary = Group.tracker().primary(Now);
+  const std::optional<std::string> Primary = Group.tracker().lastPrimary();
   std::vector<PromotionCandidate> Candidates;
   for (const auto &[Id, Status] : Answers) {
     const auto Refused = Duty.RefusedAt.find(Id);
@@ -200,11 +217,13 @@
     // The present primary stays only if nothing else can be done.
     if (Duty.LeavingSince && (Id == Primary || Leaving))
       continue;
-    Candidates.push_back({Id, Status.Received, Leaving});
+    Candidates.push_back({Id, Status.Received, Leaving, Status.Primary});
   }
   const std::optional<std::string> Best = choosePromotion(Candidates);
   if (!Best)
-    co_return failure(ErrorKind::Unavailable, "no member answered");
+    co_return failure(ErrorKind::Unavailable, Candidates.empty()
+                                                  ? "no member answered"
+                                                  : "a member leads already");
   const std::optional<Position> Newest = Group.verified().newestPosition();
   for (const PromotionCandidate &Each : Candidates)
     if (Each.Id == *Best && Duty.LeavingSince && Newest &&
@@ -214,20 +233,4 @@
   co_return *Best;
 }
 
-// Without the mark, the next host that has to act would wait for the claim to
-// lapse.
-PromotionDuty::Task<void> PromotionDuty::markDone(const std::string &Group,
-                                                  std::uint64_t Revision) {
-  StoredObject Claim;
-  Claim.Name = Group;
-  Claim.Revision = Revision;
-  Claim.Spec[HolderMember] = this->State.identity().Host;
-  Claim.Spec[DoneMember] = true;
-  const Result<StoredObject> Stored = co_await this->Store.replaceIf(
-      Collection::Promotions, Claim, now() + CallLimit);
-  if (!Stored)
-    logInfo("event=claim_not_released group=" + Group + " error=\"" +
-            Stored.error().Detail + "\"");
-}
-
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/promotionduty.h
+++ b/src/libs/sessionproxy/promotionduty.h
@@ -22,9 +22,12 @@
 class PromotionDuty : public std::enable_shared_from_this<PromotionDuty> {
 public:
   static constexpr std::chrono::milliseconds CheckInterval{100};
-  /// A claim of another host that is not marked as done is left alone for
-  /// this long after it was first seen; a promotion takes a second.
-  static constexpr std::chrono::milliseconds ClaimLifetime{2500};
+  /// Claims are listed at this interval, so that an old one is not taken for
+  /// a new one when a promotion is due.
+  static constexpr std::chrono::milliseconds ListInterval{4000};
+  /// An order that could not be sent this soon after its claim is dropped; the
+  /// host may have been suspended meanwhile.
+  static constexpr std::chrono::milliseconds OrderAfterClaim{600};
   /// No second order for a group within this time after one was accepted; the
   /// promoted member needs up to a second to lead.
   static constexpr std::chrono::milliseconds OrderLifetime{2500};
@@ -33,6 +36,8 @@
   static constexpr std::chrono::milliseconds RefusedMemberPause{1500};
   /// Pause after an attempt that did not lead to an order.
   static constexpr std::chrono::milliseconds AttemptPause{300};
+  /// Pause after a claim of another host was found; calls are charged.
+  static constexpr std::chrono::milliseconds ClaimPause{800};
   /// A leaving primary is replaced by a member that lacks commits only when
   /// it has waited this long for a better one. The primary serves on for
   /// seven seconds and more.
@@ -51,8 +56,7 @@
   struct GroupDuty {
     bool Active = false;
     TimePoint NotBefore{};
-    std::uint64_t ClaimRevision = 0;
-    TimePoint ClaimSeen{};
+    ClaimWatch Claim;
     std::map<std::string, TimePoint> RefusedAt;
     std::optional<TimePoint> LeavingSince;
   };
@@ -62,7 +66,8 @@
   Task<void> attempt(std::shared_ptr<ProxyGroup> Group);
   Task<Result<std::uint64_t>> claim(const std::string &Group, GroupDuty &Duty);
   Task<Result<std::string>> chooseMember(ProxyGroup &Group, GroupDuty &Duty);
-  Task<void> markDone(const std::string &Group, std::uint64_t Revision);
+  Task<void> listClaims();
+  void sawClaim(const StoredObject &Claim);
 
   boost::asio::any_io_executor Executor;
   ObjectStore &Store;
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-ProxyGroup::ProxyGroup(asio::any_io_executor Executor,
+ProxyGroup::ProxyGroup(const asio::any_io_executor &Executor,
                        const UpstreamProtocol &Protocol, std::string Name,
                        std::string OwnDomain)
     : Executor(Executor), Protocol(Protocol), Name(std::move(Name)),
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -35,7 +35,7 @@
   /// A suspicion needs this long without proof.
   static constexpr std::chrono::milliseconds SuspectAfter{800};
 
-  ProxyGroup(boost::asio::any_io_executor Executor,
+  ProxyGroup(const boost::asio::any_io_executor &Executor,
              const UpstreamProtocol &Protocol, std::string Name,
              std::string OwnDomain);
 
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -33,9 +33,9 @@
           " routes=" + std::to_string(Offered->Routes.size()) +
           " source=" + Source);
   this->Catalogue = std::move(Offered);
-  const BootTime Now = BootClock::now();
   for (const auto &[Name, Workspace] : this->Catalogue->Workspaces)
-    this->Rates[Name].setLimits(Workspace.Rate, Workspace.Burst, Now);
+    this->Rates.try_emplace(Name, this->StartedAt)
+        .first->second.setLimits(Workspace.Rate, Workspace.Burst);
   std::erase_if(this->Rates, [this](const auto &Each) {
     return !this->Catalogue->Workspaces.count(Each.first);
   });
@@ -183,9 +183,10 @@
   Report.Sequence = ++this->Sequence;
   Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
   Report.Leaving = Leaving;
+  const std::size_t Hosts = this->Fleet.size(Now);
   for (const auto &[Name, Rate] : this->Rates) {
     const double Demand = Rate.demand(Now);
-    const double Used = Rate.used(Now);
+    const double Used = Rate.used(Hosts, Now);
     if (Demand >= LeastDemand || Used > 0)
       Report.Demands.push_back({Name, Demand, Used});
   }
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -100,6 +100,7 @@
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
+  const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
   FleetView Fleet;
   std::size_t ShareHosts = 0;
--- a/src/libs/sessionproxy/sessionserver.cpp
+++ b/src/libs/sessionproxy/sessionserver.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-SessionServer::SessionServer(asio::any_io_executor Executor, ProxyState &State,
-                             StatementExecutor &Statements,
+SessionServer::SessionServer(const asio::any_io_executor &Executor,
+                             ProxyState &State, StatementExecutor &Statements,
                              const CallerProtocol &Protocol)
     : Executor(Executor), State(State), Statements(Statements),
       Protocol(Protocol), Acceptor(Executor) {}
--- a/src/libs/sessionproxy/sessionserver.h
+++ b/src/libs/sessionproxy/sessionserver.h
@@ -18,7 +18,7 @@
   static constexpr std::chrono::milliseconds CheckInterval{250};
   static constexpr int Backlog = 1024;
 
-  SessionServer(boost::asio::any_io_executor Executor, ProxyState &State,
+  SessionServer(const boost::asio::any_io_executor &Executor, ProxyState &State,
                 StatementExecutor &Statements, const CallerProtocol &Protocol);
 
   /// Errors: Unavailable if the endpoint cannot be bound.
--- a/src/libs/sessionproxy/upstreamgate.cpp
+++ b/src/libs/sessionproxy/upstreamgate.cpp
@@ -64,7 +64,7 @@
   ConnectionId Assigned = 0;
 };
 
-UpstreamGate::UpstreamGate(asio::any_io_executor Executor,
+UpstreamGate::UpstreamGate(const asio::any_io_executor &Executor,
                            const UpstreamProtocol &Protocol,
                            UpstreamEntry Entry)
     : Executor(Executor), Protocol(Protocol), Entry(std::move(Entry)),
--- a/src/libs/sessionproxy/upstreamgate.h
+++ b/src/libs/sessionproxy/upstreamgate.h
@@ -73,7 +73,7 @@
   /// Answer time assumed before the first answer.
   static constexpr std::chrono::microseconds ExpectedService{10000};
 
-  UpstreamGate(boost::asio::any_io_executor Executor,
+  UpstreamGate(const boost::asio::any_io_executor &Executor,
                const UpstreamProtocol &Protocol, UpstreamEntry Entry);
 
   /// Replaces the entry; a restarted upstream loses its connections.
--- a/src/libs/sessionproxy/upstreamlink.cpp
+++ b/src/libs/sessionproxy/upstreamlink.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-UpstreamLink::UpstreamLink(asio::any_io_executor Executor,
+UpstreamLink::UpstreamLink(const asio::any_io_executor &Executor,
                            const UpstreamProtocol &Protocol)
     : Socket(Executor), Timer(Executor), Protocol(Protocol) {}
 
--- a/src/libs/sessionproxy/upstreamlink.h
+++ b/src/libs/sessionproxy/upstreamlink.h
@@ -36,7 +36,7 @@
   static constexpr std::chrono::milliseconds UnacknowledgedLimit{1500};
   static constexpr std::size_t MaxLineBytes = std::size_t{1} << 20;
 
-  UpstreamLink(boost::asio::any_io_executor Executor,
+  UpstreamLink(const boost::asio::any_io_executor &Executor,
                const UpstreamProtocol &Protocol);
 
   /// Connects and introduces the workspace. Errors: TooManyConnections,
--- /dev/null
+++ b/tests/auto/platformadapter/tst_recordcodec.cpp
@@ -0,0 +1,92 @@
+#include "platform/recordcodec.h"
+
+#include "base/strictjson.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lavenderdale;
+using namespace lavenderdale::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+Json::Value json(const std::string &Text) {
+  Result<Json::Value> Value = parseStrictJson(Text);
+  REQUIRE(Value);
+  return Value.value();
+}
+
+const char *const Configuration = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r-1", "host": "stock", "path-prefix": "/", "kind": "bounded",
+     "timeout-ms": 1200, "target-latency-ms": 300, "priority": 2,
+     "service": "orders", "max-attempts": 2, "max-staleness-ms": 1500,
+     "public": false}],
+  "services": [{"name": "orders", "connection-limit": 16}],
+  "limits": {"transaction-idle-ms": 3000},
+  "tenants": [{"name": "clerks", "api-keys": ["k1", "k2"], "priority": 1,
+               "requests-per-s": 144, "burst": 100}]})";
+
+StoredObject upstream(const std::string &Spec) {
+  StoredObject Object;
+  Object.Name = "i-7";
+  Object.Spec = json(Spec);
+  return Object;
+}
+
+} // namespace
+
+TEST_CASE("the operator's configuration", "[configuration]") {
+  const RecordCodec Codec;
+  const Result<SessionCatalogue> Read =
+      Codec.decodeCatalogue(json(Configuration));
+  REQUIRE(Read);
+  const SessionCatalogue &Catalogue = Read.value();
+  CHECK(Catalogue.Version == 7);
+  const SessionRoute *Route = Catalogue.findRoute("stock");
+  REQUIRE(Route);
+  CHECK(Route->Consistency == ReadConsistency::Bounded);
+  CHECK(Route->AcceptedAge == 1500ms);
+  CHECK(Route->StatementTimeout == 1200ms);
+  CHECK(Route->Group == "orders");
+  CHECK_FALSE(Route->Open);
+  CHECK(Catalogue.Groups.at("orders").ConnectionLimit == 16);
+  REQUIRE(Catalogue.findKey("k2"));
+  CHECK(Catalogue.findKey("k2")->Rate == 144);
+  CHECK(Catalogue.findKey("k3") == nullptr);
+  CHECK(Catalogue.TransactionIdle == 3000ms);
+}
+
+TEST_CASE("an unreadable configuration is refused whole", "[configuration]") {
+  const RecordCodec Codec;
+  CHECK_FALSE(Codec.decodeCatalogue(json("{}")));
+  CHECK_FALSE(Codec.decodeCatalogue(json("[]")));
+  Json::Value Broken = json(Configuration);
+  Broken["routes"][0]["kind"] = "other";
+  CHECK_FALSE(Codec.decodeCatalogue(Broken));
+}
+
+// Other writers leave entries that only look like databases.
+TEST_CASE("entries that name no database are refused") {
+  const RecordCodec Codec;
+  const char *const Good =
+      R"({"service":"orders","address":"10.0.0.9:80","zone":"z1","slots":2,
+          "state":"draining","database-role":"primary","born":123})";
+  const Result<UpstreamEntry> Read = Codec.decodeUpstream(upstream(Good));
+  REQUIRE(Read);
+  CHECK(Read.value().Leaving);
+  CHECK(Read.value().ClaimsPrimary);
+  CHECK(Read.value().StartedAt == 123);
+  for (const char *Member : {"service", "address", "state", "database-role"}) {
+    StoredObject Object = upstream(Good);
+    Object.Spec[Member] = 7;
+    CAPTURE(Member);
+    CHECK_FALSE(Codec.decodeUpstream(Object));
+    Object.Spec.removeMember(Member);
+    CHECK_FALSE(Codec.decodeUpstream(Object));
+  }
+  StoredObject Other = upstream(Good);
+  Other.Spec = "text";
+  CHECK_FALSE(Codec.decodeUpstream(Other));
+}
--- /dev/null
+++ b/tests/auto/pooling/tst_upstreampool.cpp
@@ -0,0 +1,328 @@
+#include "pooling/upstreampool.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace lavenderdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1000s};
+
+PoolWaiter waiter(WaiterId Id, const std::string &Workspace,
+                  unsigned Priority = 1, Duration Target = 100ms,
+                  Duration GiveUp = 700ms, TimePoint Now = Start) {
+  PoolWaiter Waiter;
+  Waiter.Id = Id;
+  Waiter.Workspace = Workspace;
+  Waiter.Priority = Priority;
+  Waiter.Target = Now + Target;
+  Waiter.GiveUp = Now + GiveUp;
+  return Waiter;
+}
+
+std::vector<PoolAction> ofKind(const std::vector<PoolAction> &Actions,
+                               PoolAction::Kind Kind) {
+  std::vector<PoolAction> Found;
+  for (const PoolAction &Each : Actions)
+    if (Each.Type == Kind)
+      Found.push_back(Each);
+  return Found;
+}
+
+} // namespace
+
+TEST_CASE("a waiter gets an idle connection of its workspace only", "[keys]") {
+  UpstreamPool Pool;
+  Pool.setCapacity(2, 2);
+  Pool.enqueue(waiter(1, "a"), Start);
+  CHECK(ofKind(Pool.decide(Start), PoolAction::Kind::Open).size() == 1);
+  Pool.opened(7, "a", Start);
+  Pool.enqueue(waiter(2, "b"), Start);
+  const auto Actions = Pool.decide(Start);
+  const auto Assigned = ofKind(Actions, PoolAction::Kind::Assign);
+  REQUIRE(Assigned.size() == 1);
+  CHECK(Assigned[0].Waiter == 1);
+  CHECK(Assigned[0].Connection == 7);
+  const auto Opened = ofKind(Actions, PoolAction::Kind::Open);
+  REQUIRE(Opened.size() == 1);
+  CHECK(Opened[0].Workspace == "b");
+}
+
+// Guards against urgent statements that wait behind a backlog of others.
+TEST_CASE("the most urgent waiter goes first, then the one that can still be "
+          "in time") {
+  UpstreamPool Pool;
+  Pool.setCapacity(1, 1);
+  Pool.enqueue(waiter(1, "a", 2, -5ms), Start);
+  Pool.enqueue(waiter(2, "a", 2, 200ms), Start);
+  Pool.enqueue(waiter(3, "a", 1, 100ms), Start);
+  Pool.decide(Start);
+  Pool.opened(1, "a", Start);
+  std::vector<WaiterId> Order;
+  TimePoint Now = Start;
+  for (int I = 0; I < 3; ++I) {
+    const auto Assigned = ofKind(Pool.decide(Now), PoolAction::Kind::Assign);
+    REQUIRE(Assigned.size() == 1);
+    Order.push_back(Assigned[0].Waiter);
+    Now += 1ms;
+    Pool.released(1, Now);
+  }
+  CHECK(Order == std::vector<WaiterId>{3, 2, 1});
+}
+
+TEST_CASE("a waiter whose time is over is refused", "[not-run]") {
+  UpstreamPool Pool;
+  Pool.setCapacity(1, 1);
+  Pool.enqueue(waiter(1, "a", 1, 100ms, 300ms), Start);
+  Pool.decide(Start);
+  REQUIRE(Pool.nextDecision(Start));
+  const auto Refused =
+      ofKind(Pool.decide(Start + 300ms), PoolAction::Kind::Refuse);
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Waiter == 1);
+  CHECK_FALSE(Pool.cancel(1));
+}
+
+// Load pattern: a limit shared by all hosts is used up. Waiting for the pause
+// after each refusal cost 60 ms a statement while an own idle connection of
+// another workspace could have been given up.
+TEST_CASE("after a connection limit, connections inside the share are "
+          "exchanged") {
+  UpstreamPool Pool;
+  Pool.setCapacity(1, 2);
+  Pool.enqueue(waiter(1, "a"), Start);
+  Pool.decide(Start);
+  Pool.opened(1, "a", Start);
+  Pool.decide(Start);
+  Pool.enqueue(waiter(2, "b"), Start);
+  REQUIRE(ofKind(Pool.decide(Start), PoolAction::Kind::Open).size() == 1);
+  Pool.openFailed("b", true, Start);
+  Pool.released(1, Start + 1ms);
+  TimePoint Now = Start + UpstreamPool::LimitPause;
+  const auto Actions = Pool.decide(Now);
+  CHECK(ofKind(Actions, PoolAction::Kind::Close).size() == 1);
+  CHECK(ofKind(Actions, PoolAction::Kind::Open).size() == 1);
+  CHECK(Pool.connections() == 0);
+}
+
+TEST_CASE("connections beyond the share are closed when idle") {
+  UpstreamPool Pool;
+  Pool.setCapacity(1, 3);
+  for (ConnectionId Id = 1; Id <= 3; ++Id) {
+    Pool.enqueue(waiter(Id, "w" + std::to_string(Id)), Start);
+    Pool.decide(Start);
+    Pool.opened(Id, "w" + std::to_string(Id), Start);
+    Pool.decide(Start);
+  }
+  for (ConnectionId Id = 1; Id <= 3; ++Id)
+    Pool.released(Id, Start);
+  CHECK(Pool.decide(Start).empty());
+  CHECK(ofKind(Pool.decide(Start + UpstreamPool::SurplusIdle),
+               PoolAction::Kind::Close)
+            .size() == 2);
+  CHECK(Pool.connections() == 1);
+}
+
+TEST_CASE("a failing upstream is tried after growing pauses") {
+  UpstreamPool Pool;
+  Pool.setCapacity(2, 2);
+  Pool.enqueue(waiter(1, "a", 1, 1s, 10s), Start);
+  TimePoint Now = Start;
+  std::vector<TimePoint> Tries;
+  while (Now < Start + 3s) {
+    if (!ofKind(Pool.decide(Now), PoolAction::Kind::Open).empty()) {
+      Tries.push_back(Now);
+      Pool.openFailed("a", false, Now);
+    }
+    Now += 1ms;
+  }
+  REQUIRE(Tries.size() >= 4);
+  CHECK(Tries.size() <= 9);
+  CHECK(Tries[1] - Tries[0] >= UpstreamPool::FirstRetryPause);
+  CHECK(Tries.back() - Tries[Tries.size() - 2] >= 400ms);
+}
+
+namespace {
+
+/// Replays a load against one pool: arrivals, handshakes and answers with
+/// fixed times, and counts what was served within its objective.
+struct Replay {
+  struct Arrival {
+    TimePoint At{};
+    std::string Workspace;
+    unsigned Priority = 1;
+  };
+
+  UpstreamPool Pool;
+  std::map<WaiterId, Arrival> Waiting;
+  std::multimap<TimePoint, std::pair<ConnectionId, std::string>> Opening;
+  std::multimap<TimePoint, ConnectionId> Running;
+  ConnectionId NextConnection = 1;
+  int Handshakes = 0;
+  int InTime = 0;
+  int UrgentInTime = 0;
+  int UrgentTotal = 0;
+
+  void run(const std::vector<Arrival> &Load) {
+    const Duration Handshake = 13ms;
+    const Duration Work = 6ms;
+    std::size_t Next = 0;
+    const TimePoint End = Load.back().At + 1s;
+    for (TimePoint Now = Start; Now < End; Now += 1ms) {
+      for (; Next < Load.size() && Load[Next].At <= Now; ++Next) {
+        Waiting[Next + 1] = Load[Next];
+        UrgentTotal += Load[Next].Priority == 1 ? 1 : 0;
+        Pool.enqueue(waiter(Next + 1, Load[Next].Workspace, Load[Next].Priority,
+                            100ms, 700ms, Now),
+                     Now);
+      }
+      for (; !Opening.empty() && Opening.begin()->first <= Now;
+           Opening.erase(Opening.begin()))
+        Pool.opened(Opening.begin()->second.first,
+                    Opening.begin()->second.second, Now);
+      for (; !Running.empty() && Running.begin()->first <= Now;
+           Running.erase(Running.begin()))
+        Pool.released(Running.begin()->second, Now);
+      for (const PoolAction &Action : Pool.decide(Now)) {
+        if (Action.Type == PoolAction::Kind::Open) {
+          ++Handshakes;
+          Opening.emplace(Now + Handshake,
+                          std::pair(NextConnection++, Action.Workspace));
+        } else if (Action.Type == PoolAction::Kind::Assign) {
+          const Arrival &Served = Waiting[Action.Waiter];
+          const bool Good = Now + Work - Served.At <= 100ms;
+          InTime += Good ? 1 : 0;
+          UrgentInTime += Good && Served.Priority == 1 ? 1 : 0;
+          Running.emplace(Now + Work, Action.Connection);
+        }
+      }
+    }
+  }
+};
+
+std::vector<Replay::Arrival> mixedLoad(std::uint64_t Seed, int PerSecond) {
+  std::mt19937_64 Random(Seed);
+  std::exponential_distribution<double> Gap(PerSecond);
+  std::vector<Replay::Arrival> Load;
+  double At = 0;
+  while (At < 4) {
+    At += Gap(Random);
+    Replay::Arrival Each;
+    Each.At = Start + std::chrono::duration_cast<Duration>(
+                          std::chrono::duration<double>(At));
+    Each.Workspace = "w" + std::to_string(Random() % 8);
+    Each.Priority = Random() % 5 == 0 ? 1 : 2;
+    Load.push_back(Each);
+  }
+  return Load;
+}
+
+} // namespace
+
+// Load pattern: eight workspaces on two connections, at twice what these can
+// serve. Urgent statements must keep their objective while others wait.
+TEST_CASE("urgent statements stay in time under overload of a pool") {
+  const std::uint64_t Seed = 20261204;
+  CAPTURE(Seed);
+  Replay Load;
+  Load.Pool.setCapacity(2, 2);
+  Load.run(mixedLoad(Seed, 200));
+  CHECK(Load.UrgentInTime >= Load.UrgentTotal * 95 / 100);
+}
+
+// Load pattern: many workspaces at moderate load; without the wait for an own
+// connection that is about to end, nearly every statement cost a handshake.
+TEST_CASE("moderate load of many workspaces does not need a handshake for "
+          "every statement") {
+  const std::uint64_t Seed = 4;
+  CAPTURE(Seed);
+  const auto Arrivals = mixedLoad(Seed, 40);
+  Replay Load;
+  Load.Pool.setCapacity(4, 4);
+  Load.run(Arrivals);
+  CHECK(Load.InTime >= static_cast<int>(Arrivals.size()) * 99 / 100);
+  CHECK(Load.Handshakes <= static_cast<int>(Arrivals.size()) * 2 / 3);
+}
+
+// Random events must not lose a waiter, hand a connection out twice, or go
+// beyond the capacity.
+TEST_CASE("random events keep the pool's books") {
+  const std::uint64_t Seed = GENERATE(1u, 2u, 3u, 4u, 5u, 6u, 7u, 8u);
+  CAPTURE(Seed);
+  std::mt19937_64 Random(Seed);
+  UpstreamPool Pool;
+  Pool.setCapacity(3, 5);
+  std::set<ConnectionId> Open;
+  std::set<ConnectionId> Assigned;
+  std::vector<std::string> Opening;
+  std::set<WaiterId> Waiting;
+  ConnectionId NextConnection = 1;
+  WaiterId NextWaiter = 1;
+  TimePoint Now = Start;
+  for (int Step = 0; Step < 4000; ++Step) {
+    Now += std::chrono::milliseconds(Random() % 8);
+    switch (Random() % 5) {
+    case 0:
+      Pool.enqueue(waiter(NextWaiter, "w" + std::to_string(Random() % 4),
+                          Random() % 3, 50ms, 300ms, Now),
+                   Now);
+      Waiting.insert(NextWaiter++);
+      break;
+    case 1:
+      if (!Opening.empty()) {
+        const std::string Workspace = Opening.back();
+        Opening.pop_back();
+        if (Random() % 3 == 0) {
+          Pool.openFailed(Workspace, Random() % 2 == 0, Now);
+        } else {
+          Open.insert(NextConnection);
+          Pool.opened(NextConnection++, Workspace, Now);
+        }
+      }
+      break;
+    case 2:
+    case 3:
+      if (!Assigned.empty()) {
+        const ConnectionId Id = *Assigned.begin();
+        Assigned.erase(Id);
+        if (Random() % 4 == 0) {
+          Open.erase(Id);
+          Pool.closed(Id);
+        } else {
+          Pool.released(Id, Now);
+        }
+      }
+      break;
+    default:
+      break;
+    }
+    for (const PoolAction &Action : Pool.decide(Now)) {
+      switch (Action.Type) {
+      case PoolAction::Kind::Assign:
+        REQUIRE(Open.count(Action.Connection) == 1);
+        REQUIRE(Assigned.insert(Action.Connection).second);
+        REQUIRE(Waiting.erase(Action.Waiter) == 1);
+        break;
+      case PoolAction::Kind::Open:
+        Opening.push_back(Action.Workspace);
+        break;
+      case PoolAction::Kind::Close:
+        REQUIRE(Assigned.count(Action.Connection) == 0);
+        REQUIRE(Open.erase(Action.Connection) == 1);
+        break;
+      case PoolAction::Kind::Refuse:
+        REQUIRE(Waiting.erase(Action.Waiter) == 1);
+        break;
+      }
+    }
+    REQUIRE(Pool.connections() == Open.size());
+    REQUIRE(Pool.assigned() == Assigned.size());
+    REQUIRE(Pool.waiting() == Waiting.size());
+    REQUIRE(Open.size() + Opening.size() <= 5);
+  }
+}
--- /dev/null
+++ b/tests/auto/sessionproxy/tst_fleetview.cpp
@@ -0,0 +1,73 @@
+#include "sessionproxy/fleetview.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace lavenderdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const BootTime Start{1000s};
+
+HostReport reportOf(const std::string &Host, std::uint64_t Sequence,
+                    std::uint64_t StartedAt = 1) {
+  HostReport Report;
+  Report.Host = Host;
+  Report.Address = "10.0.0.1:7000";
+  Report.StartedAt = StartedAt;
+  Report.Sequence = Sequence;
+  return Report;
+}
+
+} // namespace
+
+TEST_CASE("reports survive encoding; other bytes are refused") {
+  HostReport Report = reportOf("a", 7);
+  Report.Groups.push_back({"orders", "i-1", 120, true, "i-2"});
+  Report.Demands.push_back({"w", 12.5, 60});
+  const std::string Bytes = encodeReport(Report);
+  const Result<HostReport> Read = decodeReport(Bytes);
+  REQUIRE(Read);
+  CHECK(Read.value().Groups[0].Ordered == "i-2");
+  CHECK(Read.value().Demands[0].Used == 60);
+  // Truncated and random datagrams must never end the process.
+  for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+    CHECK_FALSE(decodeReport(std::string_view(Bytes).substr(0, Size)));
+  std::mt19937_64 Random(5);
+  for (int I = 0; I < 2000; ++I) {
+    std::string Noise = Bytes;
+    Noise[Random() % Noise.size()] = static_cast<char>(Random());
+    (void)decodeReport(Noise);
+  }
+}
+
+TEST_CASE("a silent host counts until it is taken as gone", "[rate]") {
+  FleetView View("a");
+  View.setRegistered({{"a", {}}, {"b", {}}, {"c", {}}}, Start);
+  CHECK(View.size(Start) == 3);
+  CHECK(View.heard(reportOf("b", 1), Start + 1s));
+  CHECK(View.size(Start + 10s) == 3);
+  CHECK(View.size(Start + FleetView::GoneAfter + 500ms) == 2);
+  CHECK(View.gone(Start + FleetView::GoneAfter + 500ms) ==
+        std::vector<std::string>{"c"});
+}
+
+TEST_CASE("a host that is leaving does not count") {
+  FleetView View("a");
+  View.setRegistered({{"a", {}}, {"b", {}}}, Start);
+  HostReport Last = reportOf("b", 1);
+  Last.Leaving = true;
+  View.heard(Last, Start);
+  CHECK(View.size(Start) == 1);
+}
+
+TEST_CASE("old reports are dropped, those of a restarted process are not") {
+  FleetView View("a");
+  CHECK(View.heard(reportOf("b", 5), Start));
+  CHECK_FALSE(View.heard(reportOf("b", 5), Start));
+  CHECK_FALSE(View.heard(reportOf("b", 4), Start));
+  CHECK(View.heard(reportOf("b", 1, 2), Start));
+  CHECK_FALSE(View.heard(reportOf("a", 9), Start));
+}
