--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -73,6 +73,7 @@
   }
   this->Start = Decoded.value();
   this->Workspace = Admitted.value();
+  this->State.metrics().Sessions.add();
   this->Protocol.encodeReady(TransactionPhase::None, std::nullopt, Out);
   co_return co_await this->write(std::move(Out));
 }
@@ -348,11 +349,16 @@
   else
     Outcome = co_await this->Executor.runSingle(Call);
   if (const Error *Failure = std::get_if<Error>(&Outcome)) {
+    this->State.metrics().countRefusal(Failure->Kind);
     this->Protocol.encodeError(*Failure, Out);
     this->Protocol.encodeReady(this->Session.phase(), std::nullopt, Out);
     co_return;
   }
   this->logIfSlow(Call);
+  ProxyMetrics &Metrics = this->State.metrics();
+  Metrics.StatementsServed.add();
+  Metrics.StatementTime.record(now() - Call.Arrived);
+  Metrics.UpstreamTime.record(Call.Ran);
   const UpstreamReply &Reply = std::get<UpstreamReply>(Outcome);
   this->Protocol.encodeReply(Reply, Out);
   this->Protocol.encodeReady(this->Session.phase(), Reply.At, Out);
@@ -400,6 +406,7 @@
 
 void CallerSession::answerError(const Error &Failure, const Statement &Request,
                                 std::string &Out) {
+  this->State.metrics().countRefusal(Failure.Kind);
   logInfo("event=refused id=" + Request.Id + " database=" +
           this->Start.Database + " workspace=" + this->Workspace +
           " kind=" + std::string(errorAnswer(Failure.Kind).Name) +
--- a/src/libs/sessionproxy/fleetlink.cpp
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -26,9 +26,9 @@
 
 FleetLink::FleetLink(const asio::any_io_executor &Executor, ProxyState &State,
                      const RecordDecoder &Decoder, Endpoint Reports,
-                     std::uint16_t CataloguePort, std::string CataloguePath)
+                     Endpoint Internal, std::string CataloguePath)
     : Executor(Executor), State(State), Decoder(Decoder),
-      Reports(std::move(Reports)), CataloguePort(CataloguePort),
+      Reports(std::move(Reports)), Internal(std::move(Internal)),
       CataloguePath(std::move(CataloguePath)), Socket(Executor) {}
 
 Result<void> FleetLink::start() {
@@ -82,7 +82,7 @@
       continue;
     }
     this->State.heard(Report.value());
-    this->considerFetch(Report.value(), From.address().to_string());
+    this->considerFetch(Report.value());
   }
 }
 
@@ -98,6 +98,7 @@
 void FleetLink::sendReports() {
   HostReport Report = this->State.report(BootClock::now(), this->Leaving);
   Report.Address = toString(this->Reports);
+  Report.Internal = toString(this->Internal);
   const std::string Bytes = encodeReport(Report);
   for (const auto &[Name, Host] : this->State.fleet().hosts()) {
     error_code Failure;
@@ -113,8 +114,7 @@
   }
 }
 
-void FleetLink::considerFetch(const HostReport &Report,
-                              const std::string &Address) {
+void FleetLink::considerFetch(const HostReport &Report) {
   const std::uint64_t Own =
       this->State.catalogue() ? this->State.catalogue()->Version : 0;
   if (Report.CatalogueVersion <= Own) {
@@ -127,14 +127,17 @@
     this->BehindSince = Now;
   if (this->Fetching || Now - *this->BehindSince < FetchAfter)
     return;
+  const Result<Endpoint> From = parseEndpoint(Report.Internal);
+  if (!From)
+    return;
   this->Fetching = true;
-  asio::co_spawn(this->Executor, this->fetch(Address), asio::detached);
+  asio::co_spawn(this->Executor, this->fetch(From.value()), asio::detached);
 }
 
-asio::awaitable<void> FleetLink::fetch(std::string Address) {
+asio::awaitable<void> FleetLink::fetch(Endpoint From) {
   const std::shared_ptr<FleetLink> Keep = this->shared_from_this();
-  HttpClient Client(this->Executor, {Address, this->CataloguePort},
-                    IdleConnections::Reconnect);
+  const std::string Address = toString(From);
+  HttpClient Client(this->Executor, From, IdleConnections::Reconnect);
   HttpRequest Request;
   Request.Method = "GET";
   Request.Target = this->CataloguePath;
--- a/src/libs/sessionproxy/fleetlink.h
+++ b/src/libs/sessionproxy/fleetlink.h
@@ -27,10 +27,11 @@
   static constexpr std::size_t MaxReportBytes = 65536;
 
   /// \param Reports UDP endpoint of this host.
-  /// \param CataloguePort TCP port at which every host serves its catalogue.
+  /// \param Internal where this host serves its catalogue at CataloguePath,
+  ///        as every host does.
   FleetLink(const boost::asio::any_io_executor &Executor, ProxyState &State,
-            const RecordDecoder &Decoder, Endpoint Reports,
-            std::uint16_t CataloguePort, std::string CataloguePath);
+            const RecordDecoder &Decoder, Endpoint Reports, Endpoint Internal,
+            std::string CataloguePath);
 
   /// Errors: Unavailable if the endpoint cannot be bound.
   Result<void> start();
@@ -42,14 +43,14 @@
   boost::asio::awaitable<void> receive();
   boost::asio::awaitable<void> sendLoop();
   void sendReports();
-  void considerFetch(const HostReport &Report, const std::string &Address);
-  boost::asio::awaitable<void> fetch(std::string Address);
+  void considerFetch(const HostReport &Report);
+  boost::asio::awaitable<void> fetch(Endpoint From);
 
   boost::asio::any_io_executor Executor;
   ProxyState &State;
   const RecordDecoder &Decoder;
   const Endpoint Reports;
-  const std::uint16_t CataloguePort;
+  const Endpoint Internal;
   const std::string CataloguePath;
   boost::asio::ip::udp::socket Socket;
   std::array<char, MaxReportBytes> Buffer{};
--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -10,9 +10,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupReport, Group, Primary, ProvenAgeMs,
                                    Suspects, Ordered)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandReport, Workspace, Demand, Used)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostReport, Format, Host, Address, StartedAt,
-                                   Sequence, CatalogueVersion, Leaving, Groups,
-                                   Demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostReport, Format, Host, Address, Internal,
+                                   StartedAt, Sequence, CatalogueVersion,
+                                   Leaving, Groups, Demands)
 
 std::string encodeReport(const HostReport &Report) {
   std::string Bytes;
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -31,7 +31,8 @@
 
   std::uint32_t Format = CurrentFormat;
   std::string Host;
-  std::string Address;         ///< Of the sender's port for reports.
+  std::string Address;         ///< Where the sender takes reports.
+  std::string Internal;        ///< Where the sender serves its catalogue.
   std::uint64_t StartedAt = 0; ///< Milliseconds; tells processes apart.
   std::uint64_t Sequence = 0;
   std::uint64_t CatalogueVersion = 0;
--- a/src/libs/sessionproxy/promotionduty.cpp
+++ b/src/libs/sessionproxy/promotionduty.cpp
@@ -149,6 +149,7 @@
                : " outcome=failed error=\"" + Ordered.error().Detail + "\""));
   const TimePoint Now = now();
   if (Ordered) {
+    this->State.metrics().Promotions.add();
     Duty.NotBefore = Now + OrderLifetime;
     Group->promotionOrdered(Member.value());
     this->State.setOrdered(Name, Member.value(), Now);
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -158,8 +158,10 @@
   if (Found == this->Rates.end())
     return success();
   const std::size_t Hosts = this->Fleet.size(Now);
-  if (Found->second.admit(Hosts, Now))
+  if (Found->second.admit(Hosts, Now)) {
+    this->Metrics.Operations.add();
     return success();
+  }
   const SharedRate &Rate = Found->second;
   return failure(
       ErrorKind::RateLimited,
@@ -214,6 +216,19 @@
   this->Orders[Group] = {Member, Now};
 }
 
+void ProxyState::updateGauges() {
+  this->Metrics.CatalogueVersion.set(
+      this->Catalogue ? static_cast<std::int64_t>(this->Catalogue->Version)
+                      : 0);
+  this->Metrics.Hosts.set(
+      static_cast<std::int64_t>(this->Fleet.size(BootClock::now())));
+  std::size_t Connections = 0;
+  for (const auto &[Name, Group] : this->Groups)
+    for (const auto &[Id, Gate] : Group->gates())
+      Connections += Gate->pool().connections();
+  this->Metrics.UpstreamConnections.set(static_cast<std::int64_t>(Connections));
+}
+
 void ProxyState::stop() {
   for (const auto &[Name, Group] : this->Groups)
     Group->stop();
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -5,6 +5,7 @@
 #include "limits/sharedrate.h"
 #include "protocols.h"
 #include "proxygroup.h"
+#include "proxymetrics.h"
 #include "sessioncatalogue.h"
 #include "upstreamdirectory.h"
 
@@ -78,6 +79,9 @@
   }
   UpstreamDirectory &directory() { return this->Directory; }
   FleetView &fleet() { return this->Fleet; }
+  ProxyMetrics &metrics() { return this->Metrics; }
+  /// Sets the gauges to the present state.
+  void updateGauges();
   const ProxyIdentity &identity() const { return this->Identity; }
 
   /// Member whose promotion this host ordered, by group.
@@ -100,6 +104,7 @@
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
+  ProxyMetrics Metrics;
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
   FleetView Fleet;
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -22,7 +22,7 @@
                            SessionProxyParts Parts)
     : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
       State(this->Executor, Parts.Upstreams, this->Settings.Identity),
-      Statements(this->Executor),
+      Statements(this->Executor, this->State.metrics()),
       Server(std::make_shared<SessionServer>(this->Executor, this->State,
                                              this->Statements, Parts.Callers)),
       Follower(std::make_shared<StoreFollower>(
@@ -30,7 +30,7 @@
           toString(this->Settings.Reports))),
       Fleet(std::make_shared<FleetLink>(
           this->Executor, this->State, Parts.Records, this->Settings.Reports,
-          this->Settings.Internal.Port, CataloguePath)),
+          this->Settings.Internal, CataloguePath)),
       Duty(std::make_shared<PromotionDuty>(this->Executor, Parts.Store,
                                            Parts.Authority, this->State)),
       ReadinessServer(Workers, HttpServerLimits(),
@@ -108,7 +108,10 @@
   HttpResponse Response;
   if (Request.Target == MetricsPath) {
     Response.ContentType = "text/plain; version=0.0.4";
-    Response.Body = this->metrics();
+    this->State.updateGauges();
+    this->State.metrics().OpenSessions.set(
+        static_cast<std::int64_t>(this->Server->sessions()));
+    Response.Body = this->State.metrics().exposition();
     co_return Response;
   }
   if (Request.Target == CataloguePath && this->State.catalogue()) {
@@ -119,6 +122,4 @@
   co_return Response;
 }
 
-std::string SessionProxy::metrics() const { return {}; }
-
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -63,7 +63,6 @@
   boost::asio::awaitable<HttpResponse> answerInternal(HttpRequest Request);
   boost::asio::awaitable<void> watchDirectory();
   boost::asio::awaitable<void> waitForSessions(TimePoint Until);
-  std::string metrics() const;
 
   boost::asio::any_io_executor Executor;
   const SessionProxySettings Settings;
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -100,6 +100,11 @@
     if (Try.Reply && Try.Reply->ok()) {
       if (Call.Writes && Try.Reply->At)
         Call.Session.committedAt(*Try.Reply->At);
+      if (!Call.Writes) {
+        this->Metrics.Reads.add();
+        if (Call.Group->tracker().lastPrimary() != Try.Upstream)
+          this->Metrics.ReplicaReads.add();
+      }
       co_return std::move(*Try.Reply);
     }
     // A read that failed at one member may succeed at another.
@@ -109,6 +114,7 @@
     const bool InTime = now() < giveUp(Call) && !Call.Abandoned;
     const NextStep Step = nextStep(Try.Outcome, Mark);
     const bool Again = isRetry(Step) && InTime;
+    this->Metrics.countAttempt(nameOf(Try.Outcome));
     logInfo(std::string("event=attempt_failed id=") + Call.Request.Id +
             " group=" + Call.Group->name() + " upstream=" + Try.Upstream +
             " outcome=" + nameOf(Try.Outcome) +
@@ -430,7 +436,9 @@
   Waiter.GiveUp = giveUp(Call);
   const TimePoint Start = now();
   ConnectionLease Lease = co_await Gate->acquire(std::move(Waiter), Call.Wait);
-  Call.Waited += now() - Start;
+  const Duration Waited = now() - Start;
+  Call.Waited += Waited;
+  this->Metrics.WaitTime.record(Waited);
   co_return Lease;
 }
 
--- a/src/libs/sessionproxy/statementexecutor.h
+++ b/src/libs/sessionproxy/statementexecutor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxygroup.h"
+#include "proxymetrics.h"
 #include "retry/retrytable.h"
 #include "sessioncatalogue.h"
 #include "statements/sessionstate.h"
@@ -52,8 +53,9 @@
   static constexpr std::chrono::milliseconds ShortestReadTry{150};
   static constexpr int ReadTryServices = 6; ///< In smoothed answer times.
 
-  explicit StatementExecutor(boost::asio::any_io_executor Executor)
-      : Executor(std::move(Executor)) {}
+  StatementExecutor(boost::asio::any_io_executor Executor,
+                    ProxyMetrics &Metrics)
+      : Executor(std::move(Executor)), Metrics(Metrics) {}
 
   /// Runs a read or write outside of a transaction.
   boost::asio::awaitable<StatementOutcome> runSingle(StatementCall &Call);
@@ -96,6 +98,7 @@
   Error notRun(const StatementCall &Call, const std::string &Why) const;
 
   boost::asio::any_io_executor Executor;
+  ProxyMetrics &Metrics;
   StatementNames Names;
 };
 
--- a/src/libs/telemetry/logging.cpp
+++ b/src/libs/telemetry/logging.cpp
@@ -1,5 +1,6 @@
 #include "logging.h"
 
+#include "boundedappender.h"
 #include "redaction.h"
 
 #include <log4cplus/consoleappender.h>
@@ -12,6 +13,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <unistd.h>
 
 namespace lavenderdale {
 namespace {
@@ -40,6 +42,17 @@
       new log4cplus::FileAppender(File, std::ios::app));
 }
 
+void install(const log4cplus::SharedAppenderPtr &Appender,
+             const std::string &Host, log4cplus::LogLevel Level) {
+  log4cplus::Logger &Target = logger();
+  Appender->setLayout(
+      std::make_unique<log4cplus::PatternLayout>(patternFor(Host)));
+  Target.removeAllAppenders();
+  Target.addAppender(Appender);
+  Target.setAdditivity(false);
+  Target.setLogLevel(Level);
+}
+
 void log(log4cplus::LogLevel Level, const std::string &Text) {
   log4cplus::Logger &Target = logger();
   if (Target.isEnabledFor(Level))
@@ -61,17 +74,16 @@
   if (!File.empty() && !std::ofstream(File, std::ios::app))
     return failure(ErrorKind::InvalidSettings,
                    "the log file cannot be opened: " + File);
-  log4cplus::Logger &Target = logger();
-  log4cplus::SharedAppenderPtr Appender = makeAppender(File);
-  Appender->setLayout(
-      std::make_unique<log4cplus::PatternLayout>(patternFor(Host)));
-  Target.removeAllAppenders();
-  Target.addAppender(Appender);
-  Target.setAdditivity(false);
-  Target.setLogLevel(Found->second);
+  install(makeAppender(File), Host, Found->second);
   return success();
 }
 
+void startBoundedLogging(const std::string &Host) {
+  install(
+      log4cplus::SharedAppenderPtr(new detail::BoundedAppender(STDOUT_FILENO)),
+      Host, log4cplus::INFO_LOG_LEVEL);
+}
+
 void logDebug(const std::string &Text) {
   log(log4cplus::DEBUG_LOG_LEVEL, Text);
 }
--- a/src/libs/telemetry/logging.h
+++ b/src/libs/telemetry/logging.h
@@ -15,6 +15,10 @@
 Result<void> startLogging(const std::string &File, const std::string &Level,
                           const std::string &Host);
 
+/// Sets up the log on standard output, bounded in volume and without ever
+/// waiting for its reader.
+void startBoundedLogging(const std::string &Host);
+
 /// Each writes one line. Control characters and key secrets are replaced.
 void logDebug(const std::string &Text);
 void logInfo(const std::string &Text);
