--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -70,7 +70,7 @@
   double Others = 0;
   bool Heard = false;
   for (const auto &[Host, Each] : this->Peers) {
-    if (Now - Each.At > ReportLifetime)
+    if (Now - Each.At > this->ReportLifetime)
       continue;
     Heard = true;
     Others += std::max(Each.Last.Demand, LeastDemand);
@@ -107,7 +107,7 @@
   std::size_t Heard = 1;
   for (const auto &[Host, Each] : this->Peers) {
     Sum += fading(Each.UsedBefore, Each.UsedBeforeAt, Now);
-    if (Now - Each.At > ReportLifetime) {
+    if (Now - Each.At > this->ReportLifetime) {
       // Counted below if it still belongs to the fleet.
       continue;
     }
--- a/src/libs/limits/sharedrate.h
+++ b/src/libs/limits/sharedrate.h
@@ -33,8 +33,6 @@
   /// What is left is divided anew in each part of the window, at the interval
   /// of the reports.
   static constexpr std::size_t Slots = 20;
-  /// A report older than this counts as silence. Four reports are due in it.
-  static constexpr std::chrono::milliseconds ReportLifetime{1500};
   /// Time over which demand is smoothed; of the order of the report interval.
   static constexpr std::chrono::milliseconds DemandWindow{500};
   /// Part of what is left of the window that may be admitted in one slot,
@@ -51,6 +49,11 @@
   /// \param ProcessStart when this process started to serve.
   explicit SharedRate(BootTime ProcessStart) : StartedAt(ProcessStart) {}
 
+  /// \param Lifetime age beyond which a report counts as silence.
+  void setReportLifetime(std::chrono::milliseconds Lifetime) {
+    this->ReportLifetime = Lifetime;
+  }
+
   /// \param Rate operations a second over all hosts.
   /// \param Burst operations at once over all hosts.
   void setLimits(double Rate, double Burst);
@@ -110,6 +113,7 @@
 
   double Rate = 0;
   double Burst = 0;
+  std::chrono::milliseconds ReportLifetime{1500};
   BootTime StartedAt;
   std::array<Slot, Slots> Admitted{};
   double Tokens = 0;
--- a/src/libs/sessionproxy/fleetlink.cpp
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -72,7 +72,7 @@
     if (Failure) {
       logDebug("event=report_receive_failed error=\"" + Failure.message() +
                "\"");
-      co_await sleepUntil(now() + ReportInterval);
+      co_await sleepUntil(now() + reportInterval(1));
       continue;
     }
     const Result<HostReport> Report = decodeReport({this->Buffer.data(), Size});
@@ -91,7 +91,8 @@
   while (!this->Stopped) {
     this->sendReports();
     this->State.applyFleet();
-    co_await sleepUntil(now() + ReportInterval);
+    co_await sleepUntil(now() +
+                        reportInterval(this->State.fleet().hosts().size() + 1));
   }
 }
 
--- a/src/libs/sessionproxy/fleetlink.h
+++ b/src/libs/sessionproxy/fleetlink.h
@@ -17,9 +17,6 @@
 /// from a host that has one.
 class FleetLink : public std::enable_shared_from_this<FleetLink> {
 public:
-  /// Rates are shared by what was told last; a quarter of a second lets a
-  /// changed demand reach all hosts well inside the rate's window of 5 s.
-  static constexpr std::chrono::milliseconds ReportInterval{250};
   /// The store's watch brings a new catalogue to all hosts within
   /// milliseconds; a host that still lacks it after this time asks another.
   static constexpr std::chrono::milliseconds FetchAfter{400};
--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -79,7 +79,8 @@
 }
 
 bool FleetView::isFresh(const Host &Each, BootTime Now) const {
-  return Each.Last && Now - Each.HeardAt < ReportLifetime;
+  return Each.Last &&
+         Now - Each.HeardAt < reportLifetime(this->Hosts.size() + 1);
 }
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -16,9 +16,6 @@
 /// the object store and those that sent reports.
 class FleetView {
 public:
-  /// A host whose last report is older was lost or is cut off. Four reports
-  /// are due in this time.
-  static constexpr std::chrono::milliseconds ReportLifetime{1300};
   /// A registered host that stays silent for this long is taken as gone: no
   /// cut that operators plan for lasts longer.
   static constexpr std::chrono::seconds GoneAfter{20};
--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <exception>
 
 namespace lavenderdale {
@@ -14,6 +15,17 @@
                                    StartedAt, Sequence, CatalogueVersion,
                                    Leaving, Groups, Demands)
 
+std::chrono::milliseconds reportInterval(std::size_t Hosts) {
+  constexpr std::chrono::milliseconds Shortest{250};
+  constexpr std::size_t HostsAtShortest = 12;
+  return Shortest * std::max(Hosts, HostsAtShortest) / HostsAtShortest;
+}
+
+std::chrono::milliseconds reportLifetime(std::size_t Hosts) {
+  constexpr int Intervals = 5;
+  return reportInterval(Hosts) * Intervals;
+}
+
 std::string encodeReport(const HostReport &Report) {
   std::string Bytes;
   nlohmann::json::to_cbor(nlohmann::json(Report), Bytes);
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -2,6 +2,8 @@
 
 #include "base/result.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -41,6 +43,15 @@
   std::vector<DemandReport> Demands;
 };
 
+/// Interval at which each of \p Hosts hosts reports to all others. A quarter
+/// of a second lets a changed demand reach all hosts well inside the rate's
+/// window of 5 s; in larger fleets it grows, so that a host sends and receives
+/// at most about fifty reports a second.
+std::chrono::milliseconds reportInterval(std::size_t Hosts);
+
+/// Age beyond which a host's last report counts as silence: five intervals.
+std::chrono::milliseconds reportLifetime(std::size_t Hosts);
+
 /// Encodes \p Report as CBOR.
 std::string encodeReport(const HostReport &Report);
 
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -77,6 +77,8 @@
   if (Hosts == this->ShareHosts)
     return;
   this->ShareHosts = Hosts;
+  for (auto &[Name, Rate] : this->Rates)
+    Rate.setReportLifetime(reportLifetime(Hosts));
   this->applyConnectionShares();
 }
 
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -63,6 +63,15 @@
   }
 }
 
+// A refusal says that the statement has not run, which has to be true of all
+// tries.
+Error refusal(const Error &NotRun, bool MayHaveRun) {
+  if (!MayHaveRun)
+    return NotRun;
+  return failure(ErrorKind::OutcomeUnknown,
+                 "an answer was lost; last: " + NotRun.Detail);
+}
+
 std::int64_t millisecondsSince(TimePoint Start) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(now() - Start)
       .count();
@@ -76,6 +85,7 @@
   std::size_t Tries = 0;
   std::string Upstream;
   AttemptOutcome Outcome = AttemptOutcome::NotSent;
+  bool MayHaveRun = false; ///< In this try or an earlier one.
   std::optional<UpstreamReply> Reply;
   BootTime SentAt{};
 };
@@ -96,7 +106,7 @@
     else
       NotRun = co_await this->runAtReader(Call, Try);
     if (NotRun)
-      co_return *NotRun;
+      co_return refusal(*NotRun, Try.MayHaveRun);
     if (Try.Reply && Try.Reply->ok()) {
       if (Call.Writes && Try.Reply->At)
         Call.Session.committedAt(*Try.Reply->At);
@@ -128,9 +138,8 @@
     }
     if (Try.Reply)
       co_return std::move(*Try.Reply);
-    if (Try.Outcome == AttemptOutcome::AnswerLost && Call.Writes)
-      co_return failure(ErrorKind::OutcomeUnknown, "the answer was lost");
-    co_return this->notRun(Call, "no upstream answered");
+    co_return refusal(this->notRun(Call, "no upstream answered"),
+                      Try.MayHaveRun);
   }
 }
 
@@ -247,8 +256,10 @@
     Gate->countFailure(End);
     Try.Outcome =
         Exchange.Sent ? AttemptOutcome::AnswerLost : AttemptOutcome::NotSent;
-    if (Measured)
+    if (Measured) {
       Gate->countService(End - Start, End);
+      Try.MayHaveRun = Try.MayHaveRun || Exchange.Sent;
+    }
     co_return;
   }
   Gate->countSuccess(End);
@@ -265,6 +276,8 @@
     Gate->sawPosition(*Try.Reply->At, End);
   if (!Try.Reply->ok()) {
     Try.Outcome = outcomeOf(Try.Reply->Failure);
+    if (Measured && Try.Outcome == AttemptOutcome::StatementError)
+      Try.MayHaveRun = true;
     if (Try.Reply->Failure == UpstreamFailure::ReadOnly)
       Call.Group->refusedLead(*Gate);
     if (Try.Reply->Failure == UpstreamFailure::UnknownStatement &&
--- a/tests/auto/platformadapter/tst_linecodec.cpp
+++ b/tests/auto/platformadapter/tst_linecodec.cpp
@@ -154,7 +154,7 @@
     for (char &Each : Line)
       Each = Alphabet[Random() % Alphabet.size()];
     if (I % 2 == 0)
-      Line = "QUERY " + Line;
+      Line.insert(0, "QUERY ");
     (void)Callers.decodeStatement(Line);
     (void)Callers.decodeStart(Line);
     UpstreamReply Reply;
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -1,16 +1,36 @@
 """Hosts of the session proxy as real processes, and callers that speak to
 them."""
 import itertools
+import os
 import signal
 import socket
 import subprocess
 import tempfile
 from pathlib import Path
 
-from cluster import PATIENCE_S, free_port, program, wait_until
+from cluster import PATIENCE_S, program, wait_until
 from sessionstandin import Database, Loop, Store
 
 IDS = itertools.count(1)
+# Below the range from which outgoing connections take their ports, so that
+# none of them takes a port between its choice and the daemon's bind. Tests
+# that run at the same time begin at different places.
+PORTS = itertools.count(20000 + os.getpid() * 40 % 12000)
+
+
+def fixed_port():
+    """A port that is free for TCP and UDP, another one at each call."""
+    while True:
+        port = 20000 + (next(PORTS) - 20000) % 12700
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagram.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+
+
 CLOSED_PORT = 1  # Nothing listens there on loopback.
 
 
@@ -51,8 +71,10 @@
 
     def __init__(self, name, store_port, directory):
         self.name = name
-        first = free_port()
-        self.front, self.readiness, second = free_port(), free_port(), first + 1
+        self.front, self.readiness = fixed_port(), fixed_port()
+        first = fixed_port()
+        while (second := fixed_port()) != first + 1:
+            first = second
         settings = Path(directory) / f"{name}.toml"
         settings.write_text(f"""
 node-name = "{name}"
@@ -81,6 +103,11 @@
         self.process.wait(PATIENCE_S)
         self.log.close()
 
+    def check_runs(self):
+        """Raises if the process has ended, with what it wrote."""
+        if self.process.poll() is not None:
+            raise AssertionError(f"{self.name} ended with {self.process.returncode}: {self.text()}")
+
     def text(self):
         return Path(self.log.name).read_text(errors="replace")
 
@@ -118,6 +145,7 @@
 
     @staticmethod
     def ready(host, path="/-/readiness"):
+        host.check_runs()
         with socket.create_connection(("127.0.0.1", host.readiness), 5) as probe:
             probe.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
             return probe.recv(64).startswith(b"HTTP/1.1 200")
--- a/tests/process/test_sessions.py
+++ b/tests/process/test_sessions.py
@@ -96,6 +96,16 @@
         for _ in range(5):
             self.assertTrue(caller.query("READ item")[-2].startswith("COMPLETE"))
 
+    def test_a_read_that_may_have_run_is_not_called_not_run(self):
+        # Guards against a promise after tries whose answers were lost.
+        caller = self.fleet.caller("stock")
+        caller.query("WRITE item x")
+        for database in self.fleet.databases:
+            database.lose_answers = True
+        lines = caller.query("READ item")
+        self.assertTrue(any(run.id == caller.last_id for run in self.fleet.runs()))
+        self.assertTrue(lines[0].startswith("ERROR INDOUBT"), lines)
+
     def test_a_transaction_whose_primary_dies_is_rolled_back(self):
         caller = self.fleet.caller("desk")
         caller.query("BEGIN")
