Remove unused state of gates and groups; one limit for a read's try

Found on reading the change again: times of success and failure that nothing read, a timer that was cancelled but never waited for, and the limit of a read's first try written out twice. Behaviour stays as it is.

--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -6,8 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -29,9 +27,7 @@
                        const UpstreamProtocol &Protocol, std::string Name,
                        std::string OwnDomain)
     : Executor(Executor), Protocol(Protocol), Name(std::move(Name)),
-      OwnDomain(std::move(OwnDomain)), PrimaryChanged(Executor) {
-  this->PrimaryChanged.expires_at(TimePoint::max());
-}
+      OwnDomain(std::move(OwnDomain)) {}
 
 void ProxyGroup::start() {
   asio::co_spawn(this->Executor, this->probeLoop(), asio::detached);
@@ -42,7 +38,6 @@
   for (const auto &[Id, Gate] : this->Gates)
     Gate->retire();
   this->Gates.clear();
-  this->PrimaryChanged.cancel();
 }
 
 void ProxyGroup::setMembers(const std::vector<UpstreamEntry> &Entries) {
@@ -66,7 +61,6 @@
     return true;
   });
   this->Tracker.setMembers(Members, now());
-  this->PrimaryChanged.cancel();
 }
 
 void ProxyGroup::setConnectionShare(std::size_t Guaranteed, std::size_t Most) {
@@ -96,23 +90,18 @@
 
 asio::awaitable<std::shared_ptr<UpstreamGate>>
 ProxyGroup::waitForPrimary(TimePoint Until, WaitHandle &Wait) {
+  // A refusal lapses without an event, so the state is looked at in steps.
+  constexpr std::chrono::milliseconds Step{25};
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   bool Cancelled = false;
-  Wait.Cancel = [this, &Cancelled] {
-    Cancelled = true;
-    this->PrimaryChanged.cancel();
-  };
+  Wait.Cancel = [&Cancelled] { Cancelled = true; };
   std::shared_ptr<UpstreamGate> Gate;
   while (!Cancelled && !this->Stopped) {
-    Gate = this->primary(now());
-    if (Gate || now() >= Until)
+    const TimePoint Now = now();
+    Gate = this->primary(Now);
+    if (Gate || Now >= Until)
       break;
-    // A refusal lapses without an event, so the wait is cut into steps.
-    asio::steady_timer Step(this->Executor);
-    Step.expires_at(std::min(Until, now() + std::chrono::milliseconds(25)));
-    boost::system::error_code Ignored;
-    co_await Step.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_await sleepUntil(std::min<TimePoint>(Until, Now + Step));
   }
   Wait.Cancel = nullptr;
   co_return Gate;
@@ -236,12 +225,10 @@
       co_await Lease->exchange(std::move(Commands), Limit);
   const TimePoint Now = now();
   if (Exchange.Replies.empty() || Exchange.Lost) {
-    Gate->countFailure(Now);
     this->Tracker.unreachable(*Target, Now);
     logInfo("event=probe_failed group=" + this->Name + " upstream=" + *Target);
     co_return;
   }
-  Gate->countSuccess(Now);
   if (Exchange.Replies.back().State == TransactionState::None)
     Lease.keep();
   const UpstreamReply &Begun = Exchange.Replies.front();
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -7,9 +7,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -103,7 +101,6 @@
   std::map<std::string, std::shared_ptr<UpstreamGate>> Gates;
   PrimaryTracker Tracker;
   VerifiedPositions Verified;
-  boost::asio::steady_timer PrimaryChanged;
   std::string LastWorkspace;
   TimePoint LastUse{};
   std::optional<TimePoint> SuspectedSince;
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -176,12 +176,7 @@
   Commands.clear();
   Commands.push_back(this->forward(Call));
   Commands.push_back(ownCommand(Command::Kind::Rollback));
-  const TimePoint Limit = std::min(
-      deadline(Call),
-      Try.Tries > 1
-          ? deadline(Call)
-          : now() + std::max<Duration>(ShortestReadTry,
-                                       Gate->service(now()) * ReadTryServices));
+  const TimePoint Limit = readLimit(Call, Try, *Gate);
   co_await this->send(Call, Try, Lease, std::move(Commands), 0, Limit);
   co_return std::nullopt;
 }
@@ -209,12 +204,7 @@
   Commands.push_back(this->forward(Call));
   Commands.back().After = Required;
   const std::size_t Answer = Commands.size() - 1;
-  const TimePoint Limit = std::min(
-      deadline(Call),
-      Try.Tries > 1
-          ? deadline(Call)
-          : now() + std::max<Duration>(ShortestReadTry,
-                                       Gate->service(now()) * ReadTryServices));
+  const TimePoint Limit = readLimit(Call, Try, *Gate);
   co_await this->send(Call, Try, Lease, std::move(Commands), Answer, Limit);
   if (Try.Outcome == AttemptOutcome::ReplicaBehind)
     Gate->countBehind(now());
@@ -253,7 +243,6 @@
       co_return;
     }
   if (Exchange.Replies.size() <= Answer) {
-    Gate->countFailure(End);
     Try.Outcome =
         Exchange.Sent ? AttemptOutcome::AnswerLost : AttemptOutcome::NotSent;
     if (Measured) {
@@ -262,7 +251,6 @@
     }
     co_return;
   }
-  Gate->countSuccess(End);
   if (Measured)
     Gate->countService(End - Start, End);
   Try.Reply = std::move(Exchange.Replies[Answer]);
@@ -496,6 +484,17 @@
   return Call.Arrived + Call.Route.StatementTimeout;
 }
 
+TimePoint StatementExecutor::readLimit(const StatementCall &Call,
+                                       const Attempt &Try,
+                                       const UpstreamGate &Gate) {
+  if (Try.Tries > 1)
+    return deadline(Call);
+  const TimePoint Now = now();
+  const Duration Patience =
+      std::max<Duration>(ShortestReadTry, Gate.service(Now) * ReadTryServices);
+  return std::min(deadline(Call), Now + Patience);
+}
+
 Error StatementExecutor::notRun(const StatementCall &Call,
                                 const std::string &Why) const {
   logInfo(std::string("event=not_run id=") + Call.Request.Id +
--- a/src/libs/sessionproxy/statementexecutor.h
+++ b/src/libs/sessionproxy/statementexecutor.h
@@ -95,6 +95,10 @@
                                      ConnectionLease &Lease);
   static TimePoint giveUp(const StatementCall &Call);
   static TimePoint deadline(const StatementCall &Call);
+  /// Until when a read waits for its answer before it is tried elsewhere; a
+  /// repeated one has the rest of its time.
+  static TimePoint readLimit(const StatementCall &Call, const Attempt &Try,
+                             const UpstreamGate &Gate);
   Error notRun(const StatementCall &Call, const std::string &Why) const;
 
   boost::asio::any_io_executor Executor;
--- a/src/libs/sessionproxy/upstreamgate.cpp
+++ b/src/libs/sessionproxy/upstreamgate.cpp
@@ -246,11 +246,8 @@
     logInfo("event=connect_failed upstream=" + this->Entry.Id + " workspace=" +
             Workspace + " open=" + std::to_string(this->Pool.connections()) +
             " error=\"" + Opened.error().Detail + "\"");
-    if (!AtLimit)
-      this->countFailure(Now);
     this->Pool.openFailed(Workspace, AtLimit, Now);
   } else {
-    this->countSuccess(Now);
     const ConnectionId Id = this->NextConnection++;
     this->Links[Id] = Link;
     this->IdleSince[Id] = Now;
--- a/src/libs/sessionproxy/upstreamgate.h
+++ b/src/libs/sessionproxy/upstreamgate.h
@@ -100,12 +100,6 @@
   const std::optional<Position> &lastPosition() const { return this->LastAt; }
   TimePoint lastPositionAt() const { return this->LastAtTime; }
   TimePoint behindAt() const { return this->BehindAt; }
-  /// When the last connect or statement worked, and when one last failed.
-  TimePoint lastSuccess() const { return this->LastSuccess; }
-  TimePoint lastFailure() const { return this->LastFailure; }
-  void countSuccess(TimePoint Now) { this->LastSuccess = Now; }
-  void countFailure(TimePoint Now) { this->LastFailure = Now; }
-  bool retired() const { return this->Retired; }
 
   /// Runs the pool's decisions now.
   void pump();
@@ -136,8 +130,6 @@
   std::optional<Position> LastAt;
   TimePoint LastAtTime{};
   TimePoint BehindAt{};
-  TimePoint LastSuccess{};
-  TimePoint LastFailure{};
   bool Retired = false;
 };
 
