Take no key after a pause before asking again; one command line reader

A gap of a second between ticks of ConfigurationState now counts as a pause: keyed routes wait for the answer to a question sent after waking, and for the version it names. Ruled out: the test's order of events; the withdrawal is in force at another host before the daemon is woken.

--- a/src/app/lavenderdaled/main.cpp
+++ b/src/app/lavenderdaled/main.cpp
@@ -1,9 +1,8 @@
+#include "base/daemonarguments.h"
 #include "server/daemon.h"
 #include "settings/settings.h"
 #include "telemetry/logging.h"
 
-#include <getopt.h>
-
 #include <csignal>
 #include <iostream>
 #include <pthread.h>
@@ -15,7 +14,6 @@
 
 // Exit codes, also listed by --help.
 constexpr int ExitDone = 0;
-constexpr int ExitUsage = 1;
 constexpr int ExitSettings = 2;
 constexpr int ExitStart = 3;
 constexpr int ExitCutShort = 4;
@@ -32,40 +30,6 @@
 4 stopped at the limit with work in flight.
 )";
 
-struct CommandLine {
-  std::string SettingsFile;
-  bool CheckOnly = false;
-  int Exit = -1; ///< Exit code if there is nothing to run.
-};
-
-CommandLine readCommandLine(int Count, char **Arguments) {
-  static const option Options[] = {
-      {"settings", required_argument, nullptr, 's'},
-      {"check", no_argument, nullptr, 'c'},
-      {"help", no_argument, nullptr, 'h'},
-      {"version", no_argument, nullptr, 'V'},
-      {nullptr, 0, nullptr, 0}};
-  CommandLine Line;
-  for (int Each = 0; Each != -1;) {
-    Each = getopt_long(Count, Arguments, "s:chV", Options, nullptr);
-    if (Each == 's')
-      Line.SettingsFile = optarg;
-    else if (Each == 'c')
-      Line.CheckOnly = true;
-    else if (Each == 'h' || Each == 'V') {
-      std::cout << (Each == 'h' ? Usage : "lavenderdaled 0.1.0\n");
-      Line.Exit = ExitDone;
-    } else if (Each != -1) {
-      Line.Exit = ExitUsage;
-    }
-  }
-  if (Line.Exit == -1 && (Line.SettingsFile.empty() || optind != Count)) {
-    std::cerr << Usage;
-    Line.Exit = ExitUsage;
-  }
-  return Line;
-}
-
 // Blocked before threads start, so that only waitForStop() takes them.
 sigset_t blockStopSignals() {
   sigset_t Signals;
@@ -103,16 +67,18 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  const CommandLine Line = readCommandLine(Count, Arguments);
-  if (Line.Exit != -1)
-    return Line.Exit;
-  const Result<Settings> Config = loadSettings(Line.SettingsFile);
+  int Exit = ExitDone;
+  const auto Given = readDaemonArguments(Count, Arguments, Usage,
+                                         "lavenderdaled", "", Exit);
+  if (!Given)
+    return Exit;
+  const Result<Settings> Config = loadSettings(Given->SettingsFile);
   if (!Config) {
     std::cerr << Config.error().Detail << '\n';
     return ExitSettings;
   }
-  if (Line.CheckOnly) {
-    std::cout << Line.SettingsFile << ": valid\n";
+  if (Given->CheckOnly) {
+    std::cout << Given->SettingsFile << ": valid\n";
     return ExitDone;
   }
   return run(Config.value());
--- a/src/libs/distribution/configurationstate.cpp
+++ b/src/libs/distribution/configurationstate.cpp
@@ -56,16 +56,42 @@
 
 std::vector<ConfigurationAction> ConfigurationState::tick(TimePoint Now) {
   std::vector<ConfigurationAction> Actions;
+  this->noticePause(Now);
   this->updateRole(Actions);
   this->checkPlatform(Now, Actions);
   if (this->Relay && !this->platformAnswers(Now))
     this->Fresh.reportUnreachable(this->FailureDomain, Now);
   this->Fresh.update(Now, this->isUpToDate());
+  // Nothing can have changed if no domain reaches the platform since.
+  if (this->Fresh.outageAt())
+    this->hearVersion(this->version(), *this->Fresh.outageAt());
   this->queryVersions(Now, Actions);
   this->pull(Now, Actions);
   return Actions;
 }
 
+void ConfigurationState::noticePause(TimePoint Now) {
+  if (this->LastTick && Now - *this->LastTick >= PauseSuspectedAfter) {
+    this->WokeAt = Now;
+    this->NextCheck = Now;
+    this->NextQuery = Now;
+  }
+  this->LastTick = Now;
+}
+
+void ConfigurationState::hearVersion(std::uint64_t Version, TimePoint SentAt) {
+  if (!this->WokeAt || SentAt < *this->WokeAt)
+    return;
+  this->VersionAtWake = Version;
+  this->WokeAt.reset();
+}
+
+// Threads that serve callers can run before the tick that notices a pause.
+bool ConfigurationState::isAwake(TimePoint Now) const {
+  return !this->WokeAt && this->version() >= this->VersionAtWake &&
+         (!this->LastTick || Now - *this->LastTick < PauseSuspectedAfter);
+}
+
 void ConfigurationState::updateRole(std::vector<ConfigurationAction> &Actions) {
   if (this->Relay == this->WatchStarted)
     return;
@@ -224,6 +250,7 @@
   this->PlatformAnsweredAt =
       std::max(this->PlatformAnsweredAt.value_or(SentAt), SentAt);
   this->Fresh.confirm(Version, SentAt, this->version());
+  this->hearVersion(Version, SentAt);
   if (this->platformAnswers(Now))
     this->Fresh.reportReachable(this->FailureDomain);
 }
@@ -240,6 +267,7 @@
 void ConfigurationState::onVersionReport(const VersionReport &Report,
                                          TimePoint SentAt, TimePoint Now) {
   this->onPeerVersion(Report.Host, Report.Version);
+  this->hearVersion(std::max(Report.Version, Report.ConfirmedVersion), SentAt);
   if (Report.ConfirmedAge) {
     const TimePoint At = SentAt - *Report.ConfirmedAge;
     this->Fresh.confirm(Report.ConfirmedVersion, At, this->version());
@@ -294,7 +322,7 @@
 }
 
 bool ConfigurationState::mayServeKeyed(TimePoint Now) const {
-  return this->Usable && this->Fresh.mayServeKeyed(Now);
+  return this->Usable && this->isAwake(Now) && this->Fresh.mayServeKeyed(Now);
 }
 
 } // namespace lavenderdale
--- a/src/libs/distribution/configurationstate.h
+++ b/src/libs/distribution/configurationstate.h
@@ -15,6 +15,10 @@
 class ConfigurationState {
 public:
   static constexpr std::chrono::seconds PullWait{20};
+  /// A gap between ticks from which on the process counts as paused. Ten ticks
+  /// are not lost on a busy machine, and a shorter pause is a small part of
+  /// Freshness::KeysValid.
+  static constexpr std::chrono::milliseconds PauseSuspectedAfter{1000};
 
   ConfigurationState(std::string Host, std::string FailureDomain,
                      std::mt19937_64 Random);
@@ -67,7 +71,9 @@
   /// afterwards it stays usable while it catches up.
   bool isUsable() const { return this->Usable; }
   bool isFresh(TimePoint Now) const { return this->Fresh.isFresh(Now); }
-  /// Whether keys may be accepted, on routes without `serveWhenCutOff`.
+  /// Whether keys may be accepted, on routes without `serveWhenCutOff`. A
+  /// host that wakes from a pause first has to hear which version the others
+  /// have: a key may have been withdrawn meanwhile.
   bool mayServeKeyed(TimePoint Now) const;
 
 private:
@@ -77,6 +83,9 @@
     bool IsPending = false; ///< Waits at a relay for the next change.
   };
 
+  void noticePause(TimePoint Now);
+  void hearVersion(std::uint64_t Version, TimePoint SentAt);
+  bool isAwake(TimePoint Now) const;
   void versionMayHaveChanged();
   bool isUpToDate() const;
   bool platformAnswers(TimePoint Now) const;
@@ -112,6 +121,11 @@
   TimePoint NextCatchUp;
   TimePoint NextCheck;
   TimePoint NextQuery;
+  std::optional<TimePoint> LastTick;
+  /// Set from a pause until a question sent later is answered.
+  std::optional<TimePoint> WokeAt;
+  /// The version of that answer, which has to be in force.
+  std::uint64_t VersionAtWake = 0;
   std::optional<TimePoint> RelaySince;
   std::optional<TimePoint> PlatformAnsweredAt;
 };
--- a/src/libs/distribution/freshness.h
+++ b/src/libs/distribution/freshness.h
@@ -53,6 +53,8 @@
   bool isDoubtful(TimePoint Now) const;
 
   std::optional<TimePoint> confirmedAt() const { return this->ConfirmedAt; }
+  /// When all domains were last known not to reach the platform.
+  std::optional<TimePoint> outageAt() const { return this->OutageAt; }
   std::uint64_t confirmedVersion() const { return this->ConfirmedVersion; }
   const std::map<std::string, TimePoint> &unreachable() const {
     return this->Unreachable;
--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -19,8 +19,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 auto resumeWith(error_code &Failure) {
   return asio::redirect_error(asio::use_awaitable, Failure);
 }
@@ -37,7 +35,7 @@
 
 asio::awaitable<void> CallerSession::run() {
   const std::shared_ptr<CallerSession> Keep = this->shared_from_this();
-  this->Limit = now() + StartLimit;
+  this->Limit = steadyNow() + StartLimit;
   if (co_await this->start())
     while (co_await this->serveNext())
       ;
@@ -57,7 +55,7 @@
   std::string Out;
   Result<SessionStart> Decoded = this->Protocol.decodeStart(*Line);
   Result<std::string> Admitted =
-      Decoded ? this->State.admitSession(Decoded.value(), now())
+      Decoded ? this->State.admitSession(Decoded.value(), steadyNow())
               : Result<std::string>(Decoded.error());
   if (!Admitted) {
     logInfo(std::string("event=session_refused database=") +
@@ -101,7 +99,7 @@
   if (this->Departed)
     co_return false;
   if (this->Session.inTransaction() && this->State.catalogue())
-    this->Limit = now() + this->State.catalogue()->TransactionIdle;
+    this->Limit = steadyNow() + this->State.catalogue()->TransactionIdle;
   co_return co_await this->write(std::move(Out));
 }
 
@@ -228,7 +226,7 @@
 
 Result<void> CallerSession::checkAccess() {
   const Result<std::string> Admitted =
-      this->State.admitSession(this->Start, now());
+      this->State.admitSession(this->Start, steadyNow());
   if (!Admitted)
     return Admitted.error();
   this->Workspace = Admitted.value();
@@ -333,7 +331,7 @@
                      Request,
                      Prepared,
                      Writes,
-                     now(),
+                     steadyNow(),
                      BootClock::now(),
                      this->Wait,
                      this->Abandoned,
@@ -357,7 +355,7 @@
   this->logIfSlow(Call);
   ProxyMetrics &Metrics = this->State.metrics();
   Metrics.StatementsServed.add();
-  Metrics.StatementTime.record(now() - Call.Arrived);
+  Metrics.StatementTime.record(steadyNow() - Call.Arrived);
   Metrics.UpstreamTime.record(Call.Ran);
   const UpstreamReply &Reply = std::get<UpstreamReply>(Outcome);
   this->Protocol.encodeReply(Reply, Out);
@@ -365,7 +363,7 @@
 }
 
 void CallerSession::logIfSlow(const StatementCall &Call) const {
-  const Duration Took = now() - Call.Arrived;
+  const Duration Took = steadyNow() - Call.Arrived;
   if (Took < this->Route.LatencyObjective / 2)
     return;
   const auto Milliseconds = [](Duration Length) {
--- a/src/libs/sessionproxy/fleetlink.cpp
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -20,8 +20,6 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 FleetLink::FleetLink(const asio::any_io_executor &Executor, ProxyState &State,
@@ -72,7 +70,7 @@
     if (Failure) {
       logDebug("event=report_receive_failed error=\"" + Failure.message() +
                "\"");
-      co_await sleepUntil(now() + reportInterval(1));
+      co_await sleepUntil(steadyNow() + reportInterval(1));
       continue;
     }
     const Result<HostReport> Report = decodeReport({this->Buffer.data(), Size});
@@ -91,7 +89,7 @@
   while (!this->Stopped) {
     this->sendReports();
     this->State.applyFleet();
-    co_await sleepUntil(now() +
+    co_await sleepUntil(steadyNow() +
                         reportInterval(this->State.fleet().hosts().size() + 1));
   }
 }
@@ -123,7 +121,7 @@
       this->BehindSince.reset();
     return;
   }
-  const TimePoint Now = now();
+  const TimePoint Now = steadyNow();
   if (!this->BehindSince)
     this->BehindSince = Now;
   if (this->Fetching || Now - *this->BehindSince < FetchAfter)
@@ -143,7 +141,7 @@
   Request.Method = "GET";
   Request.Target = this->CataloguePath;
   const Result<HttpResponse> Response =
-      co_await Client.send(std::move(Request), now() + FetchLimit);
+      co_await Client.send(std::move(Request), steadyNow() + FetchLimit);
   this->Fetching = false;
   this->BehindSince.reset();
   if (!Response || Response.value().Status != 200) {
--- a/src/libs/sessionproxy/promotionduty.cpp
+++ b/src/libs/sessionproxy/promotionduty.cpp
@@ -13,8 +13,6 @@
 
 namespace asio = boost::asio;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 constexpr const char *HolderMember = "holder";
 constexpr const char *AttemptMember = "attempt";
 
@@ -43,13 +41,14 @@
   const std::shared_ptr<PromotionDuty> Keep = this->shared_from_this();
   while (!this->Stopped) {
     const Result<StoredObjects> Listed = co_await this->Store.list(
-        Collection::Promotions, ListFreshness::MayBeStale, now() + CallLimit);
+        Collection::Promotions, ListFreshness::MayBeStale,
+        steadyNow() + CallLimit);
     if (Listed)
       for (const StoredObject &Each : Listed.value().Objects)
         this->sawClaim(Each);
     else
       logInfo("event=claims_unknown error=\"" + Listed.error().Detail + "\"");
-    co_await sleepUntil(now() + ListInterval);
+    co_await sleepUntil(steadyNow() + ListInterval);
   }
 }
 
@@ -61,8 +60,8 @@
 PromotionDuty::Task<void> PromotionDuty::run() {
   const std::shared_ptr<PromotionDuty> Keep = this->shared_from_this();
   while (!this->Stopped) {
-    co_await sleepUntil(now() + CheckInterval);
-    const TimePoint Now = now();
+    co_await sleepUntil(steadyNow() + CheckInterval);
+    const TimePoint Now = steadyNow();
     for (const auto &[Name, Group] : this->State.groups()) {
       GroupDuty &Duty = this->Duties[Name];
       if (Duty.Active || Now < Duty.NotBefore ||
@@ -116,7 +115,7 @@
   const std::shared_ptr<PromotionDuty> Keep = this->shared_from_this();
   const std::string Name = Group->name();
   GroupDuty &Duty = this->Duties[Name];
-  Duty.NotBefore = now() + AttemptPause;
+  Duty.NotBefore = steadyNow() + AttemptPause;
   const Result<std::string> Member = co_await this->chooseMember(*Group, Duty);
   if (!Member) {
     logInfo("event=promotion_no_candidate group=" + Name + " reason=\"" +
@@ -127,11 +126,11 @@
   const Result<std::uint64_t> Token = co_await this->claim(Name, Duty);
   const BootTime ClaimedAt = BootClock::now();
   // The others may have acted, and the primary may be back, since the check.
-  if (!Token || Group->tracker().orderedWithin(OrderLifetime, now()) ||
-      !this->isDue(*Group, Duty, now())) {
+  if (!Token || Group->tracker().orderedWithin(OrderLifetime, steadyNow()) ||
+      !this->isDue(*Group, Duty, steadyNow())) {
     logInfo("event=promotion_not_claimed group=" + Name + " reason=\"" +
             (Token ? "no longer due" : Token.error().Detail) + "\"");
-    Duty.NotBefore = now() + ClaimPause;
+    Duty.NotBefore = steadyNow() + ClaimPause;
     Duty.Active = false;
     co_return;
   }
@@ -141,13 +140,13 @@
     co_return;
   }
   const Result<void> Ordered = co_await this->Authority.promote(
-      Name, Member.value(), Token.value(), now() + CallLimit);
+      Name, Member.value(), Token.value(), steadyNow() + CallLimit);
   logInfo(
       "event=promotion_ordered group=" + Name + " upstream=" + Member.value() +
       " token=" + std::to_string(Token.value()) +
       (Ordered ? " outcome=accepted"
                : " outcome=failed error=\"" + Ordered.error().Detail + "\""));
-  const TimePoint Now = now();
+  const TimePoint Now = steadyNow();
   if (Ordered) {
     this->State.metrics().Promotions.add();
     Duty.NotBefore = Now + OrderLifetime;
@@ -170,11 +169,11 @@
   Claim.Spec[HolderMember] = this->State.identity().Host;
   Claim.Spec[AttemptMember] = Attempt;
   const Result<StoredObject> Present = co_await this->Store.get(
-      Collection::Promotions, Group, now() + CallLimit);
+      Collection::Promotions, Group, steadyNow() + CallLimit);
   Result<StoredObject> Stored = Present;
   if (!Present && Present.error().Kind == ErrorKind::NotFound) {
     Stored = co_await this->Store.create(Collection::Promotions, Claim,
-                                         now() + CallLimit);
+                                         steadyNow() + CallLimit);
   } else if (Present) {
     const StoredObject &Old = Present.value();
     this->sawClaim(Old);
@@ -183,7 +182,7 @@
                         "claimed by " + textOf(Old.Spec, HolderMember));
     Claim.Revision = Old.Revision;
     Stored = co_await this->Store.replaceIf(Collection::Promotions, Claim,
-                                            now() + CallLimit);
+                                            steadyNow() + CallLimit);
   }
   if (Stored)
     co_return Stored.value().Revision;
@@ -191,7 +190,7 @@
     co_return Stored.error();
   // The answer may be lost although the claim was stored.
   const Result<StoredObject> Read = co_await this->Store.get(
-      Collection::Promotions, Group, now() + CallLimit);
+      Collection::Promotions, Group, steadyNow() + CallLimit);
   if (Read && textOf(Read.value().Spec, AttemptMember) == Attempt)
     co_return Read.value().Revision;
   co_return Stored.error();
@@ -200,8 +199,8 @@
 PromotionDuty::Task<Result<std::string>>
 PromotionDuty::chooseMember(ProxyGroup &Group, GroupDuty &Duty) {
   constexpr std::chrono::milliseconds AskLimit{600};
-  const auto Answers = co_await Group.askStatus(now() + AskLimit);
-  const TimePoint Now = now();
+  const auto Answers = co_await Group.askStatus(steadyNow() + AskLimit);
+  const TimePoint Now = steadyNow();
   const std::optional<std::string> Primary = Group.tracker().lastPrimary();
   std::vector<PromotionCandidate> Candidates;
   for (const auto &[Id, Status] : Answers) {
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -16,8 +16,6 @@
 namespace asio = boost::asio;
 using Command = UpstreamCommand;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 // How long what a replica's log lacked says something about it.
 constexpr std::chrono::milliseconds PositionLifetime{300};
 
@@ -60,7 +58,7 @@
     Each.second->retire();
     return true;
   });
-  this->Tracker.setMembers(Members, now());
+  this->Tracker.setMembers(Members, steadyNow());
 }
 
 void ProxyGroup::setConnectionShare(std::size_t Guaranteed, std::size_t Most) {
@@ -97,7 +95,7 @@
   Wait.Cancel = [&Cancelled] { Cancelled = true; };
   std::shared_ptr<UpstreamGate> Gate;
   while (!Cancelled && !this->Stopped) {
-    const TimePoint Now = now();
+    const TimePoint Now = steadyNow();
     Gate = this->primary(Now);
     if (Gate || Now >= Until)
       break;
@@ -151,19 +149,19 @@
     logInfo("event=primary_proved group=" + this->Name + " upstream=" + Id +
             " term=" + std::to_string(At.InTerm.Value) +
             " position=" + std::to_string(At.Log.Value));
-  this->Tracker.proved(Id, At.InTerm, now());
+  this->Tracker.proved(Id, At.InTerm, steadyNow());
   this->Verified.add(Sent, At);
-  this->updateSuspicion(now());
+  this->updateSuspicion(steadyNow());
 }
 
 void ProxyGroup::refusedLead(const UpstreamGate &Gate) {
   logInfo("event=primary_refused group=" + this->Name +
           " upstream=" + Gate.entry().Id);
-  this->Tracker.refused(Gate.entry().Id, now());
+  this->Tracker.refused(Gate.entry().Id, steadyNow());
 }
 
 void ProxyGroup::promotionOrdered(const std::string &Id) {
-  this->Tracker.promotionOrdered(Id, now());
+  this->Tracker.promotionOrdered(Id, steadyNow());
 }
 
 void ProxyGroup::updateSuspicion(TimePoint Now) {
@@ -181,12 +179,12 @@
 asio::awaitable<void> ProxyGroup::probeLoop() {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   while (!this->Stopped) {
-    const TimePoint Now = now();
+    const TimePoint Now = steadyNow();
     const std::optional<Duration> Age = this->Tracker.provenAge(Now);
     if (this->inUse(Now) && (!Age || *Age >= ProofInterval))
       co_await this->probe();
-    this->updateSuspicion(now());
-    co_await sleepUntil(now() + SearchInterval);
+    this->updateSuspicion(steadyNow());
+    co_await sleepUntil(steadyNow() + SearchInterval);
   }
 }
 
@@ -199,23 +197,24 @@
   WaitHandle Wait;
   PoolWaiter Waiter;
   Waiter.Workspace = this->LastWorkspace;
-  Waiter.Target = now();
+  Waiter.Target = steadyNow();
   Waiter.GiveUp = Limit;
   co_return co_await Gate->acquire(std::move(Waiter), Wait);
 }
 
 asio::awaitable<void> ProxyGroup::probe() {
-  const std::optional<std::string> Target = this->Tracker.probeTarget(now());
+  const std::optional<std::string> Target =
+      this->Tracker.probeTarget(steadyNow());
   const auto Found = Target ? this->Gates.find(*Target) : this->Gates.end();
   if (Found == this->Gates.end())
     co_return;
   const std::shared_ptr<UpstreamGate> Gate = Found->second;
-  const TimePoint Limit = now() + ProbeLimit;
+  const TimePoint Limit = steadyNow() + ProbeLimit;
   ConnectionLease Lease = co_await this->probeConnection(Gate, Limit);
   // All connections in use by statements say nothing about the member.
   if (!Lease) {
     if (Gate->pool().connections() == 0)
-      this->Tracker.unreachable(*Target, now());
+      this->Tracker.unreachable(*Target, steadyNow());
     co_return;
   }
   std::vector<UpstreamCommand> Commands(2);
@@ -223,7 +222,7 @@
   Commands[1].Type = Command::Kind::Rollback;
   const ExchangeResult Exchange =
       co_await Lease->exchange(std::move(Commands), Limit);
-  const TimePoint Now = now();
+  const TimePoint Now = steadyNow();
   if (Exchange.Replies.empty() || Exchange.Lost) {
     this->Tracker.unreachable(*Target, Now);
     logInfo("event=probe_failed group=" + this->Name + " upstream=" + *Target);
@@ -246,11 +245,11 @@
   std::vector<std::pair<std::string, UpstreamStatus>> Answers;
   const auto Members = this->Gates;
   for (const auto &[Id, Gate] : Members) {
-    if (now() >= Deadline)
+    if (steadyNow() >= Deadline)
       break;
     // One member that is silent must not use up the time of the others.
     const TimePoint Limit =
-        std::min(Deadline, now() + std::chrono::milliseconds(250));
+        std::min(Deadline, steadyNow() + std::chrono::milliseconds(250));
     ConnectionLease Lease = co_await this->probeConnection(Gate, Limit);
     if (!Lease)
       continue;
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -10,8 +10,6 @@
 namespace lavenderdale {
 namespace {
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 // How long an order is told to other hosts; it takes effect within a second
 // or two.
 constexpr std::chrono::milliseconds OrderReported{3000};
@@ -194,7 +192,7 @@
     if (Demand >= LeastDemand || Used > 0)
       Report.Demands.push_back({Name, Demand, Used});
   }
-  const TimePoint Steady = now();
+  const TimePoint Steady = steadyNow();
   for (const auto &[Name, Group] : this->Groups) {
     GroupReport Each;
     Each.Group = Name;
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -14,8 +14,6 @@
 
 namespace asio = boost::asio;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 SessionProxy::SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
@@ -56,12 +54,12 @@
 
 asio::awaitable<void> SessionProxy::waitForSessions(TimePoint Until) {
   constexpr std::chrono::milliseconds Step{50};
-  while (this->Server->sessions() > 0 && now() < Until)
-    co_await sleepUntil(now() + Step);
+  while (this->Server->sessions() > 0 && steadyNow() < Until)
+    co_await sleepUntil(steadyNow() + Step);
 }
 
 asio::awaitable<void> SessionProxy::stop() {
-  const TimePoint Start = now();
+  const TimePoint Start = steadyNow();
   const TimePoint End = Start + this->Settings.StopGrace - ExitReserve;
   this->Stopping = true;
   logInfo("event=stopping sessions=" +
@@ -87,8 +85,8 @@
 
 asio::awaitable<void> SessionProxy::watchDirectory() {
   while (!this->Stopping) {
-    co_await sleepUntil(now() + std::chrono::milliseconds(250));
-    if (this->State.directory().dropLapsed(now()))
+    co_await sleepUntil(steadyNow() + std::chrono::milliseconds(250));
+    if (this->State.directory().dropLapsed(steadyNow()))
       this->State.applyUpstreams();
   }
 }
--- a/src/libs/sessionproxy/sessionserver.cpp
+++ b/src/libs/sessionproxy/sessionserver.cpp
@@ -18,8 +18,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 SessionServer::SessionServer(const asio::any_io_executor &Executor,
@@ -62,7 +60,7 @@
       logWarn("event=accept_failed sessions=" +
               std::to_string(this->Sessions.size()) + " error=\"" +
               Failure.message() + "\"");
-      co_await sleepUntil(now() + PauseAfterFailure);
+      co_await sleepUntil(steadyNow() + PauseAfterFailure);
       continue;
     }
     auto Session = std::make_shared<CallerSession>(
@@ -83,8 +81,8 @@
 asio::awaitable<void> SessionServer::checkLimits() {
   const std::shared_ptr<SessionServer> Keep = this->shared_from_this();
   while (!this->Stopped) {
-    co_await sleepUntil(now() + CheckInterval);
-    const TimePoint Now = now();
+    co_await sleepUntil(steadyNow() + CheckInterval);
+    const TimePoint Now = steadyNow();
     for (const std::shared_ptr<CallerSession> &Each : this->Sessions)
       Each->checkLimits(Now);
   }
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -15,8 +15,6 @@
 namespace asio = boost::asio;
 using Command = UpstreamCommand;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 UpstreamCommand ownCommand(Command::Kind Kind) {
   UpstreamCommand Own;
   Own.Type = Kind;
@@ -73,7 +71,8 @@
 }
 
 std::int64_t millisecondsSince(TimePoint Start) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now() - Start)
+  return std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() -
+                                                               Start)
       .count();
 }
 
@@ -121,7 +120,7 @@
     if (Try.Outcome == AttemptOutcome::StatementError && !Call.Writes &&
         Try.Tries == 1)
       Try.Outcome = AttemptOutcome::Terminated;
-    const bool InTime = now() < giveUp(Call) && !Call.Abandoned;
+    const bool InTime = steadyNow() < giveUp(Call) && !Call.Abandoned;
     const NextStep Step = nextStep(Try.Outcome, Mark);
     const bool Again = isRetry(Step) && InTime;
     this->Metrics.countAttempt(nameOf(Try.Outcome));
@@ -133,7 +132,7 @@
             (Again ? " next=retry" : " next=answer"));
     if (Again) {
       if (Try.Outcome == AttemptOutcome::RefusedBeforeRun)
-        co_await sleepUntil(now() + BusyPause);
+        co_await sleepUntil(steadyNow() + BusyPause);
       continue;
     }
     if (Try.Reply)
@@ -186,8 +185,8 @@
   const std::optional<Position> Required = this->requiredPosition(Call);
   if (!Required)
     co_return co_await this->runAtPrimary(Call, Try);
-  const std::shared_ptr<UpstreamGate> Gate =
-      Call.Group->chooseReader(Call.Workspace, *Required, Try.Excluded, now());
+  const std::shared_ptr<UpstreamGate> Gate = Call.Group->chooseReader(
+      Call.Workspace, *Required, Try.Excluded, steadyNow());
   if (!Gate) {
     Try.Excluded.clear();
     co_return co_await this->runAtPrimary(Call, Try);
@@ -196,7 +195,7 @@
   Try.Excluded.insert(Try.Upstream);
   ConnectionLease Lease = co_await this->acquire(Call, Gate);
   if (!Lease) {
-    if (now() >= giveUp(Call) || Call.Abandoned)
+    if (steadyNow() >= giveUp(Call) || Call.Abandoned)
       co_return this->notRun(Call, "no connection to an upstream");
     co_return std::nullopt;
   }
@@ -207,7 +206,7 @@
   const TimePoint Limit = readLimit(Call, Try, *Gate);
   co_await this->send(Call, Try, Lease, std::move(Commands), Answer, Limit);
   if (Try.Outcome == AttemptOutcome::ReplicaBehind)
-    Gate->countBehind(now());
+    Gate->countBehind(steadyNow());
   co_return std::nullopt;
 }
 
@@ -221,11 +220,11 @@
   const std::shared_ptr<UpstreamGate> Gate = Lease.gate();
   const std::size_t Count = Commands.size();
   const bool Measured = !Commands[Answer].Id.empty();
-  const TimePoint Start = now();
+  const TimePoint Start = steadyNow();
   Try.Reply.reset();
   ExchangeResult Exchange =
       co_await Lease->exchange(std::move(Commands), Deadline);
-  const TimePoint End = now();
+  const TimePoint End = steadyNow();
   Call.Ran += End - Start;
   Call.Upstream = Try.Upstream;
   ++Call.Tries;
@@ -295,9 +294,9 @@
     const bool Busy = Try.Reply && Try.Reply->State == TransactionState::Open &&
                       Try.Outcome == AttemptOutcome::RefusedBeforeRun &&
                       !Try.Reply->ok();
-    if (!Busy || now() >= giveUp(Call) || Call.Abandoned)
+    if (!Busy || steadyNow() >= giveUp(Call) || Call.Abandoned)
       break;
-    co_await sleepUntil(now() + BusyPause);
+    co_await sleepUntil(steadyNow() + BusyPause);
   }
   if (!Try.Reply || !Try.Reply->ok())
     co_return this->endFailed(Call, Try);
@@ -352,7 +351,7 @@
     std::shared_ptr<UpstreamGate> Gate;
     if (Required)
       Gate = Call.Group->chooseReader(Call.Workspace, *Required, Try.Excluded,
-                                      now());
+                                      steadyNow());
     const bool Reader = Gate != nullptr;
     if (!Gate)
       Gate = co_await Call.Group->waitForPrimary(giveUp(Call), Call.Wait);
@@ -368,10 +367,10 @@
       co_return std::nullopt;
     if (Reader)
       Try.Excluded.insert(Gate->entry().Id);
-    if (now() >= giveUp(Call) || Call.Abandoned)
+    if (steadyNow() >= giveUp(Call) || Call.Abandoned)
       co_return this->notRun(Call, "no upstream started the transaction");
     if (!Reader)
-      co_await sleepUntil(now() + BusyPause);
+      co_await sleepUntil(steadyNow() + BusyPause);
   }
 }
 
@@ -382,7 +381,7 @@
   Try.Upstream = Gate->entry().Id;
   ConnectionLease Lease = co_await this->acquire(Call, Gate);
   if (!Lease) {
-    if (now() >= giveUp(Call) || Call.Abandoned)
+    if (steadyNow() >= giveUp(Call) || Call.Abandoned)
       co_return this->notRun(Call, "no connection for the transaction");
     co_return std::nullopt;
   }
@@ -391,14 +390,15 @@
       ownCommand(After ? Command::Kind::BeginReadOnly : Command::Kind::Begin));
   Commands.back().After = After;
   const std::size_t Answer = Commands.size() - 1;
-  co_await this->send(Call, Try, Lease, std::move(Commands), Answer,
-                      std::min(deadline(Call), now() + ShortestReadTry * 2));
+  co_await this->send(
+      Call, Try, Lease, std::move(Commands), Answer,
+      std::min(deadline(Call), steadyNow() + ShortestReadTry * 2));
   if (!Try.Reply || !Try.Reply->ok()) {
     logInfo(std::string("event=begin_failed id=") + Call.Request.Id +
             " group=" + Call.Group->name() + " upstream=" + Try.Upstream +
             " outcome=" + nameOf(Try.Outcome));
     if (Try.Outcome == AttemptOutcome::ReplicaBehind)
-      Gate->countBehind(now());
+      Gate->countBehind(steadyNow());
     co_return std::nullopt;
   }
   if (!After && Try.Reply->At)
@@ -418,7 +418,7 @@
         std::vector<UpstreamCommand> Commands;
         Commands.push_back(ownCommand(Command::Kind::Rollback));
         const ExchangeResult Exchange = co_await Lease->exchange(
-            std::move(Commands), now() + ShortestReadTry * 2);
+            std::move(Commands), steadyNow() + ShortestReadTry * 2);
         if (!Exchange.Lost && !Exchange.Replies.empty() &&
             Exchange.Replies.front().State == TransactionState::None)
           Lease.keep();
@@ -429,15 +429,15 @@
 asio::awaitable<ConnectionLease>
 StatementExecutor::acquire(StatementCall &Call,
                            const std::shared_ptr<UpstreamGate> &Gate) {
-  Call.Group->countUse(Call.Workspace, now());
+  Call.Group->countUse(Call.Workspace, steadyNow());
   PoolWaiter Waiter;
   Waiter.Workspace = Call.Workspace;
   Waiter.Priority = Call.Route.Priority;
   Waiter.Target = Call.Arrived + Call.Route.LatencyObjective;
   Waiter.GiveUp = giveUp(Call);
-  const TimePoint Start = now();
+  const TimePoint Start = steadyNow();
   ConnectionLease Lease = co_await Gate->acquire(std::move(Waiter), Call.Wait);
-  const Duration Waited = now() - Start;
+  const Duration Waited = steadyNow() - Start;
   Call.Waited += Waited;
   this->Metrics.WaitTime.record(Waited);
   co_return Lease;
@@ -489,7 +489,7 @@
                                        const UpstreamGate &Gate) {
   if (Try.Tries > 1)
     return deadline(Call);
-  const TimePoint Now = now();
+  const TimePoint Now = steadyNow();
   const Duration Patience =
       std::max<Duration>(ShortestReadTry, Gate.service(Now) * ReadTryServices);
   return std::min(deadline(Call), Now + Patience);
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -14,8 +14,6 @@
 
 namespace asio = boost::asio;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 constexpr const char *AddressMember = "reportAddress";
 
 } // namespace
@@ -53,7 +51,7 @@
   const auto Pause =
       std::chrono::duration_cast<Duration>(Length * Jitter(this->Random));
   Length = std::min(Length * 2, LastPause);
-  co_await sleepUntil(now() + Pause);
+  co_await sleepUntil(steadyNow() + Pause);
 }
 
 StoreFollower::Task<void> StoreFollower::follow(Subject What) {
@@ -62,7 +60,7 @@
   bool Lost = false;
   while (!this->Stopped) {
     const Result<StoredObjects> Listed = co_await this->Store.list(
-        What.From, ListFreshness::Current, now() + CallLimit);
+        What.From, ListFreshness::Current, steadyNow() + CallLimit);
     if (!Listed) {
       (this->*What.Away)();
       if (!std::exchange(Lost, true))
@@ -134,7 +132,9 @@
   }
 }
 
-void StoreFollower::confirmCatalogue() { this->State.confirmCatalogue(now()); }
+void StoreFollower::confirmCatalogue() {
+  this->State.confirmCatalogue(steadyNow());
+}
 
 void StoreFollower::listUpstreams(const StoredObjects &Objects) {
   std::map<std::string, UpstreamEntry> Entries;
@@ -146,7 +146,7 @@
       logInfo("event=upstream_unreadable name=" + Each.Name + " error=\"" +
               Decoded.error().Detail + "\"");
   }
-  this->State.directory().replaceAll(Entries, now());
+  this->State.directory().replaceAll(Entries, steadyNow());
   this->State.applyUpstreams();
 }
 
@@ -156,14 +156,14 @@
     if (Each.Removed) {
       logInfo("event=upstream_removed upstream=" + Each.Name +
               " revision=" + std::to_string(Each.Revision));
-      Directory.remove(Each.Name, now());
+      Directory.remove(Each.Name, steadyNow());
       continue;
     }
     const Result<UpstreamEntry> Decoded = this->Decoder.decodeUpstream(Each);
     if (!Decoded) {
       logInfo("event=upstream_unreadable name=" + Each.Name + " error=\"" +
               Decoded.error().Detail + "\"");
-      Directory.remove(Each.Name, now());
+      Directory.remove(Each.Name, steadyNow());
       continue;
     }
     const UpstreamEntry &Entry = Decoded.value();
@@ -178,7 +178,7 @@
 }
 
 void StoreFollower::upstreamsAway() {
-  this->State.directory().storeWasAway(now());
+  this->State.directory().storeWasAway(steadyNow());
 }
 
 StoreFollower::Task<void> StoreFollower::keepRegistered() {
@@ -191,7 +191,7 @@
     co_await this->listHosts(Freshness);
     Freshness = ListFreshness::MayBeStale;
     co_await this->removeGoneHosts();
-    co_await sleepUntil(now() + HostInterval);
+    co_await sleepUntil(steadyNow() + HostInterval);
   }
 }
 
@@ -199,29 +199,29 @@
   StoredObject Own;
   Own.Name = this->State.identity().Host;
   Own.Spec[AddressMember] = this->ReportAddress;
-  const Result<StoredObject> Created =
-      co_await this->Store.create(Collection::Hosts, Own, now() + CallLimit);
+  const Result<StoredObject> Created = co_await this->Store.create(
+      Collection::Hosts, Own, steadyNow() + CallLimit);
   if (Created)
     co_return true;
   if (Created.error().Kind != ErrorKind::VersionConflict) {
     logInfo("event=register_failed error=\"" + Created.error().Detail + "\"");
     co_return false;
   }
-  const Result<StoredObject> Present =
-      co_await this->Store.get(Collection::Hosts, Own.Name, now() + CallLimit);
+  const Result<StoredObject> Present = co_await this->Store.get(
+      Collection::Hosts, Own.Name, steadyNow() + CallLimit);
   if (!Present)
     co_return false;
   if (Present.value().Spec == Own.Spec)
     co_return true;
   Own.Revision = Present.value().Revision;
-  const Result<StoredObject> Replaced =
-      co_await this->Store.replaceIf(Collection::Hosts, Own, now() + CallLimit);
+  const Result<StoredObject> Replaced = co_await this->Store.replaceIf(
+      Collection::Hosts, Own, steadyNow() + CallLimit);
   co_return Replaced.has_value();
 }
 
 StoreFollower::Task<void> StoreFollower::listHosts(ListFreshness Freshness) {
   const Result<StoredObjects> Listed = co_await this->Store.list(
-      Collection::Hosts, Freshness, now() + CallLimit);
+      Collection::Hosts, Freshness, steadyNow() + CallLimit);
   if (!Listed) {
     logInfo("event=hosts_unknown error=\"" + Listed.error().Detail + "\"");
     co_return;
@@ -248,8 +248,8 @@
   if (this->State.fleet().rank(Now) != 0)
     co_return;
   for (const std::string &Name : this->State.fleet().gone(Now)) {
-    const Result<void> Removed =
-        co_await this->Store.remove(Collection::Hosts, Name, now() + CallLimit);
+    const Result<void> Removed = co_await this->Store.remove(
+        Collection::Hosts, Name, steadyNow() + CallLimit);
     logInfo("event=host_removed host=" + Name +
             (Removed ? "" : " error=\"" + Removed.error().Detail + "\""));
   }
@@ -258,7 +258,7 @@
 StoreFollower::Task<void> StoreFollower::unregister() {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   const Result<void> Removed = co_await this->Store.remove(
-      Collection::Hosts, this->State.identity().Host, now() + CallLimit);
+      Collection::Hosts, this->State.identity().Host, steadyNow() + CallLimit);
   if (!Removed)
     logInfo("event=unregister_failed error=\"" + Removed.error().Detail + "\"");
 }
--- a/src/libs/sessionproxy/upstreamgate.cpp
+++ b/src/libs/sessionproxy/upstreamgate.cpp
@@ -16,8 +16,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 ConnectionLease::ConnectionLease(std::shared_ptr<UpstreamGate> Gate,
@@ -96,7 +94,7 @@
   Slot.Signal.expires_at(Waiter.GiveUp);
   Slot.Waiter = std::move(Waiter);
   this->Waiters[Id] = &Slot;
-  this->Pool.enqueue(Slot.Waiter, now());
+  this->Pool.enqueue(Slot.Waiter, steadyNow());
   Wait.Cancel = [Self, Id, &Slot] {
     if (!Slot.Done && Self->Pool.cancel(Id)) {
       Slot.Done = true;
@@ -110,7 +108,7 @@
         asio::redirect_error(asio::use_awaitable, Ignored));
     if (!Slot.Done)
       this->pump();
-    if (!Slot.Done && now() >= Slot.Signal.expiry()) {
+    if (!Slot.Done && steadyNow() >= Slot.Signal.expiry()) {
       this->Pool.cancel(Id);
       Slot.Done = true;
     }
@@ -155,7 +153,7 @@
 }
 
 void UpstreamGate::giveBack(ConnectionId Id, bool Reusable) {
-  const TimePoint Now = now();
+  const TimePoint Now = steadyNow();
   if (Reusable && !this->Retired) {
     this->IdleSince[Id] = Now;
     this->Pool.released(Id, Now);
@@ -170,7 +168,7 @@
 void UpstreamGate::pump() {
   // An action can free a connection, which allows further ones.
   while (true) {
-    const std::vector<PoolAction> Actions = this->Pool.decide(now());
+    const std::vector<PoolAction> Actions = this->Pool.decide(steadyNow());
     if (Actions.empty())
       break;
     for (const PoolAction &Action : Actions)
@@ -184,8 +182,8 @@
 bool UpstreamGate::dropIfClosed(ConnectionId Id) {
   const auto Idle = this->IdleSince.find(Id);
   const auto Link = this->Links.find(Id);
-  const bool Fresh =
-      Idle != this->IdleSince.end() && now() - Idle->second < CheckAfterIdle;
+  const bool Fresh = Idle != this->IdleSince.end() &&
+                     steadyNow() - Idle->second < CheckAfterIdle;
   if (Link != this->Links.end() && Link->second->isOpen() &&
       (Fresh || !Link->second->closedByPeer()))
     return false;
@@ -221,11 +219,11 @@
   const bool Assigns = Action.Type == PoolAction::Kind::Assign;
   if (Found == this->Waiters.end()) {
     if (Assigns)
-      this->Pool.released(Action.Connection, now());
+      this->Pool.released(Action.Connection, steadyNow());
     return;
   }
   if (Assigns && this->dropIfClosed(Action.Connection)) {
-    this->Pool.enqueue(Found->second->Waiter, now());
+    this->Pool.enqueue(Found->second->Waiter, steadyNow());
     return;
   }
   Found->second->Assigned = Action.Connection;
@@ -239,8 +237,8 @@
       std::make_shared<UpstreamLink>(this->Executor, this->Protocol);
   UpstreamGreeting Greeting{this->Entry.Group, Workspace, this->Entry.Id};
   const Result<void> Opened = co_await Link->connect(
-      this->Entry.Address, std::move(Greeting), now() + ConnectLimit);
-  const TimePoint Now = now();
+      this->Entry.Address, std::move(Greeting), steadyNow() + ConnectLimit);
+  const TimePoint Now = steadyNow();
   if (!Opened) {
     const bool AtLimit = Opened.error().Kind == ErrorKind::TooManyConnections;
     logInfo("event=connect_failed upstream=" + this->Entry.Id + " workspace=" +
@@ -257,7 +255,7 @@
 }
 
 void UpstreamGate::armTimer() {
-  const std::optional<TimePoint> Next = this->Pool.nextDecision(now());
+  const std::optional<TimePoint> Next = this->Pool.nextDecision(steadyNow());
   if (!Next || (this->TimerAt && *this->TimerAt <= *Next))
     return;
   this->TimerAt = Next;
--- a/src/libs/sessionproxy/upstreamlink.cpp
+++ b/src/libs/sessionproxy/upstreamlink.cpp
@@ -163,7 +163,7 @@
     Self->TimerArmed = false;
     if (!Self->Deadline)
       return;
-    if (*Self->Deadline <= std::chrono::steady_clock::now())
+    if (*Self->Deadline <= steadyNow())
       Self->close();
     else
       Self->armTimer();
--- a/tests/auto/distribution/tst_configurationstate.cpp
+++ b/tests/auto/distribution/tst_configurationstate.cpp
@@ -184,6 +184,50 @@
   CHECK(Fleet.served() == 12);
 }
 
+// Guards against a host that accepts, for a moment after a pause shorter than
+// the validity of its last confirmation, a key that was withdrawn meanwhile:
+// threads that serve callers can run before the answers that waited are read.
+TEST_CASE("a host that wakes takes no key before it has asked again",
+          "[configuration][keys]") {
+  Network Fleet = startedNetwork(6);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  REQUIRE(Fleet.served() == 12);
+  for (Network::Host &Each : Fleet.Hosts) {
+    INFO(Each.Self.Name << (Each.State->isRelay() ? ", a relay" : ""));
+    Each.PausedUntil = Fleet.Now + 3s;
+    Fleet.change("keys/a");
+    Fleet.run(3s);
+    REQUIRE(Each.State->version() < Fleet.Platform.version());
+    CHECK_FALSE(Each.State->mayServeKeyed(Fleet.Now));
+    (void)Each.State->tick(Fleet.Now);
+    CHECK_FALSE(Each.State->mayServeKeyed(Fleet.Now));
+    for (int Step = 0; Step < 20; ++Step) {
+      Fleet.run(50ms);
+      if (Each.State->mayServeKeyed(Fleet.Now))
+        CHECK(Each.State->version() == Fleet.Platform.version());
+    }
+    Fleet.run(2s);
+    CHECK(Each.State->mayServeKeyed(Fleet.Now));
+  }
+}
+
+// Guards against a host that stays closed after a pause because nobody can
+// reach the platform.
+TEST_CASE("a host that wakes during an outage serves again",
+          "[configuration][keys]") {
+  Network Fleet = startedNetwork(7);
+  Fleet.change("keys/a");
+  Fleet.run(5s);
+  Fleet.setPlatform(false);
+  Fleet.run(10s);
+  Fleet.Hosts[0].PausedUntil = Fleet.Now + 3s;
+  Fleet.run(3s);
+  CHECK_FALSE(Fleet.Hosts[0].State->mayServeKeyed(Fleet.Now));
+  Fleet.run(4s);
+  CHECK(Fleet.served() == 12);
+}
+
 // Guards against a host that waits for its silent relay, for as long as the
 // pending pull may take, although another peer has the newer version.
 TEST_CASE("a pending pull at a silent relay does not stop the catch-up",
