--- a/src/libs/pooling/upstreampool.cpp
+++ b/src/libs/pooling/upstreampool.cpp
@@ -8,8 +8,8 @@
 namespace lavenderdale {
 
 void UpstreamPool::setCapacity(std::size_t Guaranteed, std::size_t Most) {
-  this->Guaranteed = std::max<std::size_t>(Guaranteed, 1);
-  this->Most = std::max(Most, this->Guaranteed);
+  this->Guaranteed = Guaranteed;
+  this->Most = std::max<std::size_t>({Most, Guaranteed, 1});
 }
 
 void UpstreamPool::enqueue(PoolWaiter Waiter, TimePoint Now) {
@@ -40,6 +40,7 @@
                           TimePoint Now) {
   this->endOpening(Workspace);
   this->RetryPause = {};
+  this->NextLimitPause = LimitPause;
   this->Connections[Connection] = {Workspace, false, false, Now};
 }
 
@@ -47,7 +48,9 @@
                               TimePoint Now) {
   this->endOpening(Workspace);
   if (AtLimit) {
-    this->NoOpenBefore = Now + LimitPause;
+    this->NoOpenBefore = Now + this->NextLimitPause;
+    this->NextLimitPause =
+        std::min<Duration>(this->NextLimitPause * 2, LastLimitPause);
     this->NoSurplusBefore = Now + LimitMemory;
     return;
   }
@@ -167,8 +170,9 @@
     // A connection that is being opened serves one waiter.
     if (++Wanted[Workspace] <= this->openingFor(Workspace))
       continue;
-    const std::size_t Allowed =
-        Now < this->NoSurplusBefore ? this->Guaranteed : this->Most;
+    const std::size_t Allowed = Now < this->NoSurplusBefore
+                                    ? std::max<std::size_t>(this->Guaranteed, 1)
+                                    : this->Most;
     const bool Full = this->Connections.size() + this->Opening >= Allowed;
     if (this->endsSoon(Workspace) && Now < Each.Since + EvictAfter)
       continue;
--- a/src/libs/pooling/upstreampool.h
+++ b/src/libs/pooling/upstreampool.h
@@ -48,8 +48,10 @@
 class UpstreamPool {
 public:
   /// An upstream that refused a connection for its limit is not asked again
-  /// for this long, about the time of a statement.
+  /// for this long, about the time of a statement; doubled at each further
+  /// refusal up to the maximum.
   static constexpr std::chrono::milliseconds LimitPause{15};
+  static constexpr std::chrono::milliseconds LastLimitPause{120};
   /// For this long after such a refusal, no connection beyond the guaranteed
   /// share is tried, so that the hosts that lack theirs get it.
   static constexpr std::chrono::milliseconds LimitMemory{600};
@@ -65,7 +67,7 @@
   /// Handshakes under way at once; each holds a slot of the upstream.
   static constexpr std::size_t MaxOpening = 2;
 
-  /// \param Guaranteed this host's share of the upstream's connections.
+  /// \param Guaranteed connections that are kept while idle; may be 0.
   /// \param Most connections that may be tried while others leave room.
   void setCapacity(std::size_t Guaranteed, std::size_t Most);
 
@@ -137,6 +139,7 @@
   TimePoint NoOpenBefore{};
   TimePoint NoSurplusBefore{};
   Duration RetryPause{};
+  Duration NextLimitPause{LimitPause};
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -81,7 +81,9 @@
     co_return false;
   const std::optional<std::string> Line = co_await this->readLine();
   this->Limit.reset();
-  if (!Line)
+  // What arrived as the session was ended is not run: its answer could not be
+  // sent any more.
+  if (!Line || this->Ending)
     co_return false;
   Result<std::optional<Statement>> Decoded =
       this->Protocol.decodeStatement(*Line);
@@ -112,10 +114,13 @@
   }
 }
 
+// Only the read is ended: a statement that has arrived meanwhile is still
+// answered.
 void CallerSession::closeWhenIdle() {
   this->Closing = true;
+  error_code Ignored;
   if (!this->Serving && !this->Session.inTransaction())
-    this->closeNow();
+    this->Socket.cancel(Ignored);
 }
 
 void CallerSession::endTransaction() {
@@ -140,9 +145,16 @@
 
 asio::awaitable<std::optional<std::string>> CallerSession::readLine() {
   error_code Failure;
-  const std::size_t Size = co_await asio::async_read_until(
-      this->Socket, asio::dynamic_buffer(this->Buffer, MaxLineBytes), '\n',
-      resumeWith(Failure));
+  std::size_t Size = 0;
+  bool Arrived = true;
+  while (Arrived) {
+    Size = co_await asio::async_read_until(
+        this->Socket, asio::dynamic_buffer(this->Buffer, MaxLineBytes), '\n',
+        resumeWith(Failure));
+    error_code Ignored;
+    Arrived = Failure == asio::error::operation_aborted && this->Closing &&
+              !this->Ending && this->Socket.available(Ignored) > 0;
+  }
   if (Failure == asio::error::not_found) {
     std::string Out;
     this->Protocol.encodeError(
--- a/src/libs/sessionproxy/callersession.h
+++ b/src/libs/sessionproxy/callersession.h
@@ -86,7 +86,7 @@
   SessionStart Start;
   std::string Workspace;
   SessionState Session;
-  ConnectionLease Pinned;
+  HeldConnection Pinned;
   SessionRoute Route; ///< Of the operation under way.
   std::shared_ptr<ProxyGroup> Group;
   WaitHandle Wait;
--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -11,9 +11,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupReport, Group, Primary, ProvenAgeMs,
                                    Suspects, Ordered)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandReport, Workspace, Demand, Used)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostReport, Format, Host, Address, Internal,
-                                   StartedAt, Sequence, CatalogueVersion,
-                                   Leaving, Groups, Demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostReport, Format, Host, FailureDomain,
+                                   Address, Internal, StartedAt, Sequence,
+                                   CatalogueVersion, Leaving, Groups, Demands)
 
 std::chrono::milliseconds reportInterval(std::size_t Hosts) {
   constexpr std::chrono::milliseconds Shortest{250};
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -29,11 +29,13 @@
 
 /// The message that hosts send each other at intervals.
 struct HostReport {
-  static constexpr std::uint32_t CurrentFormat = 1;
+  static constexpr std::uint32_t CurrentFormat = 2;
 
   std::uint32_t Format = CurrentFormat;
   std::string Host;
-  std::string Address;         ///< Where the sender takes reports.
+  std::string FailureDomain;
+  std::string Address;         ///< Where the sender takes reports (UDP) and
+                               ///< work for its upstreams (TCP).
   std::string Internal;        ///< Where the sender serves its catalogue.
   std::uint64_t StartedAt = 0; ///< Milliseconds; tells processes apart.
   std::uint64_t Sequence = 0;
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -2,6 +2,7 @@
 
 #include "http/sleepuntil.h"
 #include "placement/memberchoice.h"
+#include "pooling/connectionshare.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,10 +23,10 @@
 } // namespace
 
 ProxyGroup::ProxyGroup(const asio::any_io_executor &Executor,
-                       const UpstreamProtocol &Protocol, std::string Name,
-                       std::string OwnDomain)
-    : Executor(Executor), Protocol(Protocol), Name(std::move(Name)),
-      OwnDomain(std::move(OwnDomain)) {}
+                       const UpstreamProtocol &Protocol, UpstreamAccess &Access,
+                       std::string Name, std::string OwnDomain)
+    : Executor(Executor), Protocol(Protocol), Access(Access),
+      Name(std::move(Name)), OwnDomain(std::move(OwnDomain)) {}
 
 void ProxyGroup::start() {
   asio::co_spawn(this->Executor, this->probeLoop(), asio::detached);
@@ -50,7 +51,6 @@
       continue;
     }
     Gate = std::make_shared<UpstreamGate>(this->Executor, this->Protocol, Each);
-    Gate->pool().setCapacity(this->Guaranteed, this->Most);
   }
   std::erase_if(this->Gates, [&Present](const auto &Each) {
     if (Present.count(Each.first))
@@ -59,13 +59,16 @@
     return true;
   });
   this->Tracker.setMembers(Members, steadyNow());
+  this->setConnectionLimit(this->ConnectionLimit);
 }
 
-void ProxyGroup::setConnectionShare(std::size_t Guaranteed, std::size_t Most) {
-  this->Guaranteed = Guaranteed;
-  this->Most = Most;
-  for (const auto &[Id, Gate] : this->Gates)
-    Gate->pool().setCapacity(Guaranteed, Most);
+void ProxyGroup::setConnectionLimit(std::size_t Limit) {
+  this->ConnectionLimit = Limit;
+  for (const auto &[Id, Gate] : this->Gates) {
+    const ConnectionShare Share =
+        connectionShare(Limit, this->Access.rank(Gate->entry()));
+    Gate->pool().setCapacity(Share.Guaranteed, Share.Most);
+  }
 }
 
 void ProxyGroup::countUse(const std::string &Workspace, TimePoint Now) {
@@ -127,13 +130,14 @@
       continue;
     const UpstreamPool &Pool = Gate->pool();
     ReadCandidate Each;
-    Each.Reachable = !Pool.failing() || Pool.connections() > 0;
+    const bool Remote = this->Access.isRemote(Gate->entry(), Now);
+    Each.Reachable = Remote || !Gate->unreachable();
     Each.Primary = Primary == Id;
     Each.SameDomain = Gate->entry().FailureDomain == this->OwnDomain;
     Each.KnownBehind = this->knownBehind(*Gate, After, Now);
-    Each.IdleConnection = Pool.hasIdle(Workspace);
+    Each.IdleConnection = Remote || Pool.hasIdle(Workspace);
     Each.Service = Gate->service(Now);
-    Each.InFlight = Pool.assigned() + Pool.waiting();
+    Each.InFlight = Gate->load(Now);
     Each.Capacity = std::max<std::size_t>(Pool.capacity(), 1);
     Candidates.push_back(Each);
     Members.push_back(Gate);
@@ -209,32 +213,37 @@
   if (Found == this->Gates.end())
     co_return;
   const std::shared_ptr<UpstreamGate> Gate = Found->second;
-  const TimePoint Limit = steadyNow() + ProbeLimit;
-  ConnectionLease Lease = co_await this->probeConnection(Gate, Limit);
-  // All connections in use by statements say nothing about the member.
-  if (!Lease) {
-    if (Gate->pool().connections() == 0)
-      this->Tracker.unreachable(*Target, steadyNow());
+  const bool Remote = this->Access.isRemote(Gate->entry(), steadyNow());
+  UpstreamWork Work;
+  Work.Commands.resize(2);
+  Work.Commands[0].Type = Command::Kind::Begin;
+  Work.Commands[1].Type = Command::Kind::Rollback;
+  Work.Deadline = steadyNow() + (Remote ? RelayedProbeLimit : ProbeLimit);
+  PoolWaiter Waiter;
+  Waiter.Workspace = this->LastWorkspace;
+  Waiter.Target = steadyNow();
+  Waiter.GiveUp = Work.Deadline;
+  WaitHandle Wait;
+  const WorkResult Result = co_await this->Access.run(
+      Gate, std::move(Waiter), std::move(Work), Wait, nullptr);
+  const TimePoint Now = steadyNow();
+  // A silent host on the way, or connections that are all in use, say nothing
+  // about the member.
+  if (Result.RelayFailed || (!Result.Connected && !Result.Unreachable)) {
+    if (!Result.Connected && Gate->pool().connections() == 0 && !Remote)
+      this->Tracker.unreachable(*Target, Now);
     co_return;
   }
-  std::vector<UpstreamCommand> Commands(2);
-  Commands[0].Type = Command::Kind::Begin;
-  Commands[1].Type = Command::Kind::Rollback;
-  const ExchangeResult Exchange =
-      co_await Lease->exchange(std::move(Commands), Limit);
-  const TimePoint Now = steadyNow();
-  if (Exchange.Replies.empty() || Exchange.Lost) {
+  if (Result.Replies.empty() || Result.Lost) {
     this->Tracker.unreachable(*Target, Now);
     logInfo("event=probe_failed group=" + this->Name + " upstream=" + *Target);
     co_return;
   }
-  if (Exchange.Replies.back().State == TransactionState::None)
-    Lease.keep();
-  const UpstreamReply &Begun = Exchange.Replies.front();
+  const UpstreamReply &Begun = Result.Replies.front();
   if (Begun.At)
     Gate->sawPosition(*Begun.At, Now);
   if (Begun.ok() && Begun.At)
-    this->proved(*Gate, Exchange.SentAt, *Begun.At);
+    this->proved(*Gate, Result.SentAt, *Begun.At);
   else if (Begun.Failure == UpstreamFailure::ReadOnly)
     this->refusedLead(*Gate);
 }
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -3,6 +3,7 @@
 #include "consistency/verifiedpositions.h"
 #include "failover/primarytracker.h"
 #include "sessioncatalogue.h"
+#include "upstreamaccess.h"
 #include "upstreamgate.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -28,20 +29,24 @@
   static constexpr std::chrono::milliseconds SearchInterval{100};
   /// Starting a transaction takes no slot, so even a busy primary answers.
   static constexpr std::chrono::milliseconds ProbeLimit{400};
+  /// Limit of a probe over another host. When that host is silent, the probe
+  /// over an own connection still ends before the primary is suspected.
+  static constexpr std::chrono::milliseconds RelayedProbeLimit{150};
   /// A group without statements for this long is not probed.
   static constexpr std::chrono::seconds IdleAfter{8};
   /// A suspicion needs this long without proof.
   static constexpr std::chrono::milliseconds SuspectAfter{800};
 
   ProxyGroup(const boost::asio::any_io_executor &Executor,
-             const UpstreamProtocol &Protocol, std::string Name,
-             std::string OwnDomain);
+             const UpstreamProtocol &Protocol, UpstreamAccess &Access,
+             std::string Name, std::string OwnDomain);
 
   void start();
 
-  /// Replaces the members and this host's part of their connections.
+  /// Replaces the members.
   void setMembers(const std::vector<UpstreamEntry> &Entries);
-  void setConnectionShare(std::size_t Guaranteed, std::size_t Most);
+  /// \param Limit connections that each member allows over all hosts.
+  void setConnectionLimit(std::size_t Limit);
 
   /// A statement of \p Workspace uses the group.
   void countUse(const std::string &Workspace, TimePoint Now);
@@ -96,6 +101,7 @@
 
   boost::asio::any_io_executor Executor;
   const UpstreamProtocol &Protocol;
+  UpstreamAccess &Access;
   const std::string Name;
   const std::string OwnDomain;
   std::map<std::string, std::shared_ptr<UpstreamGate>> Gates;
@@ -104,8 +110,7 @@
   std::string LastWorkspace;
   TimePoint LastUse{};
   std::optional<TimePoint> SuspectedSince;
-  std::size_t Guaranteed = 1;
-  std::size_t Most = 1;
+  std::size_t ConnectionLimit = 1;
   bool Stopped = false;
 };
 
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -17,6 +17,14 @@
                                           "Reads that a replica served")),
       Promotions(this->Registry.counter("lavenderdale_promotions_total",
                                         "Promotions ordered by this host")),
+      Relayed(this->Registry.counter(
+          "lavenderdale_relayed_total",
+          "Requests sent to the host that holds the upstream's connections")),
+      CarriedOut(this->Registry.counter("lavenderdale_carried_out_total",
+                                        "Requests of other hosts")),
+      RelaysFailed(this->Registry.counter(
+          "lavenderdale_relays_failed_total",
+          "Requests that the other host did not answer")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -27,6 +27,9 @@
   Counter &Reads;        ///< Served reads outside of transactions.
   Counter &ReplicaReads; ///< Those of them that a replica served.
   Counter &Promotions;
+  Counter &Relayed;      ///< Requests sent to the host that has connections.
+  Counter &CarriedOut;   ///< Requests carried out for other hosts.
+  Counter &RelaysFailed; ///< Requests that the other host did not answer.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -19,7 +19,10 @@
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
                        const UpstreamProtocol &Protocol, ProxyIdentity Identity)
     : Executor(std::move(Executor)), Protocol(Protocol),
-      Identity(std::move(Identity)), Fleet(this->Identity.Host) {}
+      Identity(std::move(Identity)),
+      Access(this->Executor, this->Identity.Host, this->Identity.FailureDomain,
+             this->Metrics),
+      Fleet(this->Identity.Host) {}
 
 void ProxyState::offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
                                 const std::string &Source) {
@@ -51,10 +54,10 @@
   for (const std::string &Name : Wanted) {
     std::shared_ptr<ProxyGroup> &Group = this->Groups[Name];
     if (!Group) {
-      Group = std::make_shared<ProxyGroup>(this->Executor, this->Protocol, Name,
+      Group = std::make_shared<ProxyGroup>(this->Executor, this->Protocol,
+                                           this->Access, Name,
                                            this->Identity.FailureDomain);
       Group->start();
-      this->ShareHosts = 0;
     }
     const auto Members = ByGroup.find(Name);
     Group->setMembers(Members == ByGroup.end() ? std::vector<UpstreamEntry>()
@@ -66,35 +69,28 @@
     Each.second->stop();
     return true;
   });
-  if (this->ShareHosts == 0)
-    this->applyFleet();
+  this->applyConnectionLimits();
 }
 
 void ProxyState::applyFleet() {
-  const std::size_t Hosts = this->Fleet.size(BootClock::now());
+  const BootTime Now = BootClock::now();
+  this->Access.setHosts(this->Fleet, Now);
+  this->applyConnectionLimits();
+  const std::size_t Hosts = this->Fleet.size(Now);
   if (Hosts == this->ShareHosts)
     return;
   this->ShareHosts = Hosts;
   for (auto &[Name, Rate] : this->Rates)
     Rate.setReportLifetime(reportLifetime(Hosts));
-  this->applyConnectionShares();
 }
 
-// Every host may count on an equal part of an upstream's connections; beyond
-// it the upstream's limit decides, and surplus connections are soon closed.
-void ProxyState::applyConnectionShares() {
+void ProxyState::applyConnectionLimits() {
   if (!this->Catalogue)
     return;
   for (const auto &[Name, Group] : this->Groups) {
     const auto Found = this->Catalogue->Groups.find(Name);
-    if (Found == this->Catalogue->Groups.end())
-      continue;
-    const std::size_t Limit = Found->second.ConnectionLimit;
-    const std::size_t Usable =
-        Limit > SpareConnections ? Limit - SpareConnections : Limit;
-    const std::size_t Part =
-        std::max<std::size_t>(1, Usable / this->ShareHosts);
-    Group->setConnectionShare(Part, std::max(Part, std::min(Part * 2, Usable)));
+    if (Found != this->Catalogue->Groups.end())
+      Group->setConnectionLimit(Found->second.ConnectionLimit);
   }
 }
 
@@ -119,7 +115,7 @@
     if (Group && !Each.Ordered.empty())
       Group->promotionOrdered(Each.Ordered);
   }
-  this->applyFleet();
+  this->Access.heard(Report.Host, steadyNow());
 }
 
 bool ProxyState::loaded() const {
@@ -171,6 +167,16 @@
           " window-ms=" + std::to_string(SharedRate::Window.count()));
 }
 
+std::shared_ptr<UpstreamGate>
+ProxyState::findGate(const std::string &Upstream) const {
+  for (const auto &[Name, Group] : this->Groups) {
+    const auto Found = Group->gates().find(Upstream);
+    if (Found != Group->gates().end())
+      return Found->second;
+  }
+  return nullptr;
+}
+
 std::shared_ptr<ProxyGroup>
 ProxyState::findGroup(const std::string &Name) const {
   const auto Found = this->Groups.find(Name);
@@ -181,6 +187,7 @@
   constexpr double LeastDemand = 0.5; // Operations per second.
   HostReport Report;
   Report.Host = this->Identity.Host;
+  Report.FailureDomain = this->Identity.FailureDomain;
   Report.StartedAt = this->Identity.StartedAt;
   Report.Sequence = ++this->Sequence;
   Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -7,6 +7,7 @@
 #include "proxygroup.h"
 #include "proxymetrics.h"
 #include "sessioncatalogue.h"
+#include "upstreamaccess.h"
 #include "upstreamdirectory.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -33,8 +34,6 @@
   /// Beyond this age of the last confirmation, a missing name or key may be
   /// one that was added since. Catalogues are in force within 3 s.
   static constexpr std::chrono::milliseconds CatalogueConfirmation{3500};
-  /// Connections of an upstream left free for hosts that start.
-  static constexpr std::size_t SpareConnections = 1;
 
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity);
@@ -63,6 +62,9 @@
   /// Counts an operation against its workspace's rate. Errors: RateLimited.
   Result<void> admitOperation(const std::string &Workspace, BootTime Now);
 
+  /// Returns the connections of this host to \p Upstream, or nullptr.
+  std::shared_ptr<UpstreamGate> findGate(const std::string &Upstream) const;
+
   /// Returns the group called \p Name, or nullptr.
   std::shared_ptr<ProxyGroup> findGroup(const std::string &Name) const;
 
@@ -79,6 +81,7 @@
   }
   UpstreamDirectory &directory() { return this->Directory; }
   FleetView &fleet() { return this->Fleet; }
+  UpstreamAccess &access() { return this->Access; }
   ProxyMetrics &metrics() { return this->Metrics; }
   /// Sets the gauges to the present state.
   void updateGauges();
@@ -95,7 +98,7 @@
   };
 
   bool confirmed(TimePoint Now) const;
-  void applyConnectionShares();
+  void applyConnectionLimits();
 
   boost::asio::any_io_executor Executor;
   const UpstreamProtocol &Protocol;
@@ -103,8 +106,9 @@
   std::shared_ptr<const SessionCatalogue> Catalogue;
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
-  std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
   ProxyMetrics Metrics;
+  UpstreamAccess Access;
+  std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
   FleetView Fleet;
--- /dev/null
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -0,0 +1,203 @@
+#include "relaymessages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int BitsPerByte = 8;
+
+// Arrays instead of objects: member names would be half of most messages.
+
+Json encode(const std::optional<Position> &At) {
+  if (!At)
+    return nullptr;
+  return Json::array({At->InTerm.Value, At->Log.Value});
+}
+
+std::optional<Position> decodePosition(const Json &Value) {
+  if (Value.is_null())
+    return std::nullopt;
+  Position At;
+  Value.at(0).get_to(At.InTerm.Value);
+  Value.at(1).get_to(At.Log.Value);
+  return At;
+}
+
+template <typename Enum> Enum decodeEnum(const Json &Value, Enum Last) {
+  const auto Number = Value.get<int>();
+  if (Number < 0 || Number > static_cast<int>(Last))
+    throw std::out_of_range("unknown value " + std::to_string(Number));
+  return static_cast<Enum>(Number);
+}
+
+Json encode(const UpstreamCommand &Command) {
+  return Json::array({static_cast<int>(Command.Type), Command.Id, Command.Text,
+                      Command.Name, Command.Argument, encode(Command.After)});
+}
+
+UpstreamCommand decodeCommand(const Json &Value) {
+  UpstreamCommand Command;
+  Command.Type = decodeEnum(Value.at(0), UpstreamCommand::Kind::Status);
+  Value.at(1).get_to(Command.Id);
+  Value.at(2).get_to(Command.Text);
+  Value.at(3).get_to(Command.Name);
+  Value.at(4).get_to(Command.Argument);
+  Command.After = decodePosition(Value.at(5));
+  return Command;
+}
+
+Json encode(const UpstreamReply &Reply) {
+  return Json::array({Reply.Rows, Reply.Signature,
+                      static_cast<int>(Reply.Failure), Reply.FailureCode,
+                      Reply.FailureText, static_cast<int>(Reply.State),
+                      encode(Reply.At)});
+}
+
+UpstreamReply decodeReply(const Json &Value) {
+  UpstreamReply Reply;
+  Value.at(0).get_to(Reply.Rows);
+  Value.at(1).get_to(Reply.Signature);
+  Reply.Failure = decodeEnum(Value.at(2), UpstreamFailure::Other);
+  Value.at(3).get_to(Reply.FailureCode);
+  Value.at(4).get_to(Reply.FailureText);
+  Reply.State = decodeEnum(Value.at(5), TransactionState::Failed);
+  Reply.At = decodePosition(Value.at(6));
+  return Reply;
+}
+
+Json encode(const UpstreamWork &Work) {
+  Json Commands = Json::array();
+  for (const UpstreamCommand &Each : Work.Commands)
+    Commands.push_back(encode(Each));
+  return Json::array({Work.Values,
+                      Work.Definition ? Json(*Work.Definition) : Json(),
+                      Work.InTransaction,
+                      Work.Guard ? encode(*Work.Guard) : Json(), Commands});
+}
+
+UpstreamWork decodeWork(const Json &Value) {
+  UpstreamWork Work;
+  Value.at(0).get_to(Work.Values);
+  if (!Value.at(1).is_null())
+    Work.Definition = Value.at(1).get<std::string>();
+  Value.at(2).get_to(Work.InTransaction);
+  if (!Value.at(3).is_null())
+    Work.Guard = decodeCommand(Value.at(3));
+  for (const Json &Each : Value.at(4))
+    Work.Commands.push_back(decodeCommand(Each));
+  return Work;
+}
+
+std::int64_t inMicroseconds(Duration Length) {
+  return std::chrono::duration_cast<microseconds>(Length).count();
+}
+
+Json encode(const WorkResult &Result) {
+  Json Replies = Json::array();
+  for (const UpstreamReply &Each : Result.Replies)
+    Replies.push_back(encode(Each));
+  return Json::array({Result.Connected, Result.Unreachable, Result.SetUpError,
+                      Result.Guard ? encode(*Result.Guard) : Json(), Replies,
+                      Result.Sent, Result.Lost, inMicroseconds(Result.Waited),
+                      inMicroseconds(Result.Ran)});
+}
+
+WorkResult decodeResult(const Json &Value) {
+  WorkResult Result;
+  Value.at(0).get_to(Result.Connected);
+  Value.at(1).get_to(Result.Unreachable);
+  Value.at(2).get_to(Result.SetUpError);
+  if (!Value.at(3).is_null())
+    Result.Guard = decodeReply(Value.at(3));
+  for (const Json &Each : Value.at(4))
+    Result.Replies.push_back(decodeReply(Each));
+  Value.at(5).get_to(Result.Sent);
+  Value.at(6).get_to(Result.Lost);
+  Result.Waited = microseconds(Value.at(7).get<std::int64_t>());
+  Result.Ran = microseconds(Value.at(8).get<std::int64_t>());
+  return Result;
+}
+
+std::string withHeader(const Json &Message) {
+  std::string Bytes(RelayHeaderBytes, '\0');
+  Json::to_cbor(Message, Bytes);
+  std::size_t Length = Bytes.size() - RelayHeaderBytes;
+  for (std::size_t Index = RelayHeaderBytes; Index > 0; --Index) {
+    Bytes[Index - 1] = static_cast<char>(Length & 0xFFU);
+    Length >>= BitsPerByte;
+  }
+  return Bytes;
+}
+
+template <typename Message, typename Decode>
+Result<Message> decode(std::string_view Bytes, Decode Read) {
+  try {
+    return Read(Json::from_cbor(Bytes));
+  } catch (const std::exception &Failure) {
+    return failure(ErrorKind::BadRequest, Failure.what());
+  }
+}
+
+} // namespace
+
+std::string encodeRelay(const RelayRequest &Request) {
+  return withHeader(Json::array(
+      {static_cast<int>(Request.Type), Request.Id, Request.Upstream,
+       Request.Workspace, Request.Priority, Request.TargetIn.count(),
+       Request.GiveUpIn.count(), Request.DeadlineIn.count(), Request.Held,
+       Request.Hold, encode(Request.Work)}));
+}
+
+std::string encodeRelay(const RelayAnswer &Answer) {
+  return withHeader(Json::array(
+      {Answer.Id, Answer.Held, Answer.Load, encode(Answer.Result)}));
+}
+
+Result<std::size_t> relayLength(std::string_view Header) {
+  std::size_t Length = 0;
+  for (const char Each : Header)
+    Length = Length << BitsPerByte | static_cast<unsigned char>(Each);
+  if (Length > MaxRelayBytes)
+    return failure(ErrorKind::BadRequest,
+                   "a message of " + std::to_string(Length) + " bytes");
+  return Length;
+}
+
+Result<RelayRequest> decodeRelayRequest(std::string_view Bytes) {
+  return decode<RelayRequest>(Bytes, [](const Json &Value) {
+    RelayRequest Request;
+    Request.Type = decodeEnum(Value.at(0), RelayRequest::Kind::Ping);
+    Value.at(1).get_to(Request.Id);
+    Value.at(2).get_to(Request.Upstream);
+    Value.at(3).get_to(Request.Workspace);
+    Value.at(4).get_to(Request.Priority);
+    Request.TargetIn = milliseconds(Value.at(5).get<std::int64_t>());
+    Request.GiveUpIn = milliseconds(Value.at(6).get<std::int64_t>());
+    Request.DeadlineIn = milliseconds(Value.at(7).get<std::int64_t>());
+    Value.at(8).get_to(Request.Held);
+    Value.at(9).get_to(Request.Hold);
+    Request.Work = decodeWork(Value.at(10));
+    return Request;
+  });
+}
+
+Result<RelayAnswer> decodeRelayAnswer(std::string_view Bytes) {
+  return decode<RelayAnswer>(Bytes, [](const Json &Value) {
+    RelayAnswer Answer;
+    Value.at(0).get_to(Answer.Id);
+    Value.at(1).get_to(Answer.Held);
+    Value.at(2).get_to(Answer.Load);
+    Answer.Result = decodeResult(Value.at(3));
+    return Answer;
+  });
+}
+
+} // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -0,0 +1,275 @@
+#include "relayserver.h"
+
+#include "http/sleepuntil.h"
+#include "socketoptions.h"
+#include "telemetry/logging.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+auto resumeWith(error_code &Failure) {
+  return asio::redirect_error(asio::use_awaitable, Failure);
+}
+
+} // namespace
+
+/// One connection of another host, with the transactions held for it.
+class RelayServer::Peer : public std::enable_shared_from_this<Peer> {
+public:
+  Peer(tcp::socket Socket, RelayServer &Owner)
+      : Socket(std::move(Socket)), Owner(Owner) {}
+
+  asio::awaitable<void> run();
+  void close();
+
+private:
+  void take(RelayRequest Request);
+  asio::awaitable<void> carryOut(RelayRequest Request);
+  asio::awaitable<ConnectionLease>
+  lease(const RelayRequest &Request, const std::shared_ptr<UpstreamGate> &Gate);
+  void release(std::uint64_t Held);
+  void queue(std::string Bytes);
+  asio::awaitable<void> write();
+
+  tcp::socket Socket;
+  RelayServer &Owner;
+  std::map<std::uint64_t, ConnectionLease> Held;
+  std::map<std::uint64_t, WaitHandle *> Waits; ///< By request.
+  std::string Outgoing;
+  bool Writing = false;
+  bool Closed = false;
+};
+
+asio::awaitable<void> RelayServer::Peer::run() {
+  const std::shared_ptr<Peer> Keep = this->shared_from_this();
+  setLivenessOptions(this->Socket, UnacknowledgedLimit);
+  std::array<char, RelayHeaderBytes> Header{};
+  std::string Bytes;
+  while (!this->Closed) {
+    error_code Failure;
+    co_await asio::async_read(this->Socket, asio::buffer(Header),
+                              resumeWith(Failure));
+    if (Failure)
+      break;
+    const Result<std::size_t> Length =
+        relayLength({Header.data(), Header.size()});
+    if (!Length) {
+      logWarn("event=relay_request_unreadable error=\"" +
+              Length.error().Detail + "\"");
+      break;
+    }
+    Bytes.resize(Length.value());
+    co_await asio::async_read(this->Socket, asio::buffer(Bytes),
+                              resumeWith(Failure));
+    if (Failure)
+      break;
+    Result<RelayRequest> Request = decodeRelayRequest(Bytes);
+    if (!Request) {
+      logWarn("event=relay_request_unreadable error=\"" +
+              Request.error().Detail + "\"");
+      break;
+    }
+    this->take(std::move(Request.value()));
+  }
+  this->close();
+}
+
+// Transactions held for the host end: their connections are closed, which
+// rolls them back.
+void RelayServer::Peer::close() {
+  this->Closed = true;
+  error_code Ignored;
+  this->Socket.close(Ignored);
+  for (const auto &[Id, Wait] : this->Waits)
+    if (Wait->Cancel)
+      Wait->Cancel();
+  this->Owner.Active -= this->Held.size();
+  this->Held.clear();
+}
+
+void RelayServer::Peer::take(RelayRequest Request) {
+  switch (Request.Type) {
+  case RelayRequest::Kind::Run:
+    asio::co_spawn(this->Owner.Executor, this->carryOut(std::move(Request)),
+                   asio::detached);
+    return;
+  case RelayRequest::Kind::Cancel: {
+    const auto Found = this->Waits.find(Request.Id);
+    if (Found != this->Waits.end() && Found->second->Cancel)
+      Found->second->Cancel();
+    return;
+  }
+  case RelayRequest::Kind::Release:
+    this->release(Request.Held);
+    return;
+  case RelayRequest::Kind::Ping: {
+    RelayAnswer Alive;
+    Alive.Id = Request.Id;
+    this->queue(encodeRelay(Alive));
+    return;
+  }
+  }
+}
+
+void RelayServer::Peer::release(std::uint64_t Id) {
+  const auto Found = this->Held.find(Id);
+  if (Found == this->Held.end())
+    return;
+  ConnectionLease Lease = std::move(Found->second);
+  this->Held.erase(Found);
+  --this->Owner.Active;
+  rollBackAndKeep(this->Owner.Executor, std::move(Lease));
+}
+
+asio::awaitable<ConnectionLease>
+RelayServer::Peer::lease(const RelayRequest &Request,
+                         const std::shared_ptr<UpstreamGate> &Gate) {
+  const TimePoint Now = steadyNow();
+  // Commands of the proxies themselves suit a connection of any workspace.
+  if (!Request.Work.hasStatement() && !Request.Hold) {
+    ConnectionLease Idle = Gate->borrow();
+    if (Idle)
+      co_return Idle;
+  }
+  PoolWaiter Waiter;
+  Waiter.Workspace = Request.Workspace;
+  Waiter.Priority = Request.Priority;
+  Waiter.Target = Now + Request.TargetIn;
+  Waiter.GiveUp = Now + Request.GiveUpIn;
+  WaitHandle Wait;
+  this->Waits[Request.Id] = &Wait;
+  ConnectionLease Lease = co_await Gate->acquire(std::move(Waiter), Wait);
+  this->Waits.erase(Request.Id);
+  co_return Lease;
+}
+
+asio::awaitable<void> RelayServer::Peer::carryOut(RelayRequest Request) {
+  const std::shared_ptr<Peer> Keep = this->shared_from_this();
+  const std::shared_ptr<RelayServer> Server = this->Owner.shared_from_this();
+  const TimePoint Arrived = steadyNow();
+  ++Server->Active;
+  Server->State.metrics().CarriedOut.add();
+  RelayAnswer Answer;
+  Answer.Id = Request.Id;
+  const std::shared_ptr<UpstreamGate> Gate =
+      Server->State.findGate(Request.Upstream);
+  ConnectionLease Lease;
+  if (Request.Held != 0) {
+    const auto Found = this->Held.find(Request.Held);
+    if (Found != this->Held.end()) {
+      Lease = std::move(Found->second);
+      this->Held.erase(Found);
+      --Server->Active;
+    }
+  } else if (Gate && !Gate->unreachable()) {
+    Lease = co_await this->lease(Request, Gate);
+  }
+  Answer.Result.Waited = steadyNow() - Arrived;
+  if (Lease && !this->Closed) {
+    Request.Work.Deadline = Arrived + Request.DeadlineIn;
+    const Duration Waited = Answer.Result.Waited;
+    Answer.Result = co_await performWork(Lease, std::move(Request.Work),
+                                         Server->State.access().names());
+    Answer.Result.Waited = Waited;
+    if (Request.Hold && !this->Closed && !Answer.Result.Lost &&
+        Answer.Result.SetUpError.empty() &&
+        Answer.Result.state() != TransactionState::None) {
+      Lease.pin();
+      Answer.Held = Server->NextHeld++;
+      this->Held[Answer.Held] = std::move(Lease);
+      ++Server->Active;
+    }
+  }
+  Lease.reset();
+  Answer.Result.Unreachable = !Gate || Gate->unreachable();
+  if (Gate)
+    Answer.Load = Gate->pool().assigned() + Gate->pool().waiting();
+  --Server->Active;
+  if (!this->Closed)
+    this->queue(encodeRelay(Answer));
+}
+
+void RelayServer::Peer::queue(std::string Bytes) {
+  this->Outgoing += Bytes;
+  if (this->Writing)
+    return;
+  this->Writing = true;
+  asio::co_spawn(this->Owner.Executor, this->write(), asio::detached);
+}
+
+asio::awaitable<void> RelayServer::Peer::write() {
+  const std::shared_ptr<Peer> Keep = this->shared_from_this();
+  while (!this->Outgoing.empty() && !this->Closed) {
+    const std::string Bytes = std::exchange(this->Outgoing, {});
+    error_code Failure;
+    co_await asio::async_write(this->Socket, asio::buffer(Bytes),
+                               resumeWith(Failure));
+    if (Failure)
+      this->close();
+  }
+  this->Writing = false;
+}
+
+RelayServer::RelayServer(const asio::any_io_executor &Executor,
+                         ProxyState &State)
+    : Executor(Executor), State(State), Acceptor(Executor) {}
+
+Result<void> RelayServer::listen(const Endpoint &Where) {
+  BOOST_OUTCOME_TRY(listenOn(this->Acceptor, Where));
+  asio::co_spawn(this->Executor, this->accept(), asio::detached);
+  return success();
+}
+
+void RelayServer::stop() {
+  this->Stopped = true;
+  error_code Ignored;
+  this->Acceptor.close(Ignored);
+  for (const std::shared_ptr<Peer> &Each : this->Peers)
+    Each->close();
+}
+
+asio::awaitable<void> RelayServer::accept() {
+  const std::shared_ptr<RelayServer> Keep = this->shared_from_this();
+  constexpr std::chrono::milliseconds PauseAfterFailure{20};
+  while (!this->Stopped) {
+    error_code Failure;
+    tcp::socket Socket =
+        co_await this->Acceptor.async_accept(resumeWith(Failure));
+    if (this->Stopped)
+      co_return;
+    if (Failure) {
+      logWarn("event=relay_accept_failed error=\"" + Failure.message() + "\"");
+      co_await sleepUntil(steadyNow() + PauseAfterFailure);
+      continue;
+    }
+    auto From = std::make_shared<Peer>(std::move(Socket), *this);
+    asio::co_spawn(this->Executor, this->serve(std::move(From)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> RelayServer::serve(std::shared_ptr<Peer> From) {
+  const std::shared_ptr<RelayServer> Keep = this->shared_from_this();
+  const auto Place = this->Peers.insert(this->Peers.end(), From);
+  co_await From->run();
+  this->Peers.erase(Place);
+}
+
+} // namespace lavenderdale
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -20,7 +20,7 @@
                            SessionProxyParts Parts)
     : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
       State(this->Executor, Parts.Upstreams, this->Settings.Identity),
-      Statements(this->Executor, this->State.metrics()),
+      Statements(this->State.access(), this->State.metrics()),
       Server(std::make_shared<SessionServer>(this->Executor, this->State,
                                              this->Statements, Parts.Callers)),
       Follower(std::make_shared<StoreFollower>(
@@ -29,6 +29,7 @@
       Fleet(std::make_shared<FleetLink>(
           this->Executor, this->State, Parts.Records, this->Settings.Reports,
           this->Settings.Internal, CataloguePath)),
+      Relays(std::make_shared<RelayServer>(this->Executor, this->State)),
       Duty(std::make_shared<PromotionDuty>(this->Executor, Parts.Store,
                                            Parts.Authority, this->State)),
       ReadinessServer(Workers, HttpServerLimits(),
@@ -42,6 +43,7 @@
 Result<void> SessionProxy::start() {
   BOOST_OUTCOME_TRY(this->ReadinessServer.listen(this->Settings.Readiness));
   BOOST_OUTCOME_TRY(this->InternalServer.listen(this->Settings.Internal));
+  BOOST_OUTCOME_TRY(this->Relays->listen(this->Settings.Reports));
   BOOST_OUTCOME_TRY(this->Fleet->start());
   BOOST_OUTCOME_TRY(this->Server->listen(this->Settings.Callers));
   this->Follower->start();
@@ -54,7 +56,8 @@
 
 asio::awaitable<void> SessionProxy::waitForSessions(TimePoint Until) {
   constexpr std::chrono::milliseconds Step{50};
-  while (this->Server->sessions() > 0 && steadyNow() < Until)
+  while (this->Server->sessions() + this->Relays->active() > 0 &&
+         steadyNow() < Until)
     co_await sleepUntil(steadyNow() + Step);
 }
 
@@ -78,6 +81,7 @@
   co_await this->waitForSessions(End - WaitingReserve);
   this->Server->stopWaiting();
   co_await this->waitForSessions(End);
+  this->Relays->stop();
   this->Fleet->stop();
   this->State.stop();
   logInfo("event=stopped sessions=" + std::to_string(this->Server->sessions()));
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -6,6 +6,7 @@
 #include "promotionduty.h"
 #include "proxystate.h"
 #include "recorddecoder.h"
+#include "relayserver.h"
 #include "sessionserver.h"
 #include "storefollower.h"
 
@@ -21,7 +22,7 @@
   Endpoint Callers;
   Endpoint Readiness;
   std::string ReadinessPath;
-  Endpoint Reports;  ///< UDP, between hosts.
+  Endpoint Reports;  ///< Between hosts: reports (UDP), relayed work (TCP).
   Endpoint Internal; ///< HTTP: catalogue for other hosts, metrics.
   std::chrono::milliseconds StopGrace{}; ///< From SIGTERM to the end.
 };
@@ -71,6 +72,7 @@
   std::shared_ptr<SessionServer> Server;
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<FleetLink> Fleet;
+  std::shared_ptr<RelayServer> Relays;
   std::shared_ptr<PromotionDuty> Duty;
   HttpServer ReadinessServer;
   HttpServer InternalServer;
--- a/src/libs/sessionproxy/sessionserver.cpp
+++ b/src/libs/sessionproxy/sessionserver.cpp
@@ -1,6 +1,7 @@
 #include "sessionserver.h"
 
 #include "http/sleepuntil.h"
+#include "socketoptions.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,21 +28,7 @@
       Protocol(Protocol), Acceptor(Executor) {}
 
 Result<void> SessionServer::listen(const Endpoint &Where) {
-  error_code Failure;
-  const auto Address = asio::ip::make_address(Where.Address, Failure);
-  const tcp::endpoint Local(Address, Where.Port);
-  if (!Failure)
-    this->Acceptor.open(Local.protocol(), Failure);
-  if (!Failure)
-    this->Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
-  if (!Failure)
-    this->Acceptor.bind(Local, Failure);
-  if (!Failure)
-    this->Acceptor.listen(Backlog, Failure);
-  if (Failure)
-    return failure(ErrorKind::Unavailable, "cannot listen on " +
-                                               toString(Where) + ": " +
-                                               Failure.message());
+  BOOST_OUTCOME_TRY(listenOn(this->Acceptor, Where));
   asio::co_spawn(this->Executor, this->accept(), asio::detached);
   asio::co_spawn(this->Executor, this->checkLimits(), asio::detached);
   return success();
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -3,9 +3,6 @@
 #include "http/sleepuntil.h"
 #include "telemetry/logging.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -84,8 +81,9 @@
   std::size_t Tries = 0;
   std::string Upstream;
   AttemptOutcome Outcome = AttemptOutcome::NotSent;
-  bool MayHaveRun = false; ///< In this try or an earlier one.
-  std::optional<UpstreamReply> Reply;
+  bool MayHaveRun = false;            ///< In this try or an earlier one.
+  std::optional<UpstreamReply> Guard; ///< To what was sent first.
+  std::optional<UpstreamReply> Reply; ///< To the statement.
   BootTime SentAt{};
 };
 
@@ -98,6 +96,7 @@
   while (true) {
     ++Try.Tries;
     Try.Reply.reset();
+    Try.Guard.reset();
     Try.Outcome = AttemptOutcome::NotSent;
     std::optional<Error> NotRun;
     if (AtPrimary)
@@ -131,7 +130,8 @@
             " age_ms=" + std::to_string(millisecondsSince(Call.Arrived)) +
             (Again ? " next=retry" : " next=answer"));
     if (Again) {
-      if (Try.Outcome == AttemptOutcome::RefusedBeforeRun)
+      if (Try.Outcome == AttemptOutcome::RefusedBeforeRun ||
+          Try.Outcome == AttemptOutcome::NotSent)
         co_await sleepUntil(steadyNow() + BusyPause);
       continue;
     }
@@ -148,35 +148,22 @@
       co_await Call.Group->waitForPrimary(giveUp(Call), Call.Wait);
   if (!Gate)
     co_return failure(ErrorKind::NoPrimary, "no primary is known");
-  Try.Upstream = Gate->entry().Id;
-  ConnectionLease Lease = co_await this->acquire(Call, Gate);
-  if (!Lease)
-    co_return this->notRun(Call, "no connection to the primary");
-  std::vector<UpstreamCommand> Commands = this->setUp(Call, Lease);
-  if (Call.Writes) {
-    Commands.push_back(this->forward(Call));
-    const std::size_t Answer = Commands.size() - 1;
-    co_await this->send(Call, Try, Lease, std::move(Commands), Answer,
-                        deadline(Call));
-    if (Try.Reply && Try.Reply->ok() && Try.Reply->At)
-      Call.Group->proved(*Gate, Try.SentAt, *Try.Reply->At);
-    co_return std::nullopt;
+  UpstreamWork Work = workFor(Call);
+  if (!Call.Writes) {
+    // A replaced primary still serves plain reads, but no writing transaction;
+    // the read is sent once the transaction has started.
+    Work.Guard = ownCommand(Command::Kind::Begin);
+    Work.Commands.push_back(ownCommand(Command::Kind::Rollback));
+    Work.Deadline = readLimit(Call, Try, *Gate);
   }
-  // A replaced primary still serves plain reads, but no writing transaction;
-  // the read is sent once the transaction has started.
-  Commands.push_back(ownCommand(Command::Kind::Begin));
-  const std::size_t Begin = Commands.size() - 1;
-  co_await this->send(Call, Try, Lease, std::move(Commands), Begin,
-                      deadline(Call));
-  if (!Try.Reply || !Try.Reply->ok() || !Lease->isOpen())
-    co_return std::nullopt;
-  if (Try.Reply->At)
-    Call.Group->proved(*Gate, Try.SentAt, *Try.Reply->At);
-  Commands.clear();
-  Commands.push_back(this->forward(Call));
-  Commands.push_back(ownCommand(Command::Kind::Rollback));
-  const TimePoint Limit = readLimit(Call, Try, *Gate);
-  co_await this->send(Call, Try, Lease, std::move(Commands), 0, Limit);
+  const bool Connected =
+      co_await this->run(Call, Try, Gate, std::move(Work), nullptr);
+  if (!Connected && (steadyNow() >= giveUp(Call) || Call.Abandoned))
+    co_return this->notRun(Call, "no connection to the primary");
+  const std::optional<UpstreamReply> &Proof =
+      Call.Writes ? Try.Reply : Try.Guard;
+  if (Proof && Proof->ok() && Proof->At)
+    Call.Group->proved(*Gate, Try.SentAt, *Proof->At);
   co_return std::nullopt;
 }
 
@@ -191,87 +178,88 @@
     Try.Excluded.clear();
     co_return co_await this->runAtPrimary(Call, Try);
   }
-  Try.Upstream = Gate->entry().Id;
-  Try.Excluded.insert(Try.Upstream);
-  ConnectionLease Lease = co_await this->acquire(Call, Gate);
-  if (!Lease) {
-    if (steadyNow() >= giveUp(Call) || Call.Abandoned)
-      co_return this->notRun(Call, "no connection to an upstream");
-    co_return std::nullopt;
-  }
-  std::vector<UpstreamCommand> Commands = this->setUp(Call, Lease);
-  Commands.push_back(this->forward(Call));
-  Commands.back().After = Required;
-  const std::size_t Answer = Commands.size() - 1;
-  const TimePoint Limit = readLimit(Call, Try, *Gate);
-  co_await this->send(Call, Try, Lease, std::move(Commands), Answer, Limit);
+  Try.Excluded.insert(Gate->entry().Id);
+  UpstreamWork Work = workFor(Call);
+  Work.Commands.back().After = Required;
+  Work.Deadline = readLimit(Call, Try, *Gate);
+  const bool Connected =
+      co_await this->run(Call, Try, Gate, std::move(Work), nullptr);
+  if (!Connected && (steadyNow() >= giveUp(Call) || Call.Abandoned))
+    co_return this->notRun(Call, "no connection to an upstream");
   if (Try.Outcome == AttemptOutcome::ReplicaBehind)
     Gate->countBehind(steadyNow());
   co_return std::nullopt;
 }
 
-/// Sends \p Commands and takes over the reply to the one at index \p Answer.
-/// The lease can be kept if all of them left the connection in a known state.
-asio::awaitable<void>
-StatementExecutor::send(StatementCall &Call, Attempt &Try,
-                        ConnectionLease &Lease,
-                        std::vector<UpstreamCommand> Commands,
-                        std::size_t Answer, TimePoint Deadline) {
-  const std::shared_ptr<UpstreamGate> Gate = Lease.gate();
-  const std::size_t Count = Commands.size();
-  const bool Measured = !Commands[Answer].Id.empty();
-  const TimePoint Start = steadyNow();
-  Try.Reply.reset();
-  ExchangeResult Exchange =
-      co_await Lease->exchange(std::move(Commands), Deadline);
-  const TimePoint End = steadyNow();
-  Call.Ran += End - Start;
+/// Carries \p Work out at the upstream of \p Gate.
+/// \returns whether a connection was had; what came of it is in \p Try.
+asio::awaitable<bool> StatementExecutor::run(StatementCall &Call, Attempt &Try,
+                                             std::shared_ptr<UpstreamGate> Gate,
+                                             UpstreamWork Work,
+                                             HeldConnection *Hold) {
+  Call.Group->countUse(Call.Workspace, steadyNow());
+  PoolWaiter Waiter;
+  Waiter.Workspace = Call.Workspace;
+  Waiter.Priority = Call.Route.Priority;
+  Waiter.Target = Call.Arrived + Call.Route.LatencyObjective;
+  Waiter.GiveUp = giveUp(Call);
+  Try.Upstream = Gate->entry().Id;
+  const bool Measured = Work.hasStatement();
+  const std::shared_ptr<UpstreamGate> Target = Gate;
+  WorkResult Result = co_await this->Access.run(
+      std::move(Gate), std::move(Waiter), std::move(Work), Call.Wait, Hold);
+  Call.Waited += Result.Waited;
+  this->Metrics.WaitTime.record(Result.Waited);
+  const bool Connected = Result.Connected;
+  this->take(Call, Try, *Target, std::move(Result), Measured);
+  co_return Connected;
+}
+
+/// Takes over what \p Result says of the try.
+/// \param Measured whether its time is that of a caller's statement.
+void StatementExecutor::take(StatementCall &Call, Attempt &Try,
+                             UpstreamGate &Gate, WorkResult Result,
+                             bool Measured) {
+  const TimePoint Now = steadyNow();
+  Call.Ran += Result.Ran;
   Call.Upstream = Try.Upstream;
   ++Call.Tries;
-  Try.SentAt = Exchange.SentAt;
-  for (std::size_t Index = 0; Index < std::min(Answer, Exchange.Replies.size());
-       ++Index)
-    if (!Exchange.Replies[Index].ok()) {
-      // A connection whose set-up failed is in an unknown state.
-      Try.Outcome = AttemptOutcome::RefusedBeforeRun;
-      if (Answer < Exchange.Replies.size() && Exchange.Replies[Answer].ok())
-        Try.Outcome = AttemptOutcome::AnswerLost;
-      logWarn("event=set_up_failed upstream=" + Try.Upstream + " error=\"" +
-              Exchange.Replies[Index].FailureCode + "\"");
-      Lease->close();
-      co_return;
-    }
-  if (Exchange.Replies.size() <= Answer) {
+  Try.SentAt = Result.SentAt;
+  Try.Guard = std::move(Result.Guard);
+  Try.Reply.reset();
+  const bool Answered = !Result.Replies.empty();
+  if (!Result.SetUpError.empty()) {
+    // The statement may have run with other session values, or, unanswered,
+    // in any way.
+    const bool MayHaveRun =
+        Answered ? Result.Replies.front().ok() : Result.Sent;
+    Try.Outcome = MayHaveRun ? AttemptOutcome::AnswerLost
+                             : AttemptOutcome::RefusedBeforeRun;
+    Try.MayHaveRun = Try.MayHaveRun || (Measured && MayHaveRun);
+    return;
+  }
+  if (Try.Guard && !Try.Guard->ok()) {
+    Try.Reply = Try.Guard;
+  } else if (Answered) {
+    Try.Reply = std::move(Result.Replies.front());
+  } else {
     Try.Outcome =
-        Exchange.Sent ? AttemptOutcome::AnswerLost : AttemptOutcome::NotSent;
-    if (Measured) {
-      Gate->countService(End - Start, End);
-      Try.MayHaveRun = Try.MayHaveRun || Exchange.Sent;
-    }
-    co_return;
+        Result.Sent ? AttemptOutcome::AnswerLost : AttemptOutcome::NotSent;
+    Try.MayHaveRun = Try.MayHaveRun || (Measured && Result.Sent);
   }
-  if (Measured)
-    Gate->countService(End - Start, End);
-  Try.Reply = std::move(Exchange.Replies[Answer]);
-  const TransactionState Last =
-      Exchange.Replies.size() == Count && Count - 1 > Answer
-          ? Exchange.Replies.back().State
-          : Try.Reply->State;
-  if (!Exchange.Lost && Last == TransactionState::None)
-    Lease.keep();
+  if (Measured && Result.Connected && !Result.RelayFailed)
+    Gate.countService(Result.Ran, Now);
+  if (!Try.Reply)
+    return;
   if (Try.Reply->At)
-    Gate->sawPosition(*Try.Reply->At, End);
-  if (!Try.Reply->ok()) {
-    Try.Outcome = outcomeOf(Try.Reply->Failure);
-    if (Measured && Try.Outcome == AttemptOutcome::StatementError)
-      Try.MayHaveRun = true;
-    if (Try.Reply->Failure == UpstreamFailure::ReadOnly)
-      Call.Group->refusedLead(*Gate);
-    if (Try.Reply->Failure == UpstreamFailure::UnknownStatement &&
-        Call.Prepared)
-      Lease->Image.forgetPrepared(
-          this->Names.nameOf(Call.Prepared->Definition));
-  }
+    Gate.sawPosition(*Try.Reply->At, Now);
+  if (Try.Reply->ok())
+    return;
+  Try.Outcome = outcomeOf(Try.Reply->Failure);
+  if (Measured && Try.Outcome == AttemptOutcome::StatementError)
+    Try.MayHaveRun = true;
+  if (Try.Reply->Failure == UpstreamFailure::ReadOnly)
+    Call.Group->refusedLead(Gate);
 }
 
 asio::awaitable<StatementOutcome>
@@ -286,11 +274,12 @@
   while (true) {
     ++Try.Tries;
     Try.Upstream = Call.Pinned.gate()->entry().Id;
-    std::vector<UpstreamCommand> Commands = this->setUp(Call, Call.Pinned);
-    Commands.push_back(this->forward(Call));
-    const std::size_t Answer = Commands.size() - 1;
-    co_await this->send(Call, Try, Call.Pinned, std::move(Commands), Answer,
-                        deadline(Call));
+    UpstreamWork Work = workFor(Call);
+    Work.InTransaction = true;
+    const std::shared_ptr<UpstreamGate> Gate = Call.Pinned.gate();
+    WorkResult Result =
+        co_await this->Access.runHeld(Call.Pinned, std::move(Work));
+    this->take(Call, Try, *Gate, std::move(Result), true);
     const bool Busy = Try.Reply && Try.Reply->State == TransactionState::Open &&
                       Try.Outcome == AttemptOutcome::RefusedBeforeRun &&
                       !Try.Reply->ok();
@@ -323,8 +312,7 @@
           " outcome=" + nameOf(Try.Outcome) + (Commits ? " at=commit" : "") +
           " age_ms=" + std::to_string(millisecondsSince(Call.Arrived)));
   const bool Lost = !Try.Reply;
-  if (!Lost && Call.Pinned->isOpen() &&
-      Try.Reply->State != TransactionState::None)
+  if (!Lost && Try.Reply->State != TransactionState::None)
     this->rollBack(std::move(Call.Pinned));
   Call.Pinned.reset();
   if (Commits)
@@ -378,22 +366,21 @@
 StatementExecutor::beginAt(StatementCall &Call,
                            const std::shared_ptr<UpstreamGate> &Gate,
                            std::optional<Position> After, Attempt &Try) {
-  Try.Upstream = Gate->entry().Id;
-  ConnectionLease Lease = co_await this->acquire(Call, Gate);
-  if (!Lease) {
+  UpstreamWork Work;
+  Work.Values = Call.Session.values();
+  Work.Commands.push_back(
+      ownCommand(After ? Command::Kind::BeginReadOnly : Command::Kind::Begin));
+  Work.Commands.back().After = After;
+  Work.Deadline = std::min(deadline(Call), steadyNow() + ShortestReadTry * 2);
+  HeldConnection Held;
+  const bool Connected =
+      co_await this->run(Call, Try, Gate, std::move(Work), &Held);
+  if (!Connected) {
     if (steadyNow() >= giveUp(Call) || Call.Abandoned)
       co_return this->notRun(Call, "no connection for the transaction");
     co_return std::nullopt;
   }
-  std::vector<UpstreamCommand> Commands = this->setUp(Call, Lease);
-  Commands.push_back(
-      ownCommand(After ? Command::Kind::BeginReadOnly : Command::Kind::Begin));
-  Commands.back().After = After;
-  const std::size_t Answer = Commands.size() - 1;
-  co_await this->send(
-      Call, Try, Lease, std::move(Commands), Answer,
-      std::min(deadline(Call), steadyNow() + ShortestReadTry * 2));
-  if (!Try.Reply || !Try.Reply->ok()) {
+  if (!Try.Reply || !Try.Reply->ok() || !Held) {
     logInfo(std::string("event=begin_failed id=") + Call.Request.Id +
             " group=" + Call.Group->name() + " upstream=" + Try.Upstream +
             " outcome=" + nameOf(Try.Outcome));
@@ -403,44 +390,13 @@
   }
   if (!After && Try.Reply->At)
     Call.Group->proved(*Gate, Try.SentAt, *Try.Reply->At);
-  Lease.pin();
-  Call.Pinned = std::move(Lease);
+  Call.Pinned = std::move(Held);
   Call.Session.opened();
   co_return std::nullopt;
 }
 
-void StatementExecutor::rollBack(ConnectionLease Pinned) {
-  if (!Pinned)
-    return;
-  asio::co_spawn(
-      this->Executor,
-      [](ConnectionLease Lease) -> asio::awaitable<void> {
-        std::vector<UpstreamCommand> Commands;
-        Commands.push_back(ownCommand(Command::Kind::Rollback));
-        const ExchangeResult Exchange = co_await Lease->exchange(
-            std::move(Commands), steadyNow() + ShortestReadTry * 2);
-        if (!Exchange.Lost && !Exchange.Replies.empty() &&
-            Exchange.Replies.front().State == TransactionState::None)
-          Lease.keep();
-      }(std::move(Pinned)),
-      asio::detached);
-}
-
-asio::awaitable<ConnectionLease>
-StatementExecutor::acquire(StatementCall &Call,
-                           const std::shared_ptr<UpstreamGate> &Gate) {
-  Call.Group->countUse(Call.Workspace, steadyNow());
-  PoolWaiter Waiter;
-  Waiter.Workspace = Call.Workspace;
-  Waiter.Priority = Call.Route.Priority;
-  Waiter.Target = Call.Arrived + Call.Route.LatencyObjective;
-  Waiter.GiveUp = giveUp(Call);
-  const TimePoint Start = steadyNow();
-  ConnectionLease Lease = co_await Gate->acquire(std::move(Waiter), Call.Wait);
-  const Duration Waited = steadyNow() - Start;
-  Call.Waited += Waited;
-  this->Metrics.WaitTime.record(Waited);
-  co_return Lease;
+void StatementExecutor::rollBack(HeldConnection Pinned) {
+  this->Access.rollBack(std::move(Pinned));
 }
 
 std::optional<Position>
@@ -454,25 +410,21 @@
   return Required;
 }
 
-UpstreamCommand StatementExecutor::forward(const StatementCall &Call) {
+UpstreamWork StatementExecutor::workFor(const StatementCall &Call) {
+  UpstreamWork Work;
+  Work.Values = Call.Session.values();
+  Work.Deadline = deadline(Call);
   UpstreamCommand Forward;
   Forward.Id = Call.Request.Id;
-  if (!Call.Prepared) {
+  if (Call.Prepared) {
+    Work.Definition = Call.Prepared->Definition;
+    Forward.Type = Command::Kind::Execute;
+    Forward.Argument = Call.Request.Argument;
+  } else {
     Forward.Text = Call.Request.Text;
-    return Forward;
   }
-  Forward.Type = Command::Kind::Execute;
-  Forward.Name = this->Names.nameOf(Call.Prepared->Definition);
-  Forward.Argument = Call.Request.Argument;
-  return Forward;
-}
-
-std::vector<UpstreamCommand> StatementExecutor::setUp(const StatementCall &Call,
-                                                      ConnectionLease &Lease) {
-  return Lease->Image.adopt(
-      Call.Session.values(),
-      Call.Prepared ? &Call.Prepared->Definition : nullptr, this->Names,
-      Call.Session.phase() == TransactionPhase::Open);
+  Work.Commands.push_back(std::move(Forward));
+  return Work;
 }
 
 TimePoint StatementExecutor::giveUp(const StatementCall &Call) {
--- a/src/libs/sessionproxy/statementexecutor.h
+++ b/src/libs/sessionproxy/statementexecutor.h
@@ -6,8 +6,8 @@
 #include "sessioncatalogue.h"
 #include "statements/sessionstate.h"
 #include "statements/statement.h"
+#include "upstreamaccess.h"
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
@@ -23,7 +23,7 @@
   std::string Workspace;
   std::shared_ptr<ProxyGroup> Group;
   SessionState &Session;
-  ConnectionLease &Pinned; ///< Of the session's open transaction.
+  HeldConnection &Pinned; ///< Of the session's open transaction.
   const Statement &Request;
   const PreparedStatement *Prepared = nullptr; ///< Executions only.
   bool Writes = false;
@@ -53,9 +53,8 @@
   static constexpr std::chrono::milliseconds ShortestReadTry{150};
   static constexpr int ReadTryServices = 6; ///< In smoothed answer times.
 
-  StatementExecutor(boost::asio::any_io_executor Executor,
-                    ProxyMetrics &Metrics)
-      : Executor(std::move(Executor)), Metrics(Metrics) {}
+  StatementExecutor(UpstreamAccess &Access, ProxyMetrics &Metrics)
+      : Access(Access), Metrics(Metrics) {}
 
   /// Runs a read or write outside of a transaction.
   boost::asio::awaitable<StatementOutcome> runSingle(StatementCall &Call);
@@ -65,23 +64,20 @@
   runInTransaction(StatementCall &Call);
 
   /// Ends the transaction on \p Pinned without waiting for the upstream.
-  void rollBack(ConnectionLease Pinned);
-
-  StatementNames &names() { return this->Names; }
+  void rollBack(HeldConnection Pinned);
 
 private:
   struct Attempt;
 
-  boost::asio::awaitable<ConnectionLease>
-  acquire(StatementCall &Call, const std::shared_ptr<UpstreamGate> &Gate);
   boost::asio::awaitable<std::optional<Error>> runAtPrimary(StatementCall &Call,
                                                             Attempt &Try);
   boost::asio::awaitable<std::optional<Error>> runAtReader(StatementCall &Call,
                                                            Attempt &Try);
-  boost::asio::awaitable<void> send(StatementCall &Call, Attempt &Try,
-                                    ConnectionLease &Lease,
-                                    std::vector<UpstreamCommand> Commands,
-                                    std::size_t Answer, TimePoint Deadline);
+  boost::asio::awaitable<bool> run(StatementCall &Call, Attempt &Try,
+                                   std::shared_ptr<UpstreamGate> Gate,
+                                   UpstreamWork Work, HeldConnection *Hold);
+  void take(StatementCall &Call, Attempt &Try, UpstreamGate &Gate,
+            WorkResult Result, bool Measured);
   boost::asio::awaitable<std::optional<Error>>
   openTransaction(StatementCall &Call);
   boost::asio::awaitable<std::optional<Error>>
@@ -90,9 +86,7 @@
   StatementOutcome endFailed(StatementCall &Call, Attempt &Try);
 
   std::optional<Position> requiredPosition(const StatementCall &Call) const;
-  UpstreamCommand forward(const StatementCall &Call);
-  std::vector<UpstreamCommand> setUp(const StatementCall &Call,
-                                     ConnectionLease &Lease);
+  static UpstreamWork workFor(const StatementCall &Call);
   static TimePoint giveUp(const StatementCall &Call);
   static TimePoint deadline(const StatementCall &Call);
   /// Until when a read waits for its answer before it is tried elsewhere; a
@@ -101,9 +95,8 @@
                              const UpstreamGate &Gate);
   Error notRun(const StatementCall &Call, const std::string &Why) const;
 
-  boost::asio::any_io_executor Executor;
+  UpstreamAccess &Access;
   ProxyMetrics &Metrics;
-  StatementNames Names;
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/upstreamgate.cpp
+++ b/src/libs/sessionproxy/upstreamgate.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -147,6 +148,14 @@
          std::chrono::microseconds(static_cast<std::int64_t>(Over * Kept));
 }
 
+std::size_t UpstreamGate::load(TimePoint Now) const {
+  const std::size_t Here =
+      std::max(this->InUse, this->Pool.assigned() + this->Pool.waiting());
+  return Now - this->RemoteLoadAt < LoadLifetime
+             ? std::max(Here, this->RemoteLoad)
+             : Here;
+}
+
 void UpstreamGate::sawPosition(const Position &At, TimePoint Now) {
   this->LastAt = At;
   this->LastAtTime = Now;
--- a/src/libs/sessionproxy/upstreamgate.h
+++ b/src/libs/sessionproxy/upstreamgate.h
@@ -70,6 +70,8 @@
   /// The smoothed answer time falls to half towards the expected one over
   /// this time without answers, so that a member that was slow is tried again.
   static constexpr std::chrono::milliseconds ServiceHalfLife{700};
+  /// How long what another host told of its load counts; a few statements.
+  static constexpr std::chrono::milliseconds LoadLifetime{100};
   /// Answer time assumed before the first answer.
   static constexpr std::chrono::microseconds ExpectedService{10000};
 
@@ -91,6 +93,20 @@
   void countService(Duration Service, TimePoint Now);
   std::chrono::microseconds service(TimePoint Now) const;
 
+  /// Whether no connection can be had at present, as far as is known here.
+  bool unreachable() const {
+    return this->Pool.failing() && this->Pool.connections() == 0;
+  }
+
+  /// The holder of the upstream's connections had \p Statements of all hosts
+  /// running or waiting.
+  void countRemoteLoad(std::size_t Statements, TimePoint Now) {
+    this->RemoteLoad = Statements;
+    this->RemoteLoadAt = Now;
+  }
+  /// Statements that run or wait at the upstream, as far as is known.
+  std::size_t load(TimePoint Now) const;
+
   void sawPosition(const Position &At, TimePoint Now);
   void countBehind(TimePoint Now) { this->BehindAt = Now; }
 
@@ -106,6 +122,7 @@
 
 private:
   friend class ConnectionLease;
+  friend class UseCount;
   struct Waiting;
 
   void giveBack(ConnectionId Id, bool Reusable);
@@ -130,7 +147,22 @@
   std::optional<Position> LastAt;
   TimePoint LastAtTime{};
   TimePoint BehindAt{};
+  std::size_t InUse = 0; ///< Statements of this host's callers.
+  std::size_t RemoteLoad = 0;
+  TimePoint RemoteLoadAt{};
   bool Retired = false;
 };
 
+/// Counts a statement of this host's callers at an upstream while it exists.
+class UseCount {
+public:
+  explicit UseCount(UpstreamGate &Gate) : Gate(Gate) { ++Gate.InUse; }
+  ~UseCount() { --this->Gate.InUse; }
+  UseCount(const UseCount &) = delete;
+  UseCount &operator=(const UseCount &) = delete;
+
+private:
+  UpstreamGate &Gate;
+};
+
 } // namespace lavenderdale
--- /dev/null
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -0,0 +1,120 @@
+#include "upstreamwork.h"
+
+#include "telemetry/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace lavenderdale {
+namespace {
+
+namespace asio = boost::asio;
+using Command = UpstreamCommand;
+
+// A rollback takes no slot of the upstream, so it is answered at once.
+constexpr std::chrono::milliseconds RollbackLimit{300};
+
+// Splits the replies to the set-up off. \returns the error of the first that
+// failed; empty if none did.
+std::string takeSetUp(std::vector<UpstreamReply> &Replies, std::size_t SetUp) {
+  const std::size_t Answered = std::min(SetUp, Replies.size());
+  std::string Error;
+  for (std::size_t Index = 0; Index < Answered && Error.empty(); ++Index)
+    if (!Replies[Index].ok())
+      Error = Replies[Index].FailureCode;
+  Replies.erase(Replies.begin(),
+                Replies.begin() + static_cast<std::ptrdiff_t>(Answered));
+  return Error;
+}
+
+} // namespace
+
+bool UpstreamWork::hasStatement() const {
+  return std::any_of(this->Commands.begin(), this->Commands.end(),
+                     [](const Command &Each) { return !Each.Id.empty(); });
+}
+
+TransactionState WorkResult::state() const {
+  if (!this->Replies.empty())
+    return this->Replies.back().State;
+  return this->Guard ? this->Guard->State : TransactionState::Open;
+}
+
+asio::awaitable<WorkResult>
+performWork(ConnectionLease &Lease, UpstreamWork Work, StatementNames &Names) {
+  WorkResult Result;
+  Result.Connected = true;
+  const std::string *Definition = Work.Definition ? &*Work.Definition : nullptr;
+  std::vector<Command> Batch =
+      Lease->Image.adopt(Work.Values, Definition, Names, Work.InTransaction);
+  const std::size_t SetUp = Batch.size();
+  for (Command &Each : Work.Commands)
+    if (Each.Type == Command::Kind::Execute && Definition)
+      Each.Name = Names.nameOf(*Definition);
+  const std::size_t Count = Work.Commands.size();
+  if (Work.Guard)
+    Batch.push_back(*Work.Guard);
+  else
+    std::move(Work.Commands.begin(), Work.Commands.end(),
+              std::back_inserter(Batch));
+  TimePoint Start = steadyNow();
+  ExchangeResult Exchange =
+      co_await Lease->exchange(std::move(Batch), Work.Deadline);
+  Result.SentAt = Exchange.SentAt;
+  Result.Lost = Exchange.Lost.has_value();
+  Result.SetUpError = takeSetUp(Exchange.Replies, SetUp);
+  if (Work.Guard) {
+    if (!Exchange.Replies.empty())
+      Result.Guard = std::move(Exchange.Replies.front());
+    const bool Goes = !Result.Lost && Result.SetUpError.empty() &&
+                      Result.Guard && Result.Guard->ok() && Count > 0;
+    Exchange.Replies.clear();
+    Exchange.Sent = false;
+    if (Goes) {
+      Start = steadyNow();
+      Exchange =
+          co_await Lease->exchange(std::move(Work.Commands), Work.Deadline);
+      Result.Lost = Exchange.Lost.has_value();
+    }
+  }
+  Result.Ran = steadyNow() - Start;
+  Result.Sent = Exchange.Sent;
+  Result.Replies = std::move(Exchange.Replies);
+  if (!Result.SetUpError.empty()) {
+    // The connection is in an unknown state.
+    logWarn("event=set_up_failed upstream=" + Lease.gate()->entry().Id +
+            " error=\"" + Result.SetUpError + "\"");
+    Lease->close();
+    co_return Result;
+  }
+  for (const UpstreamReply &Each : Result.Replies)
+    if (Each.Failure == UpstreamFailure::UnknownStatement && Definition)
+      Lease->Image.forgetPrepared(Names.nameOf(*Definition));
+  if (!Result.Lost && Result.state() == TransactionState::None)
+    Lease.keep();
+  co_return Result;
+}
+
+void rollBackAndKeep(const asio::any_io_executor &Executor,
+                     ConnectionLease Lease) {
+  if (!Lease || !Lease->isOpen())
+    return;
+  asio::co_spawn(
+      Executor,
+      [](ConnectionLease Ending) -> asio::awaitable<void> {
+        std::vector<Command> Commands(1);
+        Commands[0].Type = Command::Kind::Rollback;
+        const ExchangeResult Exchange = co_await Ending->exchange(
+            std::move(Commands), steadyNow() + RollbackLimit);
+        if (!Exchange.Lost && !Exchange.Replies.empty() &&
+            Exchange.Replies.front().State == TransactionState::None)
+          Ending.keep();
+      }(std::move(Lease)),
+      asio::detached);
+}
+
+} // namespace lavenderdale
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -1,5 +1,6 @@
 """Hosts of the session proxy as real processes, and callers that speak to
 them."""
+import contextlib
 import itertools
 import os
 import signal
@@ -62,7 +63,9 @@
                 return lines
 
     def close(self):
-        self.stream.close()
+        # What could not be sent to a daemon that has ended is dropped.
+        with contextlib.suppress(OSError):
+            self.stream.close()
         self.socket.close()
 
 
--- a/tests/process/test_sessions.py
+++ b/tests/process/test_sessions.py
@@ -5,7 +5,7 @@
 import unittest
 
 from cluster import PATIENCE_S, wait_until
-from sessionfleet import CLOSED_PORT, Host, SessionFleet
+from sessionfleet import CLOSED_PORT, IDS, Host, SessionFleet
 
 
 class Sessions(unittest.TestCase):
@@ -195,6 +195,41 @@
         self.assert_served(answers[0], ["x"])
         self.assertEqual(self.fleet.hosts[0].process.wait(PATIENCE_S), 0)
 
+    def test_a_planned_stop_answers_every_statement_that_ran(self):
+        """Guards against a session that is closed as idle at the moment at
+        which a statement of its caller has been read."""
+        self.assert_served(self.fleet.caller("desk").query("WRITE item x"))
+        unanswered = []
+
+        def ask():
+            # Statements that wait in the daemon's buffer are read at once; those
+            # that it answers itself keep it busy.
+            caller = self.fleet.caller("stock")
+            waiting = []
+            answered = True
+            while answered:
+                try:
+                    while len(waiting) < 60:
+                        waiting.append(f"p{next(IDS)}")
+                        text = "SET clerk 7" if len(waiting) % 4 else "READ item"
+                        caller.send(f"QUERY {waiting[-1]} {text}")
+                    while (line := caller.line()) and not line.startswith("READY"):
+                        pass
+                    answered = bool(line)
+                except OSError:
+                    answered = False
+                if answered:
+                    waiting.pop(0)
+            unanswered.extend(waiting)
+        threads = [threading.Thread(target=ask) for _ in range(40)]
+        for thread in threads:
+            thread.start()
+        self.fleet.terminate()
+        for thread in threads:
+            thread.join(PATIENCE_S)
+        ran = {run.id for run in self.fleet.runs()}
+        self.assertEqual([each for each in unanswered if each in ran], [])
+
     def test_a_failed_statement_is_found_in_the_log_by_its_id(self):
         caller = self.fleet.caller("desk")
         self.assert_served(caller.query("WRITE item x"))
