Count a workspace's rate at one host of a large fleet; fewer, shorter messages

Reports of 3 to 4 KB went to 68 hosts in one burst, which overflows a 10 Mbit/s link: the hosts late in the order heard nobody, chose other holders and opened connections of their own (14,585 over the limit). Each host's two watches and one call for each upstream that announces itself cost 4,300 store calls.

- Beyond 12 hosts, one of them, chosen like a holder, counts a workspace's operations (RelayRequest Spend); the part of hosts that it cannot reach is left out.
While it does not answer, a host admits 0.3 of its equal part.
- Reports are arrays with whole tenths, without the demands in large fleets, and go out in parts spread over the interval.
- Watches of the store wait longer in larger fleets (storePace); a catalogue is confirmed by reports of others too.

Ruled out: a smaller least demand in SharedRate, whose parts would then exceed the limit for two report intervals when a workspace turns hot.

Small fleets keep the division of rates by demand.

--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -19,6 +19,8 @@
 } // namespace
 
 void SharedRate::setLimits(double NewRate, double NewBurst) {
+  if (NewRate == this->Rate && NewBurst == this->Burst)
+    return;
   this->Rate = NewRate;
   this->Burst = NewBurst;
   this->DividedIn = -1;
--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -251,9 +251,10 @@
 
 // Key, route and rate are checked once for each operation: a single statement
 // or a whole transaction.
-Result<void> CallerSession::admitOperation() {
-  BOOST_OUTCOME_TRY(this->checkAccess());
-  return this->State.admitOperation(this->Workspace, BootClock::now());
+asio::awaitable<Result<void>> CallerSession::admitOperation() {
+  if (const Result<void> Allowed = this->checkAccess(); !Allowed)
+    co_return Allowed.error();
+  co_return co_await this->State.admitOperation(this->Workspace);
 }
 
 asio::awaitable<void> CallerSession::begin(const Statement &Request,
@@ -264,7 +265,8 @@
         Request, Out);
     co_return;
   }
-  if (const Result<void> Admitted = this->admitOperation(); !Admitted) {
+  const Result<void> Admitted = co_await this->admitOperation();
+  if (!Admitted) {
     this->answerError(Admitted.error(), Request, Out);
     co_return;
   }
@@ -324,11 +326,13 @@
     }
     Writes = Prepared->Writes;
   }
-  if (!this->Session.inTransaction())
-    if (const Result<void> Admitted = this->admitOperation(); !Admitted) {
+  if (!this->Session.inTransaction()) {
+    const Result<void> Admitted = co_await this->admitOperation();
+    if (!Admitted) {
       this->answerError(Admitted.error(), Request, Out);
       co_return;
     }
+  }
   co_await this->forward(Request, Prepared, Writes, Out);
 }
 
--- a/src/libs/sessionproxy/callersession.h
+++ b/src/libs/sessionproxy/callersession.h
@@ -70,7 +70,7 @@
   boost::asio::awaitable<void> forward(const Statement &Request,
                                        const PreparedStatement *Prepared,
                                        bool Writes, std::string &Out);
-  Result<void> admitOperation();
+  boost::asio::awaitable<Result<void>> admitOperation();
   Result<void> checkAccess();
   void answerError(const Error &Failure, const Statement &Request,
                    std::string &Out);
--- a/src/libs/sessionproxy/fleetlink.cpp
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -54,7 +54,7 @@
 
 void FleetLink::leave() {
   this->Leaving = true;
-  this->sendReports();
+  this->sendReports(0, 1);
 }
 
 asio::awaitable<void> FleetLink::receive() {
@@ -87,19 +87,26 @@
 asio::awaitable<void> FleetLink::sendLoop() {
   const std::shared_ptr<FleetLink> Keep = this->shared_from_this();
   while (!this->Stopped) {
-    this->sendReports();
-    this->State.applyFleet();
-    co_await sleepUntil(steadyNow() +
-                        reportInterval(this->State.fleet().hosts().size() + 1));
+    const std::size_t Hosts = this->State.fleet().hosts().size() + 1;
+    const std::size_t Parts = reportParts(Hosts);
+    const Duration Pause = Duration(reportInterval(Hosts)) / Parts;
+    for (std::size_t Part = 0; Part < Parts && !this->Stopped; ++Part) {
+      this->sendReports(Part, Parts);
+      this->State.applyFleet();
+      co_await sleepUntil(steadyNow() + Pause);
+    }
   }
 }
 
-void FleetLink::sendReports() {
+void FleetLink::sendReports(std::size_t Part, std::size_t Parts) {
   HostReport Report = this->State.report(BootClock::now(), this->Leaving);
   Report.Address = toString(this->Reports);
   Report.Internal = toString(this->Internal);
   const std::string Bytes = encodeReport(Report);
+  std::size_t Index = 0;
   for (const auto &[Name, Host] : this->State.fleet().hosts()) {
+    if (Index++ % Parts != Part)
+      continue;
     error_code Failure;
     const auto Address = asio::ip::make_address(Host.Address.Address, Failure);
     if (Failure)
--- a/src/libs/sessionproxy/fleetlink.h
+++ b/src/libs/sessionproxy/fleetlink.h
@@ -39,7 +39,8 @@
 private:
   boost::asio::awaitable<void> receive();
   boost::asio::awaitable<void> sendLoop();
-  void sendReports();
+  /// Sends the report to every host of part \p Part of \p Parts.
+  void sendReports(std::size_t Part, std::size_t Parts);
   void considerFetch(const HostReport &Report);
   boost::asio::awaitable<void> fetch(Endpoint From);
 
--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -3,17 +3,48 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 
 namespace lavenderdale {
 
-// The macros define the conversions of the JSON library for these types.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupReport, Group, Primary, ProvenAgeMs,
-                                   Suspects, Ordered)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandReport, Workspace, Demand, Used)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostReport, Format, Host, FailureDomain,
-                                   Address, Internal, StartedAt, Sequence,
-                                   CatalogueVersion, Leaving, Groups, Demands)
+namespace {
+
+using Json = nlohmann::json;
+
+// Numbers are sent as whole tenths, which are two to three bytes long.
+constexpr double Tenths = 10;
+
+// Arrays instead of objects: member names would be most of a report.
+
+Json encode(const GroupReport &Report) {
+  return Json::array(
+      {Report.Group, Report.ProvenAgeMs, Report.Suspects, Report.Ordered});
+}
+
+Json encode(const DemandReport &Report) {
+  return Json::array({Report.Workspace, std::lround(Report.Demand * Tenths),
+                      std::lround(std::ceil(Report.Used * Tenths))});
+}
+
+GroupReport decodeGroup(const Json &Value) {
+  GroupReport Report;
+  Value.at(0).get_to(Report.Group);
+  Value.at(1).get_to(Report.ProvenAgeMs);
+  Value.at(2).get_to(Report.Suspects);
+  Value.at(3).get_to(Report.Ordered);
+  return Report;
+}
+
+DemandReport decodeDemand(const Json &Value) {
+  DemandReport Report;
+  Value.at(0).get_to(Report.Workspace);
+  Report.Demand = Value.at(1).get<double>() / Tenths;
+  Report.Used = Value.at(2).get<double>() / Tenths;
+  return Report;
+}
+
+} // namespace
 
 std::chrono::milliseconds reportInterval(std::size_t Hosts) {
   constexpr std::chrono::milliseconds Shortest{250};
@@ -26,17 +57,48 @@
   return reportInterval(Hosts) * Intervals;
 }
 
+std::size_t reportParts(std::size_t Hosts) {
+  constexpr std::size_t HostsInOnePart = 12;
+  return 1 + Hosts / HostsInOnePart;
+}
+
 std::string encodeReport(const HostReport &Report) {
+  Json Groups = Json::array();
+  for (const GroupReport &Each : Report.Groups)
+    Groups.push_back(encode(Each));
+  Json Demands = Json::array();
+  for (const DemandReport &Each : Report.Demands)
+    Demands.push_back(encode(Each));
+  const Json Message =
+      Json::array({Report.Format, Report.Host, Report.FailureDomain,
+                   Report.Address, Report.Internal, Report.StartedAt,
+                   Report.Sequence, Report.CatalogueVersion,
+                   Report.CatalogueAgeMs, Report.Leaving, Groups, Demands});
   std::string Bytes;
-  nlohmann::json::to_cbor(nlohmann::json(Report), Bytes);
+  Json::to_cbor(Message, Bytes);
   return Bytes;
 }
 
 Result<HostReport> decodeReport(std::string_view Bytes) {
   try {
-    HostReport Report = nlohmann::json::from_cbor(Bytes).get<HostReport>();
+    const Json Message = Json::from_cbor(Bytes);
+    HostReport Report;
+    Message.at(0).get_to(Report.Format);
+    Message.at(1).get_to(Report.Host);
     if (Report.Format != HostReport::CurrentFormat || Report.Host.empty())
       return failure(ErrorKind::BadRequest, "a report of another format");
+    Message.at(2).get_to(Report.FailureDomain);
+    Message.at(3).get_to(Report.Address);
+    Message.at(4).get_to(Report.Internal);
+    Message.at(5).get_to(Report.StartedAt);
+    Message.at(6).get_to(Report.Sequence);
+    Message.at(7).get_to(Report.CatalogueVersion);
+    Message.at(8).get_to(Report.CatalogueAgeMs);
+    Message.at(9).get_to(Report.Leaving);
+    for (const Json &Each : Message.at(10))
+      Report.Groups.push_back(decodeGroup(Each));
+    for (const Json &Each : Message.at(11))
+      Report.Demands.push_back(decodeDemand(Each));
     return Report;
   } catch (const std::exception &Failure) {
     return failure(ErrorKind::BadRequest, Failure.what());
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -14,7 +14,6 @@
 /// What a host reports of one group.
 struct GroupReport {
   std::string Group;
-  std::string Primary; ///< The member that led last; empty if unknown.
   std::int64_t ProvenAgeMs = -1; ///< Age of the last proof; -1 without one.
   bool Suspects = false;
   std::string Ordered; ///< Member whose promotion this host ordered lately.
@@ -29,7 +28,7 @@
 
 /// The message that hosts send each other at intervals.
 struct HostReport {
-  static constexpr std::uint32_t CurrentFormat = 2;
+  static constexpr std::uint32_t CurrentFormat = 3;
 
   std::uint32_t Format = CurrentFormat;
   std::string Host;
@@ -40,6 +39,8 @@
   std::uint64_t StartedAt = 0; ///< Milliseconds; tells processes apart.
   std::uint64_t Sequence = 0;
   std::uint64_t CatalogueVersion = 0;
+  /// Since the store last confirmed that version; -1 if it never did.
+  std::int64_t CatalogueAgeMs = -1;
   bool Leaving = false;
   std::vector<GroupReport> Groups;
   std::vector<DemandReport> Demands;
@@ -51,6 +52,11 @@
 /// at most about fifty reports a second.
 std::chrono::milliseconds reportInterval(std::size_t Hosts);
 
+/// Number of parts in which a host sends its report to the others, spread over
+/// the interval: one burst to a large fleet overflows a slow link, which then
+/// loses the reports to the same hosts each time.
+std::size_t reportParts(std::size_t Hosts);
+
 /// Age beyond which a host's last report counts as silence: five intervals.
 std::chrono::milliseconds reportLifetime(std::size_t Hosts);
 
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -14,6 +14,9 @@
 // or two.
 constexpr std::chrono::milliseconds OrderReported{3000};
 
+// Allowance for the time that a report takes, on a link that is busy.
+constexpr std::chrono::milliseconds ReportTransit{200};
+
 } // namespace
 
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
@@ -98,6 +101,7 @@
   const BootTime Now = BootClock::now();
   if (!this->Fleet.heard(Report, Now))
     return;
+  this->confirmFrom(Report, Now);
   // A workspace that the host has nothing to tell of is left out.
   std::map<std::string, SharedRate::Report> Told;
   for (const DemandReport &Each : Report.Demands)
@@ -118,6 +122,16 @@
   this->Access.heard(Report.Host, steadyNow());
 }
 
+// In a small fleet each host asks the store often enough itself.
+void ProxyState::confirmFrom(const HostReport &Report, BootTime Now) {
+  if (this->Fleet.size(Now) <= HostsSharingRates || Report.CatalogueAgeMs < 0 ||
+      !this->Catalogue || Report.CatalogueVersion != this->Catalogue->Version)
+    return;
+  const TimePoint At = steadyNow() - ReportTransit -
+                       std::chrono::milliseconds(Report.CatalogueAgeMs);
+  this->ConfirmedAt = std::max(this->ConfirmedAt.value_or(At), At);
+}
+
 bool ProxyState::loaded() const {
   return this->Catalogue && this->Directory.size() > 0;
 }
@@ -148,17 +162,73 @@
                  "the key is not known");
 }
 
-Result<void> ProxyState::admitOperation(const std::string &Workspace,
-                                        BootTime Now) {
+boost::asio::awaitable<Result<void>>
+ProxyState::admitOperation(std::string Workspace) {
+  if (this->Fleet.size(BootClock::now()) <= HostsSharingRates)
+    co_return this->admitWithShares(Workspace, BootClock::now());
+  const std::string Owner = this->Access.rateOwner(Workspace, steadyNow());
+  Result<void> Admitted = success();
+  if (Owner == this->Identity.Host) {
+    Admitted = this->admitAsOwner(Workspace, BootClock::now());
+  } else {
+    const std::optional<std::string> Refusal =
+        co_await this->Access.spend(Owner, Workspace);
+    if (!Refusal)
+      Admitted = this->admitWithoutOwner(Workspace, BootClock::now());
+    else if (!Refusal->empty())
+      Admitted = failure(ErrorKind::RateLimited, *Refusal);
+  }
+  if (Admitted)
+    this->Metrics.Operations.add();
+  co_return Admitted;
+}
+
+Result<void> ProxyState::admitWithShares(const std::string &Workspace,
+                                         BootTime Now) {
   const auto Found = this->Rates.find(Workspace);
   if (Found == this->Rates.end())
     return success();
   const std::size_t Hosts = this->Fleet.size(Now);
-  if (Found->second.admit(Hosts, Now)) {
-    this->Metrics.Operations.add();
+  if (!Found->second.admit(Hosts, Now))
+    return rateLimited(Found->second, Hosts, Now);
+  this->Metrics.Operations.add();
+  return success();
+}
+
+// Hosts that cannot be asked may be cut off with an owner of their own, so
+// their part of the limit is left to it.
+Result<void> ProxyState::admitAsOwner(const std::string &Workspace,
+                                      BootTime Now) {
+  if (!this->Catalogue)
     return success();
-  }
-  const SharedRate &Rate = Found->second;
+  const auto Declared = this->Catalogue->Workspaces.find(Workspace);
+  if (Declared == this->Catalogue->Workspaces.end())
+    return success();
+  const auto Present = static_cast<double>(this->Access.liveHosts());
+  const auto Known = static_cast<double>(this->Fleet.size(Now));
+  const double Part = std::min(1.0, Present / std::max(Known, 1.0));
+  SharedRate &Rate = this->OwnedRates.try_emplace(Workspace, Now).first->second;
+  Rate.setLimits(Declared->second.Rate * Part, Declared->second.Burst * Part);
+  return Rate.admit(1, Now) ? success()
+                            : Result<void>(rateLimited(Rate, 1, Now));
+}
+
+Result<void> ProxyState::admitWithoutOwner(const std::string &Workspace,
+                                           BootTime Now) {
+  const auto Found = this->Rates.find(Workspace);
+  if (Found == this->Rates.end())
+    return success();
+  SharedRate &Rate = Found->second;
+  const std::size_t Hosts = this->Fleet.size(Now);
+  const double Share =
+      Rate.limit() * PartWithoutOwner / static_cast<double>(Hosts);
+  if (Rate.used(Hosts, Now) + 1 <= Share && Rate.admit(Hosts, Now))
+    return success();
+  return rateLimited(Rate, Hosts, Now);
+}
+
+Error ProxyState::rateLimited(const SharedRate &Rate, std::size_t Hosts,
+                              BootTime Now) {
   return failure(
       ErrorKind::RateLimited,
       "retry-after-ms=" + std::to_string(Rate.retryAfter(Now).count()) +
@@ -191,9 +261,16 @@
   Report.StartedAt = this->Identity.StartedAt;
   Report.Sequence = ++this->Sequence;
   Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
+  if (this->ConfirmedAt)
+    Report.CatalogueAgeMs = std::chrono::ceil<std::chrono::milliseconds>(
+                                steadyNow() - *this->ConfirmedAt)
+                                .count();
   Report.Leaving = Leaving;
   const std::size_t Hosts = this->Fleet.size(Now);
+  const bool Shares = Hosts <= HostsSharingRates;
   for (const auto &[Name, Rate] : this->Rates) {
+    if (!Shares)
+      break;
     const double Demand = Rate.demand(Now);
     const double Used = Rate.used(Hosts, Now);
     if (Demand >= LeastDemand || Used > 0)
@@ -203,7 +280,6 @@
   for (const auto &[Name, Group] : this->Groups) {
     GroupReport Each;
     Each.Group = Name;
-    Each.Primary = Group->tracker().lastPrimary().value_or("");
     if (const std::optional<Duration> Age = Group->tracker().provenAge(Steady))
       Each.ProvenAgeMs =
           std::chrono::duration_cast<std::chrono::milliseconds>(*Age).count();
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -11,6 +11,7 @@
 #include "upstreamdirectory.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,14 @@
   /// Beyond this age of the last confirmation, a missing name or key may be
   /// one that was added since. Catalogues are in force within 3 s.
   static constexpr std::chrono::milliseconds CatalogueConfirmation{3500};
+  /// Beyond this number of hosts, one of them counts the operations of a
+  /// workspace. A host then has so few of them that its part of the rate is
+  /// less than one, and reports come too seldom to shift parts in time.
+  static constexpr std::size_t HostsSharingRates = 12;
+  /// Part of its share of the limit that a host admits while the owner of a
+  /// rate does not answer. The owner may still grant the whole limit to
+  /// others, of which rules allow a tenth more.
+  static constexpr double PartWithoutOwner = 0.3;
 
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity);
@@ -60,7 +69,11 @@
                                    TimePoint Now) const;
 
   /// Counts an operation against its workspace's rate. Errors: RateLimited.
-  Result<void> admitOperation(const std::string &Workspace, BootTime Now);
+  boost::asio::awaitable<Result<void>> admitOperation(std::string Workspace);
+
+  /// Counts an operation of any host, as the owner of the workspace's rate in
+  /// a large fleet. Errors: RateLimited.
+  Result<void> admitAsOwner(const std::string &Workspace, BootTime Now);
 
   /// Returns the connections of this host to \p Upstream, or nullptr.
   std::shared_ptr<UpstreamGate> findGate(const std::string &Upstream) const;
@@ -98,6 +111,11 @@
   };
 
   bool confirmed(TimePoint Now) const;
+  void confirmFrom(const HostReport &Report, BootTime Now);
+  Result<void> admitWithShares(const std::string &Workspace, BootTime Now);
+  Result<void> admitWithoutOwner(const std::string &Workspace, BootTime Now);
+  static Error rateLimited(const SharedRate &Rate, std::size_t Hosts,
+                           BootTime Now);
   void applyConnectionLimits();
 
   boost::asio::any_io_executor Executor;
@@ -111,6 +129,7 @@
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
+  std::map<std::string, SharedRate> OwnedRates; ///< Of this host as the owner.
   FleetView Fleet;
   std::size_t ShareHosts = 0;
   std::map<std::string, Order> Orders;
--- a/src/libs/sessionproxy/relaymessages.cpp
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -157,8 +157,8 @@
 }
 
 std::string encodeRelay(const RelayAnswer &Answer) {
-  return withHeader(Json::array(
-      {Answer.Id, Answer.Held, Answer.Load, encode(Answer.Result)}));
+  return withHeader(Json::array({Answer.Id, Answer.Held, Answer.Refusal,
+                                 Answer.Load, encode(Answer.Result)}));
 }
 
 Result<std::size_t> relayLength(std::string_view Header) {
@@ -174,7 +174,7 @@
 Result<RelayRequest> decodeRelayRequest(std::string_view Bytes) {
   return decode<RelayRequest>(Bytes, [](const Json &Value) {
     RelayRequest Request;
-    Request.Type = decodeEnum(Value.at(0), RelayRequest::Kind::Ping);
+    Request.Type = decodeEnum(Value.at(0), RelayRequest::Kind::Spend);
     Value.at(1).get_to(Request.Id);
     Value.at(2).get_to(Request.Upstream);
     Value.at(3).get_to(Request.Workspace);
@@ -194,8 +194,9 @@
     RelayAnswer Answer;
     Value.at(0).get_to(Answer.Id);
     Value.at(1).get_to(Answer.Held);
-    Value.at(2).get_to(Answer.Load);
-    Answer.Result = decodeResult(Value.at(3));
+    Value.at(2).get_to(Answer.Refusal);
+    Value.at(3).get_to(Answer.Load);
+    Answer.Result = decodeResult(Value.at(4));
     return Answer;
   });
 }
--- a/src/libs/sessionproxy/relaymessages.h
+++ b/src/libs/sessionproxy/relaymessages.h
@@ -17,6 +17,7 @@
     Cancel,  ///< Stop waiting for a connection for request Id; no answer.
     Release, ///< The held connection Held is not needed; no answer.
     Ping,    ///< Answered at once by an empty RelayAnswer.
+    Spend,   ///< Count an operation of Workspace, whose rate the other owns.
   };
 
   Kind Type = Kind::Run;
@@ -38,6 +39,8 @@
 struct RelayAnswer {
   std::uint64_t Id = 0;
   std::uint64_t Held = 0; ///< The connection that is kept for the sender.
+  /// To Spend: why the operation is outside of the rate; empty if it is inside.
+  std::string Refusal;
   /// Statements of all hosts that run or wait at the upstream.
   std::size_t Load = 0;
   WorkResult Result; ///< Without SentAt, which the asking host knows.
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -125,6 +125,16 @@
     this->queue(encodeRelay(Alive));
     return;
   }
+  case RelayRequest::Kind::Spend: {
+    RelayAnswer Answer;
+    Answer.Id = Request.Id;
+    const Result<void> Admitted =
+        this->Owner.State.admitAsOwner(Request.Workspace, BootClock::now());
+    if (!Admitted)
+      Answer.Refusal = Admitted.error().Detail;
+    this->queue(encodeRelay(Answer));
+    return;
+  }
   }
 }
 
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -28,18 +28,17 @@
 void StoreFollower::start() {
   const Subject Catalogue{Collection::Catalogue,
                           "catalogue",
-                          CatalogueWait,
+                          &StorePace::CatalogueWait,
+                          false,
                           &StoreFollower::takeCatalogue,
                           &StoreFollower::takeCatalogue,
                           &StoreFollower::confirmCatalogue,
                           &StoreFollower::nothing};
-  const Subject Upstreams{Collection::Upstreams,
-                          "upstreams",
-                          UpstreamWait,
-                          &StoreFollower::listUpstreams,
-                          &StoreFollower::changeUpstreams,
-                          &StoreFollower::nothing,
-                          &StoreFollower::upstreamsAway};
+  const Subject Upstreams{
+      Collection::Upstreams,         "upstreams",
+      &StorePace::UpstreamWait,      true,
+      &StoreFollower::listUpstreams, &StoreFollower::changeUpstreams,
+      &StoreFollower::nothing,       &StoreFollower::upstreamsAway};
   asio::co_spawn(this->Executor, this->follow(Catalogue), asio::detached);
   asio::co_spawn(this->Executor, this->follow(Upstreams), asio::detached);
   asio::co_spawn(this->Executor, this->keepRegistered(), asio::detached);
@@ -54,6 +53,10 @@
   co_await sleepUntil(steadyNow() + Pause);
 }
 
+StorePace StoreFollower::pace() const {
+  return storePace(this->State.fleet().size(BootClock::now()));
+}
+
 StoreFollower::Task<void> StoreFollower::follow(Subject What) {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   std::chrono::milliseconds Pause = FirstPause;
@@ -88,8 +91,8 @@
   std::chrono::milliseconds Pause = FirstPause;
   bool Lost = false;
   while (!this->Stopped) {
-    const Result<StoredObjects> Changes =
-        co_await this->Store.watch(What.From, Revision, What.Wait);
+    const Result<StoredObjects> Changes = co_await this->Store.watch(
+        What.From, Revision, this->pace().*What.Wait);
     if (Changes) {
       if (std::exchange(Lost, false)) {
         (this->*What.Away)();
@@ -98,8 +101,11 @@
       Pause = FirstPause;
       Revision = std::max(Revision, Changes.value().AtRevision);
       (this->*What.Answered)();
-      if (!Changes.value().Objects.empty())
-        (this->*What.Changed)(Changes.value());
+      if (Changes.value().Objects.empty())
+        continue;
+      (this->*What.Changed)(Changes.value());
+      if (What.PausesAfterChange)
+        co_await sleepUntil(steadyNow() + this->pace().ChangePause);
       continue;
     }
     if (Changes.error().Kind == ErrorKind::VersionConflict) {
--- a/src/libs/sessionproxy/storefollower.h
+++ b/src/libs/sessionproxy/storefollower.h
@@ -3,6 +3,7 @@
 #include "objectstore.h"
 #include "proxystate.h"
 #include "recorddecoder.h"
+#include "storepace.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -19,11 +20,6 @@
 /// limited, so failed ones are repeated after growing pauses.
 class StoreFollower : public std::enable_shared_from_this<StoreFollower> {
 public:
-  /// A watch that went silent delays a catalogue by at most this time, which
-  /// has to stay below the time in which catalogues are to be in force.
-  static constexpr std::chrono::milliseconds CatalogueWait{2600};
-  /// Upstreams that leave serve on for several seconds.
-  static constexpr std::chrono::milliseconds UpstreamWait{4500};
   static constexpr std::chrono::milliseconds CallLimit{900};
   static constexpr std::chrono::milliseconds FirstPause{100};
   static constexpr std::chrono::milliseconds LastPause{1200};
@@ -47,7 +43,8 @@
   struct Subject {
     Collection From = Collection::Catalogue;
     const char *Name = "";
-    std::chrono::milliseconds Wait{};
+    std::chrono::milliseconds StorePace::*Wait = nullptr;
+    bool PausesAfterChange = false;
     void (StoreFollower::*Listed)(const StoredObjects &) = nullptr;
     void (StoreFollower::*Changed)(const StoredObjects &) = nullptr;
     void (StoreFollower::*Answered)() = nullptr;
@@ -57,6 +54,7 @@
   Task<void> follow(Subject What);
   Task<bool> watchUntilLost(const Subject &What, std::uint64_t Revision);
   Task<void> pause(std::chrono::milliseconds &Length);
+  StorePace pace() const;
 
   void takeCatalogue(const StoredObjects &Objects);
   void confirmCatalogue();
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -109,6 +109,32 @@
   co_return false;
 }
 
+std::string UpstreamAccess::rateOwner(const std::string &Workspace,
+                                      TimePoint Now) {
+  // No host is in the domain without a name, so all of them are candidates.
+  std::string Name = this->Holders.choose("rate/" + Workspace, "", Now);
+  return this->Hosts.count(Name) ? Name : this->OwnName;
+}
+
+asio::awaitable<std::optional<std::string>>
+UpstreamAccess::spend(const std::string &Owner, const std::string &Workspace) {
+  const auto Found = this->Hosts.find(Owner);
+  if (Found == this->Hosts.end())
+    co_return std::nullopt;
+  const std::shared_ptr<RelayLink> Link = Found->second.Link;
+  RelayRequest Request;
+  Request.Type = RelayRequest::Kind::Spend;
+  Request.Workspace = Workspace;
+  std::uint64_t Id = 0;
+  RelayOutcome Outcome =
+      co_await Link->run(std::move(Request), Id, steadyNow() + SpendLimit);
+  if (Outcome.Answer)
+    co_return std::move(Outcome.Answer->Refusal);
+  logInfo("event=rate_owner_silent host=" + Owner + " workspace=" + Workspace);
+  this->Holders.hostFailed(Owner, steadyNow());
+  co_return std::nullopt;
+}
+
 bool UpstreamAccess::isRemote(const UpstreamEntry &Entry, TimePoint Now) {
   return this->choose(Entry, Now) != this->OwnName;
 }
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -51,6 +51,9 @@
   /// Limit of that question; hosts answer within a few milliseconds.
   static constexpr std::chrono::milliseconds PingLimit{100};
 
+  /// Limit for counting an operation; the owner answers from its memory.
+  static constexpr std::chrono::milliseconds SpendLimit{80};
+
   UpstreamAccess(boost::asio::any_io_executor Executor, std::string OwnName,
                  std::string OwnDomain, ProxyMetrics &Metrics);
 
@@ -81,6 +84,18 @@
   /// Place of this host among the holders of the upstream, see HolderChoice.
   std::size_t rank(const UpstreamEntry &Entry);
 
+  /// The host that counts the operations of \p Workspace in a large fleet.
+  std::string rateOwner(const std::string &Workspace, TimePoint Now);
+
+  /// Asks \p Owner to count an operation of \p Workspace.
+  /// \returns why it is outside of the rate, empty if it is inside; nothing
+  ///          if the owner did not answer.
+  boost::asio::awaitable<std::optional<std::string>>
+  spend(const std::string &Owner, const std::string &Workspace);
+
+  /// Hosts that can be asked, this one included.
+  std::size_t liveHosts() const { return this->Hosts.size() + 1; }
+
   StatementNames &names() { return this->Names; }
 
 private:
--- a/tests/auto/base/tst_daemonarguments.cpp
+++ b/tests/auto/base/tst_daemonarguments.cpp
@@ -19,9 +19,9 @@
   for (std::string &Each : Words)
     Pointers.push_back(Each.data());
   Outcome Seen;
-  Seen.Read = readDaemonArguments(static_cast<int>(Pointers.size()),
-                                  Pointers.data(), "usage\n", "daemon",
-                                  Default, Seen.Exit);
+  Seen.Read =
+      readDaemonArguments(static_cast<int>(Pointers.size()), Pointers.data(),
+                          "usage\n", "daemon", Default, Seen.Exit);
   return Seen;
 }
 
--- a/tests/auto/sessionproxy/tst_fleetview.cpp
+++ b/tests/auto/sessionproxy/tst_fleetview.cpp
@@ -25,13 +25,17 @@
 
 TEST_CASE("reports survive encoding; other bytes are refused") {
   HostReport Report = reportOf("a", 7);
-  Report.Groups.push_back({"orders", "i-1", 120, true, "i-2"});
+  Report.Groups.push_back({"orders", 120, true, "i-2"});
   Report.Demands.push_back({"w", 12.5, 60});
+  Report.FailureDomain = "d1";
   const std::string Bytes = encodeReport(Report);
   const Result<HostReport> Read = decodeReport(Bytes);
   REQUIRE(Read);
   CHECK(Read.value().Groups[0].Ordered == "i-2");
   CHECK(Read.value().Demands[0].Used == 60);
+  CHECK(Read.value().Demands[0].Demand == 12.5);
+  CHECK(Read.value().Groups[0].ProvenAgeMs == 120);
+  CHECK(Read.value().FailureDomain == "d1");
   // Truncated and random datagrams must never end the process.
   for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
     CHECK_FALSE(decodeReport(std::string_view(Bytes).substr(0, Size)));
