Let a workspace go on at its new pace when its limit is lowered

Ruled out: forgetting what was admitted before, which would allow two windows. Before: the new test fails (0 of 34 admissions in two seconds); after: passes.

--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -21,9 +21,26 @@
 void SharedRate::setLimits(double NewRate, double NewBurst) {
   if (NewRate == this->Rate && NewBurst == this->Burst)
     return;
+  const double Before = this->limit();
   this->Rate = NewRate;
   this->Burst = NewBurst;
   this->DividedIn = -1;
+  if (this->limit() >= Before)
+    return;
+  const double Kept = this->limit() / Before;
+  for (Slot &Each : this->Admitted)
+    Each.Admitted *= Kept;
+  for (auto &[Host, Each] : this->Peers) {
+    Each.Last.Used *= Kept;
+    Each.UsedBefore *= Kept;
+  }
+}
+
+void SharedRate::setPart(double NewPart) {
+  if (NewPart == this->Part)
+    return;
+  this->Part = NewPart;
+  this->DividedIn = -1;
 }
 
 void SharedRate::report(const std::string &Host, const Report &Told,
@@ -47,7 +64,7 @@
 }
 
 double SharedRate::limit() const {
-  return this->Rate * Seconds(Window).count() + this->Burst;
+  return (this->Rate * Seconds(Window).count() + this->Burst) * this->Part;
 }
 
 double SharedRate::demand(BootTime Now) const {
--- a/src/libs/limits/sharedrate.h
+++ b/src/libs/limits/sharedrate.h
@@ -54,10 +54,16 @@
     this->ReportLifetime = Lifetime;
   }
 
+  /// What was admitted under a higher limit counts as the same part of the new
+  /// one, so that a workspace whose limit is lowered goes on at its new pace
+  /// instead of being refused whole until the window has passed.
   /// \param Rate operations a second over all hosts.
   /// \param Burst operations at once over all hosts.
   void setLimits(double Rate, double Burst);
 
+  /// \param Part part of the limits that may be admitted here; 1 for all.
+  void setPart(double Part);
+
   /// What another host told.
   struct Report {
     std::uint64_t StartedAt = 0; ///< Tells processes of the host apart.
@@ -113,6 +119,7 @@
 
   double Rate = 0;
   double Burst = 0;
+  double Part = 1;
   std::chrono::milliseconds ReportLifetime{1500};
   BootTime StartedAt;
   std::array<Slot, Slots> Admitted{};
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -208,7 +208,8 @@
   const auto Known = static_cast<double>(this->Fleet.size(Now));
   const double Part = std::min(1.0, Present / std::max(Known, 1.0));
   SharedRate &Rate = this->OwnedRates.try_emplace(Workspace, Now).first->second;
-  Rate.setLimits(Declared->second.Rate * Part, Declared->second.Burst * Part);
+  Rate.setLimits(Declared->second.Rate, Declared->second.Burst);
+  Rate.setPart(Part);
   return Rate.admit(1, Now) ? success()
                             : Result<void>(rateLimited(Rate, 1, Now));
 }
--- a/tests/auto/limits/tst_sharedrate.cpp
+++ b/tests/auto/limits/tst_sharedrate.cpp
@@ -178,3 +178,55 @@
   Hosts.run({60, 30, 30}, Start + 20s);
   CHECK(Fleet::sum(Hosts.Served) - Before <= static_cast<int>(bound(20, 20)));
 }
+
+// Load pattern: an operator lowers the limit of a workspace that uses all of
+// the higher one. What it was admitted before filled the new window, so that
+// all of its operations were refused for seconds.
+TEST_CASE("a workspace goes on at its new pace when its limit is lowered",
+          "[rate]") {
+  Fleet Hosts(3, 100, 100);
+  Hosts.run({60, 30, 30}, Start + 10s);
+  for (SharedRate &Each : Hosts.Rates)
+    Each.setLimits(20, 20);
+  const int Before = Fleet::sum(Hosts.Served);
+  Hosts.run({60, 30, 30}, Start + 12s);
+  // 85 % of the new rate, as for any demand above it.
+  CHECK(Fleet::sum(Hosts.Served) - Before >= 2 * 20 * 85 / 100);
+  Hosts.run({60, 30, 30}, Start + 15s);
+  CHECK(Fleet::sum(Hosts.Served) - Before <= static_cast<int>(bound(20, 20)));
+}
+
+// Load pattern: the hosts of a large fleet are cut in two, and each side has
+// an owner that counts the operations of a hot workspace.
+TEST_CASE("two owners of a cut fleet stay inside the limit together",
+          "[rate]") {
+  constexpr double Rate = 40;
+  constexpr double Burst = 40;
+  SharedRate First(Start - 10s);
+  First.setLimits(Rate, Burst);
+  std::vector<BootTime> Admissions;
+  const auto Run = [&](SharedRate &Owner, BootTime Now) {
+    if (Owner.admit(1, Now))
+      Admissions.push_back(Now);
+  };
+  BootTime Now = Start;
+  for (; Now < Start + 10s; Now += 5ms)
+    Run(First, Now);
+  First.setPart(2.0 / 3);
+  SharedRate Second(Now);
+  Second.setLimits(Rate, Burst);
+  Second.setPart(1.0 / 3);
+  for (; Now < Start + 25s; Now += 10ms) {
+    Run(First, Now);
+    Run(Second, Now);
+  }
+  std::size_t First5 = 0;
+  std::size_t Most = 0;
+  for (std::size_t Last = 0; Last < Admissions.size(); ++Last) {
+    while (Admissions[Last] - Admissions[First5] >= 5s)
+      ++First5;
+    Most = std::max(Most, Last - First5 + 1);
+  }
+  CHECK(Most <= bound(Rate, Burst));
+  CHECK(Most >= (Rate * 5 + Burst) * 85 / 100);
+}
