Pass over a holder that an upstream does not answer; fewer store calls

Two answers that stay out in a row, or one probe, now turn to the next holder for a second. Single lost answers do not: they are no fault of the path.

--- a/src/libs/placement/holderchoice.cpp
+++ b/src/libs/placement/holderchoice.cpp
@@ -17,6 +17,8 @@
                 [&](const auto &Each) { return IsGone(Each.first); });
   std::erase_if(this->PathsAvoidedUntil,
                 [&](const auto &Each) { return IsGone(Each.first.first); });
+  std::erase_if(this->Losses,
+                [&](const auto &Each) { return IsGone(Each.first.first); });
 }
 
 const std::vector<std::string> &
@@ -69,6 +71,22 @@
   this->PathsAvoidedUntil[{Host, Upstream}] = Now + AvoidAfterFailure;
 }
 
+void HolderChoice::answersLost(const std::string &Host,
+                               const std::string &Upstream, unsigned Answers,
+                               TimePoint Now) {
+  unsigned &Count = this->Losses[{Host, Upstream}];
+  Count += Answers;
+  if (Count < LossesOfFailedPath)
+    return;
+  Count = 0;
+  this->pathFailed(Host, Upstream, Now);
+}
+
+void HolderChoice::pathAnswered(const std::string &Host,
+                                const std::string &Upstream) {
+  this->Losses.erase({Host, Upstream});
+}
+
 void HolderChoice::hostAnswered(const std::string &Host) {
   this->HostsAvoidedUntil.erase(Host);
 }
--- a/src/libs/placement/holderchoice.h
+++ b/src/libs/placement/holderchoice.h
@@ -25,6 +25,9 @@
   /// A host through which an upstream could not be reached is passed over for
   /// this long; about the time in which reports tell of a host that is gone.
   static constexpr std::chrono::milliseconds AvoidAfterFailure{1000};
+  /// Answers in a row that an upstream has to leave out before its path counts
+  /// as failed; single ones are lost without any fault of the path.
+  static constexpr unsigned LossesOfFailedPath = 2;
 
   explicit HolderChoice(std::string Self) : Self(std::move(Self)) {}
 
@@ -48,6 +51,12 @@
   /// The host answered.
   void hostAnswered(const std::string &Host);
 
+  /// \p Upstream left \p Answers answers out that \p Host waited for.
+  void answersLost(const std::string &Host, const std::string &Upstream,
+                   unsigned Answers, TimePoint Now);
+  /// \p Upstream answered over \p Host.
+  void pathAnswered(const std::string &Host, const std::string &Upstream);
+
 private:
   const std::vector<std::string> &holders(const std::string &Upstream,
                                           const std::string &FailureDomain);
@@ -58,7 +67,9 @@
   std::vector<PlacementHost> Live;
   std::map<std::string, std::vector<std::string>> Holders; ///< By upstream.
   std::map<std::string, TimePoint> HostsAvoidedUntil;
-  std::map<std::pair<std::string, std::string>, TimePoint> PathsAvoidedUntil;
+  using Path = std::pair<std::string, std::string>; ///< Host and upstream.
+  std::map<Path, TimePoint> PathsAvoidedUntil;
+  std::map<Path, unsigned> Losses; ///< In a row.
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -197,7 +197,7 @@
     co_await this->listHosts(Freshness);
     Freshness = ListFreshness::MayBeStale;
     co_await this->removeGoneHosts();
-    co_await sleepUntil(steadyNow() + HostInterval);
+    co_await sleepUntil(steadyNow() + this->pace().HostInterval);
   }
 }
 
--- a/src/libs/sessionproxy/storefollower.h
+++ b/src/libs/sessionproxy/storefollower.h
@@ -23,8 +23,6 @@
   static constexpr std::chrono::milliseconds CallLimit{900};
   static constexpr std::chrono::milliseconds FirstPause{100};
   static constexpr std::chrono::milliseconds LastPause{1200};
-  /// Hosts that start are also heard of by their reports.
-  static constexpr std::chrono::milliseconds HostInterval{5000};
 
   StoreFollower(boost::asio::any_io_executor Executor, ObjectStore &Store,
                 ProxyState &State, const RecordDecoder &Decoder,
--- a/src/libs/sessionproxy/storepace.h
+++ b/src/libs/sessionproxy/storepace.h
@@ -19,6 +19,9 @@
   /// Pause after a change of an upstream, so that one call brings several:
   /// all upstreams announce themselves within seconds at a start.
   std::chrono::milliseconds ChangePause{};
+  /// Between lists of the registered hosts, which are also heard of by their
+  /// reports.
+  std::chrono::milliseconds HostInterval{};
 };
 
 StorePace storePace(std::size_t Hosts);
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -154,9 +154,12 @@
   }
   const std::shared_ptr<UpstreamGate> Target = Gate;
   const UseCount Use(*Target);
+  const std::string Upstream = Target->entry().Id;
+  const bool Statement = Work.hasStatement();
   WorkResult Result;
   if (Name != this->OwnName && this->Hosts.count(Name)) {
     Result = co_await this->runThere(Name, Gate, Waiter, Work, Wait, Hold);
+    this->judgePath(Name, Upstream, Result, Statement);
     // Nothing was sent to the upstream; the own connections are left.
     const bool Again =
         !Result.Connected && Result.Unreachable && steadyNow() < Waiter.GiveUp;
@@ -167,11 +170,28 @@
   Result = co_await this->runHere(std::move(Gate), std::move(Waiter),
                                   std::move(Work), Wait, Hold);
   Result.Waited += Before;
-  if (!Result.Connected && Target->unreachable())
-    this->Holders.pathFailed(this->OwnName, Target->entry().Id, steadyNow());
+  this->judgePath(this->OwnName, Upstream, Result, Statement);
   co_return Result;
 }
 
+// A probe asks for little, so one that is not answered is evidence enough.
+void UpstreamAccess::judgePath(const std::string &Host,
+                               const std::string &Upstream,
+                               const WorkResult &Result, bool Statement) {
+  const TimePoint Now = steadyNow();
+  if (Result.RelayFailed) {
+    this->Holders.hostFailed(Host, Now);
+  } else if (!Result.Connected) {
+    if (Result.Unreachable)
+      this->Holders.pathFailed(Host, Upstream, Now);
+  } else if (Result.Lost) {
+    this->Holders.answersLost(
+        Host, Upstream, Statement ? 1 : HolderChoice::LossesOfFailedPath, Now);
+  } else {
+    this->Holders.pathAnswered(Host, Upstream);
+  }
+}
+
 asio::awaitable<WorkResult>
 UpstreamAccess::runHere(std::shared_ptr<UpstreamGate> Gate, PoolWaiter Waiter,
                         UpstreamWork Work, WaitHandle &Wait,
@@ -233,7 +253,6 @@
   this->Metrics.Relayed.add();
   if (!Outcome.Answer) {
     this->Metrics.RelaysFailed.add();
-    this->Holders.hostFailed(Name, Now);
     logInfo("event=relay_failed host=" + Name + " upstream=" +
             Gate->entry().Id + " sent=" + (Outcome.Sent ? "yes" : "no") +
             " after_ms=" + std::to_string(until(Now, Start).count()));
@@ -252,7 +271,6 @@
   Result.SentAt = SentAt;
   Gate->countRemoteLoad(Outcome.Answer->Load, Now);
   if (!Result.Connected && Result.Unreachable) {
-    this->Holders.pathFailed(Name, Gate->entry().Id, Now);
     logInfo("event=relay_unreachable host=" + Name +
             " upstream=" + Gate->entry().Id);
   }
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -106,6 +106,8 @@
 
   std::string choose(const UpstreamEntry &Entry, TimePoint Now);
   boost::asio::awaitable<bool> isAlive(const std::string &Name);
+  void judgePath(const std::string &Host, const std::string &Upstream,
+                 const WorkResult &Result, bool Statement);
   boost::asio::awaitable<WorkResult>
   runHere(std::shared_ptr<UpstreamGate> Gate, PoolWaiter Waiter,
           UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold);
--- a/tests/auto/placement/tst_holderchoice.cpp
+++ b/tests/auto/placement/tst_holderchoice.cpp
@@ -93,3 +93,25 @@
   Choice.setHosts({{"b1", "b"}, {"c1", "c"}, {"c2", "c"}});
   CHECK(Choice.choose("i-1", "a", Start) == Holder);
 }
+
+// Guards against statements that stay with a holder which is cut off from the
+// primary while another reaches it, and against a change of holder for each
+// single answer that an upstream loses.
+TEST_CASE("answers that stay out in a row turn to the next holder",
+          "[answers]") {
+  HolderChoice Choice = choiceOf("c1");
+  const std::string First = Choice.choose("i-1", "a", Start);
+  for (int Turn = 0; Turn < 50; ++Turn) {
+    Choice.answersLost(First, "i-1", 1, Start);
+    CHECK(Choice.choose("i-1", "a", Start) == First);
+    Choice.pathAnswered(First, "i-1");
+  }
+  Choice.answersLost(First, "i-1", 1, Start);
+  Choice.answersLost(First, "i-1", 1, Start + 10ms);
+  CHECK(Choice.choose("i-1", "a", Start + 10ms) != First);
+  HolderChoice Holder = choiceOf(First);
+  Holder.answersLost(First, "i-1", HolderChoice::LossesOfFailedPath, Start);
+  CHECK(Holder.choose("i-1", "a", Start) != First);
+  CHECK(Holder.choose("i-1", "a",
+                      Start + HolderChoice::AvoidAfterFailure + 1ms) == First);
+}
