--- a/src/app/lavenderctl/main.cpp
+++ b/src/app/lavenderctl/main.cpp
@@ -92,8 +92,7 @@
                        Line.Platform + "\"");
   if (Line.Words.empty())
     return usageReport("no command");
-  Administrator Admin(*Platform,
-                      std::chrono::steady_clock::now() + Line.Timeout);
+  Administrator Admin(*Platform, steadyNow() + Line.Timeout);
   const std::string &Command = Line.Words[0];
   const std::size_t Size = Line.Words.size();
   if ((Command == "plan" || Command == "apply") && Size == 2)
--- a/src/libs/administration/hostconfirmation.cpp
+++ b/src/libs/administration/hostconfirmation.cpp
@@ -52,7 +52,7 @@
     co_return false;
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   while (true) {
-    const TimePoint Now = std::chrono::steady_clock::now();
+    const TimePoint Now = steadyNow();
     if (Now >= Deadline)
       co_return false;
     const TimePoint Until = std::min<TimePoint>(Now + AskTimeout, Deadline);
--- a/src/libs/failover/primarytracker.cpp
+++ b/src/libs/failover/primarytracker.cpp
@@ -42,7 +42,6 @@
     Found->second.RefusedAt = Now;
   if (!this->FailedSince)
     this->FailedSince = Now;
-  this->LastFailure = Now;
 }
 
 void PrimaryTracker::unreachable(const std::string &Id, TimePoint Now) {
@@ -51,7 +50,6 @@
     return;
   if (!this->FailedSince)
     this->FailedSince = Now;
-  this->LastFailure = Now;
 }
 
 void PrimaryTracker::promotionOrdered(const std::string &Id, TimePoint Now) {
--- a/src/libs/failover/primarytracker.h
+++ b/src/libs/failover/primarytracker.h
@@ -77,7 +77,6 @@
   Term ProvenTerm;
   std::optional<TimePoint> ProvenAt;
   std::optional<TimePoint> FailedSince; ///< First failure after the last proof.
-  TimePoint LastFailure{};
   std::size_t ProbeTurn = 0;
 };
 
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -1,8 +1,8 @@
 #include "httpclient.h"
 
+#include "resumewith.h"
+
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -27,10 +27,6 @@
 constexpr std::size_t MaxIdleConnections = 64;
 constexpr std::uint64_t MaxResponseBytes = 64ULL * 1024 * 1024;
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 struct Link {
   explicit Link(const asio::any_io_executor &Executor) : Stream(Executor) {}
 
@@ -65,8 +61,6 @@
   return Response;
 }
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 class HttpClient::Private {
@@ -96,7 +90,7 @@
     while (!this->Idle.empty()) {
       std::unique_ptr<Link> Candidate = std::move(this->Idle.back());
       this->Idle.pop_back();
-      const Duration IdleTime = now() - Candidate->IdleSince;
+      const Duration IdleTime = steadyNow() - Candidate->IdleSince;
       if (IdleTime > DropAfterIdle)
         continue;
       if (IdleTime <= CheckAfterIdle)
@@ -112,7 +106,7 @@
     HttpRequest Check;
     Check.Method = "GET";
     Check.Target = "/healthz";
-    const TimePoint Limit = std::min(Deadline, now() + CheckLimit);
+    const TimePoint Limit = std::min(Deadline, steadyNow() + CheckLimit);
     const Result<HttpResponse> Response =
         co_await this->exchange(Open, std::move(Check), Limit);
     co_return Response && !Response.value().Close;
@@ -123,7 +117,7 @@
     const auto Address = asio::ip::make_address(this->Where.Address, Failure);
     auto Open = std::make_unique<Link>(this->Executor);
     if (!Failure) {
-      Open->Stream.expires_at(std::min(Deadline, now() + ConnectLimit));
+      Open->Stream.expires_at(std::min(Deadline, steadyNow() + ConnectLimit));
       co_await Open->Stream.async_connect(
           tcp::endpoint(Address, this->Where.Port), resumeWith(Failure));
     }
@@ -137,7 +131,7 @@
 
   asio::awaitable<Result<HttpResponse>>
   exchange(Link &Open, HttpRequest Request, TimePoint Deadline) {
-    if (now() >= Deadline)
+    if (steadyNow() >= Deadline)
       co_return failure(ErrorKind::Unavailable, "the deadline has passed");
     const auto Message = makeMessage(std::move(Request), toString(this->Where));
     Open.Stream.expires_at(Deadline);
@@ -166,7 +160,7 @@
   void release(std::unique_ptr<Link> Open) {
     if (this->Idle.size() >= MaxIdleConnections)
       return;
-    Open->IdleSince = now();
+    Open->IdleSince = steadyNow();
     this->Idle.push_back(std::move(Open));
   }
 
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -1,14 +1,14 @@
 #include "httpserver.h"
 
 #include "handshakefilter.h"
+#include "listenon.h"
+#include "resumewith.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -37,10 +37,6 @@
 // Pause after accept() failed, for example for lack of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryPause{100};
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 struct Connection {
   explicit Connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
 
@@ -113,23 +109,9 @@
   }
 
   Result<Endpoint> listen(const Endpoint &Where) {
-    error_code Failure;
-    const auto Address = asio::ip::make_address(Where.Address, Failure);
-    if (Failure)
-      return failure(ErrorKind::Unavailable, "bad address " + Where.Address);
-    const tcp::endpoint Local(Address, Where.Port);
     tcp::acceptor &NewAcceptor = this->Acceptor.emplace(Workers.worker(0));
-    NewAcceptor.open(Local.protocol(), Failure);
-    if (!Failure)
-      NewAcceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
-    if (!Failure)
-      NewAcceptor.bind(Local, Failure);
-    if (!Failure)
-      NewAcceptor.listen(asio::socket_base::max_listen_connections, Failure);
-    if (Failure)
-      return failure(ErrorKind::Unavailable, "cannot listen on " +
-                                                 toString(Where) + ": " +
-                                                 Failure.message());
+    BOOST_OUTCOME_TRY(listenOn(NewAcceptor, Where,
+                               asio::socket_base::max_listen_connections));
     this->Listening = true;
     const Endpoint Bound{Where.Address, NewAcceptor.local_endpoint().port()};
     asio::co_spawn(this->Workers.worker(0),
@@ -234,7 +216,7 @@
       co_await State.SweepTimer.async_wait(resumeWith(Failure));
       if (Failure)
         co_return;
-      const TimePoint Now = std::chrono::steady_clock::now();
+      const TimePoint Now = steadyNow();
       for (Connection &Open : State.Connections)
         if (!Open.Busy && Now >= Open.Deadline)
           Open.Socket.close(Failure);
@@ -350,7 +332,7 @@
   }
 
   static TimePoint deadline(std::chrono::milliseconds FromNow) {
-    return std::chrono::steady_clock::now() + FromNow;
+    return steadyNow() + FromNow;
   }
 
   WorkerPool &Workers;
--- a/src/libs/http/sleepuntil.cpp
+++ b/src/libs/http/sleepuntil.cpp
@@ -1,9 +1,9 @@
 #include "sleepuntil.h"
 
-#include <boost/asio/redirect_error.hpp>
+#include "resumewith.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace lavenderdale {
 namespace asio = boost::asio;
@@ -12,7 +12,7 @@
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_at(When);
   boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  co_await Timer.async_wait(resumeWith(Ignored));
 }
 
 } // namespace lavenderdale
--- a/src/libs/platform/platformclient.cpp
+++ b/src/libs/platform/platformclient.cpp
@@ -146,13 +146,11 @@
 
 /// Half of the time that is left, so that an answer can be read back.
 TimePoint halfWay(TimePoint Deadline) {
-  const TimePoint Now = std::chrono::steady_clock::now();
+  const TimePoint Now = steadyNow();
   return Now + (Deadline - Now) / 2;
 }
 
-bool isOver(TimePoint Deadline) {
-  return std::chrono::steady_clock::now() + RetryPause >= Deadline;
-}
+bool isOver(TimePoint Deadline) { return steadyNow() + RetryPause >= Deadline; }
 
 bool isLost(const Error &Failure) {
   return Failure.Kind == ErrorKind::PlatformUnavailable;
@@ -233,7 +231,7 @@
                      std::optional<ObjectKind> Kind, std::uint64_t Version,
                      std::function<void(const WatchMessage &)> Handler) {
     const Result<void> Connected = co_await Connection.connect(
-        this->Endpoint, std::chrono::steady_clock::now() + WatchSilenceLimit);
+        this->Endpoint, steadyNow() + WatchSilenceLimit);
     if (!Connected)
       co_return Connected.error();
     PlatformRequest Request;
--- a/src/libs/postgres/postgresconnection.cpp
+++ b/src/libs/postgres/postgresconnection.cpp
@@ -291,7 +291,7 @@
     co_return failure(ErrorKind::Internal, "the connection is in use");
   if (Shared->Broken)
     co_return failure(ErrorKind::Unavailable, "the connection is broken");
-  if (std::chrono::steady_clock::now() >= Deadline)
+  if (steadyNow() >= Deadline)
     co_return failure(ErrorKind::DeadlineExceeded,
                       "the deadline had passed before the statement was sent");
   if (!Shared->isStillOpen()) {
--- a/src/libs/rpc/rpcclient.cpp
+++ b/src/libs/rpc/rpcclient.cpp
@@ -20,7 +20,7 @@
   Result<Json::Value> callNow(const Endpoint &Peer, const std::string &Method,
                               const Json::Value &Params, TimePoint Deadline) {
     const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Deadline - std::chrono::steady_clock::now());
+        Deadline - steadyNow());
     if (Left.count() <= 0)
       return failure(ErrorKind::Unavailable, "the deadline has passed");
     std::unique_ptr<BlockingRpcClient> Client = this->take(Peer);
--- a/src/libs/server/configurationservice.cpp
+++ b/src/libs/server/configurationservice.cpp
@@ -31,8 +31,6 @@
 constexpr milliseconds PullMargin{2000};
 constexpr milliseconds PullCheckInterval{50};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 ConfigurationObject toConfiguration(const CatalogueObject &Object,
                                     bool Deleted) {
   ConfigurationObject Converted;
@@ -92,7 +90,7 @@
              [this](const Json::Value &Params) -> Result<Json::Value> {
                const std::lock_guard Guard(this->Lock);
                return toJson(this->State.report(
-                   Params["failureDomain"].asString(), now()));
+                   Params["failureDomain"].asString(), steadyNow()));
              });
 }
 
@@ -120,12 +118,12 @@
     std::vector<ConfigurationAction> Actions;
     {
       const std::lock_guard Guard(this->Lock);
-      Actions = this->State.tick(now());
+      Actions = this->State.tick(steadyNow());
     }
     for (const ConfigurationAction &Action : Actions)
       std::visit(Performer{*this}, Action);
     this->refresh();
-    co_await sleepUntil(now() + TickInterval);
+    co_await sleepUntil(steadyNow() + TickInterval);
   }
 }
 
@@ -133,7 +131,7 @@
   while (!this->Stopped) {
     if (this->Watching) {
       Result<ObjectList> List =
-          co_await this->Platform.listAll(now() + ListLimit);
+          co_await this->Platform.listAll(steadyNow() + ListLimit);
       if (List) {
         std::vector<ConfigurationObject> Objects;
         for (const CatalogueObject &Object : List.value().Objects)
@@ -158,7 +156,7 @@
             });
       }
     }
-    co_await sleepUntil(now() + WatchPause);
+    co_await sleepUntil(steadyNow() + WatchPause);
   }
 }
 
@@ -169,7 +167,7 @@
     co_return;
   Json::Value Params(Json::objectValue);
   Params["failureDomain"] = this->Context.Config.Host.FailureDomain;
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   const auto Answer = co_await this->Context.Rpc.call(
       Peer->Peer, "configuration.version", Params, SentAt + QueryLimit);
   if (!Answer)
@@ -178,7 +176,7 @@
   if (!Report)
     co_return;
   const std::lock_guard Guard(this->Lock);
-  this->State.onVersionReport(Report.value(), SentAt, now());
+  this->State.onVersionReport(Report.value(), SentAt, steadyNow());
 }
 
 asio::awaitable<void> ConfigurationService::pull(PullConfiguration Action) {
@@ -195,7 +193,7 @@
     Request.Body = writeCompactJson(Body);
     HttpClient Client(this->Home.get_executor(), Peer->Peer);
     const Result<HttpResponse> Response = co_await Client.send(
-        std::move(Request), now() + Action.Wait + PullMargin);
+        std::move(Request), steadyNow() + Action.Wait + PullMargin);
     if (Response && Response.value().Status == 200) {
       const auto Value = parseStrictJson(Response.value().Body);
       const auto Read = Value ? pullAnswerFromJson(Value.value())
@@ -207,9 +205,9 @@
   {
     const std::lock_guard Guard(this->Lock);
     if (Answer)
-      this->State.onPullAnswer(Action.To, *Answer, now());
+      this->State.onPullAnswer(Action.To, *Answer, steadyNow());
     else
-      this->State.onPullFailed(Action.To, now());
+      this->State.onPullFailed(Action.To, steadyNow());
   }
   this->refresh();
 }
@@ -226,7 +224,7 @@
   const milliseconds WaitLimit = std::min(
       milliseconds(Wait.isUInt64() ? Wait.asInt64() : 0),
       std::chrono::duration_cast<milliseconds>(ConfigurationState::PullWait));
-  const TimePoint Until = now() + WaitLimit;
+  const TimePoint Until = steadyNow() + WaitLimit;
   while (true) {
     std::optional<PullAnswer> Answer;
     {
@@ -238,20 +236,20 @@
       Response.Body = writeCompactJson(toJson(*Answer));
       co_return Response;
     }
-    if (now() >= Until || this->Stopped)
+    if (steadyNow() >= Until || this->Stopped)
       co_return problemResponse(
           failure(ErrorKind::NotFound, "no change to pull"));
-    co_await sleepUntil(now() + PullCheckInterval);
+    co_await sleepUntil(steadyNow() + PullCheckInterval);
   }
 }
 
 asio::awaitable<void> ConfigurationService::checkPlatform() {
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   const auto Version = co_await this->Platform.version(SentAt + PlatformLimit);
   if (!Version)
     co_return;
   const std::lock_guard Guard(this->Lock);
-  this->State.onPlatformVersion(Version.value(), SentAt, now());
+  this->State.onPlatformVersion(Version.value(), SentAt, steadyNow());
 }
 
 // Bookmarks raise the version every second without a change of objects; the
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -34,8 +34,6 @@
 // Peers keep connections open for longer than their clients do.
 constexpr milliseconds PeerIdleTimeout{120000};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 Endpoint endpointOf(const IpEndpoint &Where) {
   return {Where.Address, Where.Port};
 }
@@ -174,14 +172,14 @@
   bool stop() {
     logInfo("stopping: requests in flight are answered first");
     this->Stopping = true;
-    const TimePoint Limit = now() + this->Config.Timeouts.StopLimit;
+    const TimePoint Limit = steadyNow() + this->Config.Timeouts.StopLimit;
     this->Members->leave();
     this->CallerServer.closeAfterResponses();
     std::this_thread::sleep_for(std::min(this->Config.Timeouts.StopGrace,
                                          this->Config.Timeouts.StopLimit));
     this->CallerServer.closeIdle();
     bool Ended = false;
-    while (!Ended && now() < Limit) {
+    while (!Ended && steadyNow() < Limit) {
       Ended = this->CallerServer.isDrained() &&
               this->PeerServer.requestsInFlight() == 0 &&
               this->Groups.transactions() == 0;
@@ -239,7 +237,7 @@
   // A new fleet grants no rates before its owners' handover wait is over.
   bool isReady() const {
     return !this->Stopping && this->Configuration->snapshot() != nullptr &&
-           now() >= this->ReadyFrom.load();
+           steadyNow() >= this->ReadyFrom.load();
   }
 
   std::string exposition() {
@@ -253,7 +251,7 @@
     this->Metrics
         .gauge("lavenderdale_configuration_usable_keys",
                "1 if keys are accepted on all routes")
-        .set(this->Configuration->mayServeKeyed(now()) ? 1 : 0);
+        .set(this->Configuration->mayServeKeyed(steadyNow()) ? 1 : 0);
     this->Metrics
         .gauge("lavenderdale_soft_assert_failures",
                "Internal checks that failed")
@@ -267,7 +265,7 @@
     Status["failureDomain"] = this->Config.Host.FailureDomain;
     Status["configurationVersion"] =
         Json::Value::UInt64(this->Configuration->version());
-    Status["acceptsKeys"] = this->Configuration->mayServeKeyed(now());
+    Status["acceptsKeys"] = this->Configuration->mayServeKeyed(steadyNow());
     Status["stopping"] = this->Stopping.load();
     const FleetPointer Fleet = this->Members->liveFleet();
     Status["hostSetEpoch"] = Json::Value::UInt64(Fleet->epoch());
@@ -296,7 +294,7 @@
       return;
     if (this->Members->rateFleet()->epoch() > 0 &&
         this->ReadyFrom.load() == TimePoint::max())
-      this->ReadyFrom = now() + RateReadyWait;
+      this->ReadyFrom = steadyNow() + RateReadyWait;
     this->Groups.reconcile(Snapshot, Fleet);
     this->Rates->configure(ratesOf(*Snapshot));
   }
--- a/src/libs/server/daemoncontext.cpp
+++ b/src/libs/server/daemoncontext.cpp
@@ -14,7 +14,7 @@
 
 HopSpan::HopSpan(const DaemonContext &Context, const std::string &Parent,
                  std::string Name)
-    : Context(Context), Start(std::chrono::steady_clock::now()) {
+    : Context(Context), Start(steadyNow()) {
   this->Hop.Context =
       TraceContext::accept(Parent, traceRandom(), Context.Config.Traces.Sample);
   this->Hop.Name = std::move(Name);
@@ -24,7 +24,7 @@
 HopSpan::~HopSpan() {
   if (!this->Context.Spans)
     return;
-  this->Hop.Duration = std::chrono::steady_clock::now() - this->Start;
+  this->Hop.Duration = steadyNow() - this->Start;
   this->Context.Spans->write(std::move(this->Hop));
 }
 
--- a/src/libs/server/entry.cpp
+++ b/src/libs/server/entry.cpp
@@ -19,8 +19,6 @@
 // Pause before the next round of attempts, for example during a promotion.
 constexpr milliseconds RoundPause{50};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 std::vector<std::uint8_t> bytesOfHex(const std::string &Hex) {
   std::vector<std::uint8_t> Bytes;
   for (std::size_t I = 0; I + 1 < Hex.size(); I += 2)
@@ -100,7 +98,7 @@
       RefreshView(std::move(RefreshView)) {}
 
 asio::awaitable<HttpResponse> Entry::handle(HttpRequest Request) {
-  const TimePoint Start = now();
+  const TimePoint Start = steadyNow();
   const std::string *Parent = Request.Fields.find("traceparent");
   HopSpan Hop(this->Context, Parent ? *Parent : std::string(), "entry");
   const Result<CallerRequest> Caller = readCallerRequest(Request);
@@ -119,13 +117,13 @@
       .add();
   this->Context.Metrics
       .histogram("lavenderdale_request_seconds", "Time to answer a caller")
-      .record(now() - Start);
+      .record(steadyNow() - Start);
   co_return Response;
 }
 
 asio::awaitable<HttpResponse> Entry::serve(const CallerRequest &Caller,
                                            HopSpan &Hop) {
-  const Result<Admitted> Request = this->admit(Caller, now());
+  const Result<Admitted> Request = this->admit(Caller, steadyNow());
   if (!Request) {
     this->Context.Metrics
         .counter(
@@ -210,7 +208,7 @@
         .add();
     co_return ExecutionResult::failed(Spent.error(), AttemptOutcome::NotSent);
   }
-  this->countRequest(Request.Payer->Name, now());
+  this->countRequest(Request.Payer->Name, steadyNow());
   ExecutionRequest Message =
       messageOf(Caller, *Request.Target, *Request.Payer, Request.Deadline);
   Message.Seen = Request.Session.position(Request.Target->Group);
@@ -237,7 +235,7 @@
     const bool Suffices = Planned && !Planned.value().Attempts.empty() &&
                           Planned.value().Reason != PrimaryReason::NoReplica &&
                           Planned.value().Reason != PrimaryReason::Age;
-    if (!isOutdated(*View, this->Views.doubtedAt(Group), Suffices, now()))
+    if (!isOutdated(*View, this->Views.doubtedAt(Group), Suffices, steadyNow()))
       co_return Planned;
   }
   co_await this->RefreshView(Group);
@@ -258,7 +256,7 @@
       AttemptOutcome::NotSent);
   bool Refresh = false;
   std::optional<PrimaryReason> Reason;
-  while (now() < Request.Deadline) {
+  while (steadyNow() < Request.Deadline) {
     const Result<AttemptPlan> Planned =
         co_await this->plan(Caller, Request, Refresh);
     if (!Planned)
@@ -267,7 +265,7 @@
     Refresh = true;
     Reason = Planned.value().Reason;
     for (const Attempt &Next : Planned.value().Attempts) {
-      if (now() >= Request.Deadline)
+      if (steadyNow() >= Request.Deadline)
         break;
       Message.Upstream = Next.Upstream;
       Message.Role = Next.Role;
@@ -281,7 +279,7 @@
       }
       if (Last.Answer || isFinal(Last.Failure.Reason.Kind))
         co_return Last;
-      this->Views.doubt(Message.Group, now());
+      this->Views.doubt(Message.Group, steadyNow());
       const AttemptOutcome Outcome = Last.Failure.Outcome;
       const NextStep Step = nextStep(Outcome, Mark);
       if (!isRetry(Step))
@@ -290,11 +288,11 @@
       // not sent, or was answered without effect by a replica.
       const bool Free =
           notSent(Outcome) || Outcome == AttemptOutcome::ReplicaBehind;
-      if (!Free && !this->mayRetry(Request.Payer->Name, now()))
+      if (!Free && !this->mayRetry(Request.Payer->Name, steadyNow()))
         co_return finalFailure(std::move(Last),
                                stepWithoutRetry(Outcome, Mark));
     }
-    const TimePoint Again = now() + RoundPause;
+    const TimePoint Again = steadyNow() + RoundPause;
     if (Again >= Request.Deadline)
       break;
     co_await sleepUntil(Again);
@@ -333,7 +331,7 @@
   if (Read && this->Context.Config.Experiment.Reads == "round-robin")
     InTurn.emplace(this->Turn++);
   return planAttempts({std::move(Routing), View.Primary, View.At}, Read, Places,
-                      this->Context.hostName(), now(),
+                      this->Context.hostName(), steadyNow(),
                       InTurn ? &*InTurn : nullptr);
 }
 
--- a/src/libs/server/executor.cpp
+++ b/src/libs/server/executor.cpp
@@ -18,8 +18,6 @@
 constexpr auto LogHeader = "Lavenderdale-Log";
 constexpr auto OutcomeHeader = "Lavenderdale-Attempt";
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 std::optional<std::uint64_t> numberField(const HttpResponse &Response,
                                          const char *Name) {
   const std::string *Text = Response.Fields.find(Name);
@@ -136,7 +134,7 @@
   HttpRequest Message;
   Message.Method = "POST";
   Message.Target = "/v1/forward";
-  Message.Body = writeCompactJson(Request.toJson(now()));
+  Message.Body = writeCompactJson(Request.toJson(steadyNow()));
   Result<HttpResponse> Response =
       co_await this->clientOf(Peer).send(std::move(Message), Request.Deadline);
   if (Response)
@@ -152,7 +150,7 @@
   if (!Value)
     co_return problemResponse(Value.error());
   Result<ExecutionRequest> Read =
-      ExecutionRequest::fromJson(Value.value(), now());
+      ExecutionRequest::fromJson(Value.value(), steadyNow());
   if (!Read)
     co_return problemResponse(Read.error());
   co_return responseOf(co_await this->executeHere(std::move(Read.value())));
--- a/src/libs/server/groupdirectory.cpp
+++ b/src/libs/server/groupdirectory.cpp
@@ -17,8 +17,6 @@
 constexpr std::chrono::milliseconds EvidenceLimit{400};
 constexpr std::chrono::milliseconds ViewLimit{300};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 Result<TermStatus> termStatusOf(const GroupStatus &Stored,
@@ -89,7 +87,7 @@
         PublishedGroupView Current = *View;
         for (UpstreamView &Member : Current.Routing.Upstreams)
           if (Member.Age)
-            *Member.Age += now() - View->At;
+            *Member.Age += steadyNow() - View->At;
         return Current.toJson();
       });
 }
@@ -186,7 +184,7 @@
   Json::Value Params(Json::objectValue);
   Params["group"] = Group;
   Params["term"] = Json::Value::UInt64(Current.Value);
-  const TimePoint AskedAt = now();
+  const TimePoint AskedAt = steadyNow();
   const auto Answer = co_await this->Context.Rpc.call(
       Peer->Peer, "group.evidence", Params, AskedAt + EvidenceLimit);
   if (!Answer || !Answer.value()["suspects"].isBool())
@@ -220,7 +218,7 @@
         .counter("lavenderdale_view_calls_total",
                  "Calls to watchers for their view of a group")
         .add();
-    const TimePoint AskedAt = now();
+    const TimePoint AskedAt = steadyNow();
     const auto Answer = co_await this->Context.Rpc.call(
         Peer->Peer, "group.view", Params, AskedAt + ViewLimit);
     if (!Answer)
--- a/src/libs/server/groupservice.cpp
+++ b/src/libs/server/groupservice.cpp
@@ -2,12 +2,11 @@
 
 #include "base/softassert.h"
 #include "failover/failoverlimits.h"
+#include "http/resumewith.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -19,8 +18,6 @@
 // Reads are not routed to a member whose last poll was not answered for longer.
 constexpr std::chrono::milliseconds ReportLifetime{1000};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 SuspicionTimes suspicionTimesOf(const ExperimentSettings &Experiment) {
   if (Experiment.SuspectAfter.count() == 0)
     return {};
@@ -191,7 +188,7 @@
     if (Held != this->Upstreams.end())
       Held->second->update(this->effective(Member));
   }
-  this->Detector.primaryChanged(Seen.Current, now(), First);
+  this->Detector.primaryChanged(Seen.Current, steadyNow(), First);
   this->startMonitors();
   this->publish();
 }
@@ -211,19 +208,19 @@
 void GroupService::primaryPolled(const PollReport &Report) {
   switch (Report.End) {
   case PollEnd::Refused:
-    return this->Detector.pollRefused(Report.SentAt, now());
+    return this->Detector.pollRefused(Report.SentAt, steadyNow());
   case PollEnd::TimedOut:
-    return this->Detector.pollTimedOut(Report.SentAt, now());
+    return this->Detector.pollTimedOut(Report.SentAt, steadyNow());
   case PollEnd::Full:
     // A full database is alive: it must not be replaced for that.
-    return this->Detector.pollAnswered(Report.SentAt, now());
+    return this->Detector.pollAnswered(Report.SentAt, steadyNow());
   case PollEnd::Answered:
     break;
   }
   if (Report.Poll->InRecovery ||
       Report.Poll->Timeline != this->Status.timeline())
     return;
-  this->Detector.pollAnswered(Report.SentAt, now());
+  this->Detector.pollAnswered(Report.SentAt, steadyNow());
   this->Ages.primaryPolled(
       Report.SentAt, {Report.Poll->Timeline, Report.Poll->ReceivePosition});
 }
@@ -232,10 +229,10 @@
   while (!this->Stopped) {
     if (this->Duties.Watches && this->Status.Current.Value != 0) {
       this->askForEvidence();
-      this->Promoter->handle(
-          EvidenceCombined{this->Status.Current,
-                           this->Opinions.agrees(this->Duties.Watchers,
-                                                 this->Status.Current, now())});
+      this->Promoter->handle(EvidenceCombined{
+          this->Status.Current,
+          this->Opinions.agrees(this->Duties.Watchers, this->Status.Current,
+                                steadyNow())});
       this->Promoter->handle(Tick{});
     } else {
       this->SuspectedTerm = 0;
@@ -244,8 +241,7 @@
     this->startMonitors();
     this->TickTimer.expires_after(failoverlimits::PollInterval / 2);
     boost::system::error_code Ignored;
-    co_await this->TickTimer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_await this->TickTimer.async_wait(resumeWith(Ignored));
   }
 }
 
@@ -253,19 +249,20 @@
 // deadline, past the promotion of another one.
 void GroupService::refuseStrandedWrites() {
   const auto Held = this->Upstreams.find(this->Status.Primary);
-  if (Held != this->Upstreams.end() && !this->mayWrite(now()))
+  if (Held != this->Upstreams.end() && !this->mayWrite(steadyNow()))
     Held->second->refuseWaiting();
 }
 
 void GroupService::askForEvidence() {
   const Term Current = this->Status.Current;
-  const bool Suspects = this->Detector.suspects(now());
+  const bool Suspects = this->Detector.suspects(steadyNow());
   if (Suspects != this->suspects(Current))
     logWarn("group " + this->Members.Name + ": primary " +
             this->Status.Primary +
             (Suspects ? " is suspected" : " is no longer suspected"));
   this->SuspectedTerm = Suspects ? Current.Value : 0;
-  this->Opinions.record({this->Context.hostName(), Current, Suspects, now()});
+  this->Opinions.record(
+      {this->Context.hostName(), Current, Suspects, steadyNow()});
   if (Suspects)
     this->AskEvidence(this->Members.Name, Current, this->Duties.Watchers);
 }
@@ -314,7 +311,7 @@
 }
 
 asio::awaitable<void> GroupService::nextPoll(TimePoint Limit) {
-  if (this->Stopped || now() >= Limit)
+  if (this->Stopped || steadyNow() >= Limit)
     co_return;
   for (const auto &[Name, Monitor] : this->Monitors)
     if (Name != this->Status.Primary)
@@ -322,13 +319,12 @@
   boost::system::error_code Ignored;
   if (this->Monitors.empty()) {
     asio::steady_timer Pause(this->Home);
-    Pause.expires_at(std::min(Limit, now() + failoverlimits::PollInterval));
-    co_await Pause.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    Pause.expires_at(
+        std::min(Limit, steadyNow() + failoverlimits::PollInterval));
+    co_await Pause.async_wait(resumeWith(Ignored));
     co_return;
   }
-  co_await this->PollSignal.async_wait(
-      asio::redirect_error(asio::use_awaitable, Ignored));
+  co_await this->PollSignal.async_wait(resumeWith(Ignored));
 }
 
 std::optional<Duration> GroupService::ageOf(const Position &Replayed,
@@ -364,7 +360,7 @@
   if (!this->Duties.polls(this->Status.Primary))
     return;
   auto View = std::make_shared<PublishedGroupView>();
-  View->At = now();
+  View->At = steadyNow();
   View->Primary = this->Status.Primary;
   View->Current = this->Status.Current;
   View->Routing.History = this->Status.History;
--- a/src/libs/server/membermonitor.cpp
+++ b/src/libs/server/membermonitor.cpp
@@ -1,10 +1,10 @@
 #include "membermonitor.h"
 
 #include "failover/failoverlimits.h"
+#include "http/resumewith.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -25,8 +25,6 @@
 // Shortest interval of polls while a write waits for a replica.
 constexpr std::chrono::milliseconds MinPollInterval{5};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 ConnectOptions connectOptionsOf(const Group &Members, const Upstream &Target,
@@ -59,7 +57,7 @@
 
 asio::awaitable<void> MemberMonitor::loop() {
   while (!this->Stopped) {
-    const TimePoint SentAt = now();
+    const TimePoint SentAt = steadyNow();
     this->NextAt = SentAt + failoverlimits::PollInterval;
     this->OnSent(this->Upstream, SentAt);
     const PollReport Report =
@@ -72,11 +70,10 @@
 }
 
 asio::awaitable<void> MemberMonitor::pause() {
-  while (!this->Stopped && now() < this->NextAt) {
+  while (!this->Stopped && steadyNow() < this->NextAt) {
     this->Timer.expires_at(this->NextAt);
     boost::system::error_code Ignored;
-    co_await this->Timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_await this->Timer.async_wait(resumeWith(Ignored));
   }
 }
 
@@ -131,14 +128,14 @@
 MemberMonitor::pollNow(TimePoint Deadline) {
   const auto Self = this->shared_from_this();
   constexpr std::chrono::milliseconds BusyPause{2};
-  while (this->Running && now() < Deadline) {
+  while (this->Running && steadyNow() < Deadline) {
     asio::steady_timer Pause(this->Home);
     Pause.expires_after(BusyPause);
     co_await Pause.async_wait(asio::use_awaitable);
   }
   if (this->Running)
     co_return std::nullopt;
-  const PollReport Report = co_await this->pollOnce(now(), Deadline);
+  const PollReport Report = co_await this->pollOnce(steadyNow(), Deadline);
   co_return Report.Poll;
 }
 
--- a/src/libs/server/membershipservice.cpp
+++ b/src/libs/server/membershipservice.cpp
@@ -1,11 +1,11 @@
 #include "membershipservice.h"
 
+#include "http/resumewith.h"
 #include "http/runon.h"
 #include "membership/membershipcodec.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -23,8 +23,6 @@
 constexpr milliseconds HeartbeatLimit{800};
 constexpr milliseconds PlatformLimit{1000};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 std::uint64_t unixMilliseconds() {
   const auto Since = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
@@ -112,7 +110,7 @@
                BOOST_OUTCOME_TRY(const Heartbeat Message,
                                  heartbeatFromJson(Params));
                const std::lock_guard Guard(this->Lock);
-               return toJson(this->State.onHeartbeat(Message, now()));
+               return toJson(this->State.onHeartbeat(Message, steadyNow()));
              });
   this->addHostSetMethod(Server);
   Server.add("membership.removal",
@@ -120,7 +118,8 @@
                BOOST_OUTCOME_TRY(const RemovalQuestion Question,
                                  removalQuestionFromJson(Params));
                const std::lock_guard Guard(this->Lock);
-               return toJson(this->State.onRemovalQuestion(Question, now()));
+               return toJson(
+                   this->State.onRemovalQuestion(Question, steadyNow()));
              });
 }
 
@@ -136,7 +135,7 @@
 
 void MembershipService::leave() {
   const std::lock_guard Guard(this->Lock);
-  this->State.leave(now());
+  this->State.leave(steadyNow());
 }
 
 void MembershipService::spawn(asio::awaitable<void> Work) {
@@ -156,8 +155,8 @@
     std::optional<TimePoint> LeaseUntil;
     {
       const std::lock_guard Guard(this->Lock);
-      Actions = this->State.tick(now());
-      LeaseUntil = this->State.sharesUntil(now());
+      Actions = this->State.tick(steadyNow());
+      LeaseUntil = this->State.sharesUntil(steadyNow());
     }
     // The whole lease is passed on: grants end with it, and tokens of a grant
     // that ends before they are spent are lost.
@@ -168,8 +167,7 @@
     this->refreshFleet();
     Timer.expires_after(TickInterval);
     boost::system::error_code Ignored;
-    co_await Timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_await Timer.async_wait(resumeWith(Ignored));
   }
 }
 
@@ -177,7 +175,7 @@
   const Result<Endpoint> Where = parseEndpoint(Action.Address);
   if (!Where)
     co_return;
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   const auto Reply = co_await this->Context.Rpc.call(
       Where.value(), "membership.heartbeat", toJson(Action.Message),
       SentAt + HeartbeatLimit);
@@ -188,7 +186,7 @@
     co_return;
   {
     const std::lock_guard Guard(this->Lock);
-    this->State.onHeartbeatAnswer(Answer.value(), SentAt, now());
+    this->State.onHeartbeatAnswer(Answer.value(), SentAt, steadyNow());
   }
   this->Told.PeerVersion(Action.To, Answer.value().News.ConfigurationVersion);
 }
@@ -199,14 +197,14 @@
     co_return;
   const auto Reply = co_await this->Context.Rpc.call(
       Where.value(), "membership.removal", toJson(Action.Message),
-      now() + HeartbeatLimit);
+      steadyNow() + HeartbeatLimit);
   if (!Reply)
     co_return;
   const Result<RemovalAnswer> Answer = removalAnswerFromJson(Reply.value());
   if (!Answer)
     co_return;
   const std::lock_guard Guard(this->Lock);
-  this->State.onRemovalAnswer(Answer.value(), now());
+  this->State.onRemovalAnswer(Answer.value(), steadyNow());
 }
 
 asio::awaitable<void> MembershipService::propose(ProposeHostSet Action) {
@@ -216,7 +214,7 @@
   Object.Spec = storedOf(Action.Proposed).toJson();
   if (Action.ExpectedEpoch != 0) {
     const auto Stored = co_await this->Platform.get(
-        ObjectKind::HostSet, HostSet::ObjectName, now() + PlatformLimit);
+        ObjectKind::HostSet, HostSet::ObjectName, steadyNow() + PlatformLimit);
     if (!Stored)
       co_return;
     const auto Known = HostSet::fromJson(Stored.value().Spec);
@@ -227,7 +225,7 @@
     Object.Version = Stored.value().Version;
   }
   const auto Answer =
-      co_await this->Platform.replaceIf(Object, now() + PlatformLimit);
+      co_await this->Platform.replaceIf(Object, steadyNow() + PlatformLimit);
   if (Answer) {
     logInfo("host set epoch " + std::to_string(Action.Proposed.Epoch) +
             " has " + std::to_string(Action.Proposed.Members.size()) +
@@ -252,7 +250,7 @@
   if (Peer) {
     const auto Reply = co_await this->Context.Rpc.call(
         *Peer, "membership.hostset", Json::Value(Json::objectValue),
-        now() + HeartbeatLimit);
+        steadyNow() + HeartbeatLimit);
     const auto Set = Reply ? HostSet::fromJson(Reply.value())
                            : Result<HostSet>(Reply.error());
     if (Set && Set.value().Epoch >= Action.Epoch) {
@@ -265,7 +263,7 @@
 
 asio::awaitable<void> MembershipService::fetch() {
   const auto Stored = co_await this->Platform.get(
-      ObjectKind::HostSet, HostSet::ObjectName, now() + PlatformLimit);
+      ObjectKind::HostSet, HostSet::ObjectName, steadyNow() + PlatformLimit);
   if (Stored)
     this->adopt(Stored.value());
 }
@@ -281,7 +279,7 @@
     const std::lock_guard Guard(this->Lock);
     for (const HostSetMember &Each : Stored.Members)
       this->Addresses[Each.Name] = {Each.PeerAddress, Each.PeerPort};
-    this->State.adoptHostSet(memberSetOf(Stored), now());
+    this->State.adoptHostSet(memberSetOf(Stored), steadyNow());
   }
   this->refreshFleet();
 }
@@ -341,7 +339,7 @@
 
 bool MembershipService::mayGrant(const std::string &Name) const {
   const std::lock_guard Guard(this->Lock);
-  return this->State.mayGrant(Name, now());
+  return this->State.mayGrant(Name, steadyNow());
 }
 
 FleetPointer MembershipService::liveFleet() const {
--- a/src/libs/server/promotiondriver.cpp
+++ b/src/libs/server/promotiondriver.cpp
@@ -16,9 +16,7 @@
 
 constexpr std::size_t CommandResultBytes = 65536;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
-TimePoint callDeadline() { return now() + failoverlimits::CallTimeout; }
+TimePoint callDeadline() { return steadyNow() + failoverlimits::CallTimeout; }
 
 } // namespace
 
@@ -96,19 +94,20 @@
     : Home(Home), Host(Host), Members(Members), Store(Store),
       Poll(std::move(Poll)), OnStatus(std::move(OnStatus)),
       Machine(std::move(Host), std::to_string(std::random_device{}())) {
-  this->Machine.setMembers(memberNames(Members), now(), leavingNames(Members));
+  this->Machine.setMembers(memberNames(Members), steadyNow(),
+                           leavingNames(Members));
 }
 
 void PromotionDriver::setMembers(const Group &NewMembers) {
   this->Members = NewMembers;
-  this->perform(this->Machine.setMembers(memberNames(NewMembers), now(),
+  this->perform(this->Machine.setMembers(memberNames(NewMembers), steadyNow(),
                                          leavingNames(NewMembers)));
 }
 
 void PromotionDriver::handle(const PromotionEvent &Event) {
   if (this->Stopped)
     return;
-  this->perform(this->Machine.handle(Event, now()));
+  this->perform(this->Machine.handle(Event, steadyNow()));
   const auto &Known = this->Machine.status();
   if (!Known || Known->Version <= this->ReportedVersion)
     return;
@@ -184,7 +183,7 @@
   bool Gone = false;
   std::vector<Statement> End(1, endSessionsStatement());
   bool Reachable = co_await this->runAll(Session, std::move(End), Deadline);
-  while (Reachable && !Gone && now() < Deadline) {
+  while (Reachable && !Gone && steadyNow() < Deadline) {
     std::vector<std::vector<Statement>> Groups(1);
     Groups.front().push_back(countSessionsStatement());
     const auto Counted =
--- a/src/libs/server/rateservice.cpp
+++ b/src/libs/server/rateservice.cpp
@@ -22,8 +22,6 @@
 constexpr std::chrono::milliseconds LoopShortest{2};
 constexpr std::chrono::milliseconds LoopLongest{20};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 /// The answer of a host that may not use its share now.
 template <typename Answer, typename Request>
 Answer refusalOf(const Request &Asked) {
@@ -57,7 +55,7 @@
                LoanAnswer Answer = refusalOf<LoanAnswer>(Request);
                if (this->MayGrant(Request.Workspace)) {
                  const std::lock_guard Guard(this->OwnerLock);
-                 Answer = this->Owner.lend(Request, now());
+                 Answer = this->Owner.lend(Request, steadyNow());
                }
                return toJson(Answer);
              });
@@ -93,7 +91,7 @@
       this->Owner.configure(
           Rate.Name, Rate.Limit,
           {1, static_cast<std::uint32_t>(View->domains().size())},
-          View->epoch(), now());
+          View->epoch(), steadyNow());
       this->Owner.setLenders(Rate.Name, Lenders);
       NowOwned[Rate.Name] = Rate.Limit;
     }
@@ -113,7 +111,7 @@
 
 void RateService::renewLease(TimePoint ValidUntil) {
   const std::lock_guard Guard(this->OwnerLock);
-  this->Owner.renewLease(ValidUntil, now());
+  this->Owner.renewLease(ValidUntil, steadyNow());
 }
 
 bool RateService::trySpend(Shard &Place, const std::string &Name,
@@ -127,17 +125,18 @@
   Entry &Each = Found->second;
   const bool Waits = !Each.Waiting.empty() && Each.Waiting.front() != Ticket;
   // Waiting requests keep their order: a newer one must not take their token.
-  if (Waits && Attempt == SpendAttempt::Again && now() < GiveUpAt) {
-    Decision = {SpendKind::WaitUntil, now() + std::chrono::milliseconds(1)};
+  if (Waits && Attempt == SpendAttempt::Again && steadyNow() < GiveUpAt) {
+    Decision = {SpendKind::WaitUntil,
+                steadyNow() + std::chrono::milliseconds(1)};
   } else {
-    Decision = Each.Drawer.trySpend(now(), GiveUpAt, Attempt);
+    Decision = Each.Drawer.trySpend(steadyNow(), GiveUpAt, Attempt);
   }
   const auto Mine = std::find(Each.Waiting.begin(), Each.Waiting.end(), Ticket);
   if (Decision.Kind == SpendKind::WaitUntil && Mine == Each.Waiting.end())
     Each.Waiting.push_back(Ticket);
   if (Decision.Kind != SpendKind::WaitUntil && Mine != Each.Waiting.end())
     Each.Waiting.erase(Mine);
-  Next = Each.Drawer.poll(now());
+  Next = Each.Drawer.poll(steadyNow());
   StartLoop = !Each.Drawing;
   Each.Drawing = true;
   return true;
@@ -151,7 +150,7 @@
     const std::lock_guard Guard(Place.Lock);
     Ticket = ++Place.LastTicket;
   }
-  const TimePoint GiveUpAt = std::min(now() + MaxRateWait, Deadline);
+  const TimePoint GiveUpAt = std::min(steadyNow() + MaxRateWait, Deadline);
   SpendAttempt Attempt = SpendAttempt::First;
   while (true) {
     SpendDecision Decision;
@@ -175,7 +174,7 @@
     Attempt = SpendAttempt::Again;
     // Answers arrive within milliseconds, before RetryAt in most cases.
     co_await sleepUntil(
-        std::min(Decision.RetryAt, now() + std::chrono::milliseconds(2)));
+        std::min(Decision.RetryAt, steadyNow() + std::chrono::milliseconds(2)));
   }
 }
 
@@ -183,25 +182,25 @@
 // later, reports and repeated requests.
 asio::awaitable<void> RateService::drawLoop(std::string Name) {
   Shard &Place = this->shardOf(Name);
-  TimePoint LastDue = now();
+  TimePoint LastDue = steadyNow();
   while (true) {
     std::optional<DrawRequest> Next;
     TimePoint Again;
     {
       const std::lock_guard Guard(Place.Lock);
       Entry &Each = Place.Entries.at(Name);
-      Next = Each.Drawer.poll(now());
-      Again = Each.Drawer.nextPoll(now());
+      Next = Each.Drawer.poll(steadyNow());
+      Again = Each.Drawer.nextPoll(steadyNow());
       if (Next || Again != TimePoint::max())
-        LastDue = now();
-      if (now() > LastDue + IdleLoopLimit) {
+        LastDue = steadyNow();
+      if (steadyNow() > LastDue + IdleLoopLimit) {
         Each.Drawing = false;
         co_return;
       }
     }
     this->startDrawing(Name, std::move(Next));
-    co_await sleepUntil(
-        std::clamp(Again, now() + LoopShortest, now() + LoopLongest));
+    co_await sleepUntil(std::clamp(Again, steadyNow() + LoopShortest,
+                                   steadyNow() + LoopLongest));
   }
 }
 
@@ -209,7 +208,7 @@
   GrantAnswer Answer = refusalOf<GrantAnswer>(Request);
   if (this->MayGrant(Request.Workspace)) {
     const std::lock_guard Guard(this->OwnerLock);
-    Answer = this->Owner.grant(Request, now());
+    Answer = this->Owner.grant(Request, steadyNow());
   }
   this->startBorrowing(Request.Workspace);
   return Answer;
@@ -221,8 +220,9 @@
   if (Request.Owner == this->Context.hostName()) {
     Answer = this->grantLocally(Request.Request);
   } else if (const FleetView::Member *Peer = View->find(Request.Owner)) {
-    const auto Reply = co_await this->Context.Rpc.call(
-        Peer->Peer, "rate.draw", toJson(Request.Request), now() + CallLimit);
+    const auto Reply = co_await this->Context.Rpc.call(Peer->Peer, "rate.draw",
+                                                       toJson(Request.Request),
+                                                       steadyNow() + CallLimit);
     if (Reply)
       if (const auto Read = grantAnswerFromJson(Reply.value()))
         Answer = Read.value();
@@ -234,8 +234,8 @@
     Shard &Place = this->shardOf(Name);
     const std::lock_guard Guard(Place.Lock);
     RateDrawer &Drawer = Place.Entries.at(Name).Drawer;
-    Drawer.receive(Request.Owner, *Answer, now());
-    Next = Drawer.poll(now());
+    Drawer.receive(Request.Owner, *Answer, steadyNow());
+    Next = Drawer.poll(steadyNow());
   }
   this->startDrawing(Name, std::move(Next));
 }
@@ -255,7 +255,7 @@
   std::vector<LoanDraw> Draws;
   {
     const std::lock_guard Guard(this->OwnerLock);
-    Draws = this->Owner.loansWanted(Name, now());
+    Draws = this->Owner.loansWanted(Name, steadyNow());
   }
   for (LoanDraw &Draw : Draws)
     asio::co_spawn(
@@ -272,7 +272,7 @@
     co_return;
   const Endpoint Where = Peer->Peer;
   const auto Reply = co_await this->Context.Rpc.call(
-      Where, "rate.borrow", toJson(Draw.Request), now() + CallLimit);
+      Where, "rate.borrow", toJson(Draw.Request), steadyNow() + CallLimit);
   if (!Reply)
     co_return;
   const auto Answer = loanAnswerFromJson(Reply.value());
@@ -280,7 +280,7 @@
     co_return;
   {
     const std::lock_guard Guard(this->OwnerLock);
-    this->Owner.receiveLoan(Draw.Lender, Answer.value(), now());
+    this->Owner.receiveLoan(Draw.Lender, Answer.value(), steadyNow());
   }
   this->startBorrowing(Name);
 }
--- a/src/libs/server/statementrunner.cpp
+++ b/src/libs/server/statementrunner.cpp
@@ -28,8 +28,6 @@
 constexpr std::string_view NoTable = "42P01";
 constexpr std::string_view UniqueViolation = "23505";
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 QueueDemand demandOf(const ExecutionRequest &Request) {
   QueueDemand Demand;
   Demand.Workspace = Request.Workspace;
@@ -118,11 +116,11 @@
                                  const ExecutionRequest &Request) {
   const auto Refused = failure(ErrorKind::NoPrimary,
                                "the primary may not acknowledge writes now");
-  if (!this->State.mayWrite(now()))
+  if (!this->State.mayWrite(steadyNow()))
     co_return Refused;
   const auto Held = co_await Target->acquire(demandOf(Request));
   // The permission may have expired in the queue.
-  if (Held && !this->State.mayWrite(now())) {
+  if (Held && !this->State.mayWrite(steadyNow())) {
     Target->release(Held.value(), true);
     co_return Refused;
   }
@@ -134,7 +132,7 @@
   const auto Held = co_await this->acquireForWrite(Target, Request);
   if (!Held)
     co_return runFailure(Held.error());
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   StatementGroups Statements = pairOf(Request.Sql, positionStatement());
   const auto Results =
       co_await this->run(Target, Held.value(), std::move(Statements), Request);
@@ -155,10 +153,10 @@
                              TimePoint SentAt) {
   while (Answer.Reached) {
     const AckDecision Decision =
-        this->State.decide(*Answer.Reached, Request.Mode, SentAt, now());
+        this->State.decide(*Answer.Reached, Request.Mode, SentAt, steadyNow());
     if (Decision == AckDecision::Acknowledge)
       co_return ExecutionResult::answered(std::move(Answer));
-    if (Decision == AckDecision::Withhold || now() >= Request.Deadline)
+    if (Decision == AckDecision::Withhold || steadyNow() >= Request.Deadline)
       break;
     co_await this->State.nextPoll(Request.Deadline);
   }
@@ -174,7 +172,7 @@
   if (!Held)
     co_return runFailure(Held.error());
   bool Plain = true;
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   ExecutionResult Result =
       co_await this->runKeyed(Target, Request, Held.value(), Plain);
   Target->release(Held.value(), Plain);
@@ -304,7 +302,7 @@
                                         AttemptOutcome::StatementError);
     if (Verdict == ReadVerdict::MayServe && !PositionOnly)
       co_return replicaAnswer(Results.value());
-    const TimePoint Again = now() + CatchUpInterval;
+    const TimePoint Again = steadyNow() + CatchUpInterval;
     if (!Replayed || !Request.WaitUntil || Again >= *Request.WaitUntil)
       co_return ExecutionResult::failed(ErrorKind::ReplicaBehind, "",
                                         AttemptOutcome::ReplicaBehind);
@@ -320,19 +318,20 @@
   if (!Replayed)
     return ReadVerdict::Behind;
   return judgeRead(Demand, {Replayed->InTerm, Replayed->Log},
-                   this->State.ageOf(*Replayed, now()), this->State.history());
+                   this->State.ageOf(*Replayed, steadyNow()),
+                   this->State.history());
 }
 
 // A read at the primary is answered under the same permission as a write: a
 // replaced primary would return old data.
 asio::awaitable<ExecutionResult>
 StatementRunner::readPrimary(TargetPointer Target, ExecutionRequest &Request) {
-  if (!this->State.mayWrite(now()))
+  if (!this->State.mayWrite(steadyNow()))
     co_return noPrimary();
   const auto Held = co_await Target->acquire(demandOf(Request));
   if (!Held)
     co_return runFailure(Held.error());
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   StatementGroups Statements(
       1, insideBegin("BEGIN READ ONLY", Request.Sql, plain("COMMIT")));
   Statements.push_back({});
@@ -355,7 +354,7 @@
   Answer.Reached = readPosition(Results.value()[1][0]);
   if (!Answer.Reached ||
       this->State.decide(*Answer.Reached, Acknowledge::Primary, SentAt,
-                         now()) != AckDecision::Acknowledge)
+                         steadyNow()) != AckDecision::Acknowledge)
     co_return ExecutionResult::failed(ErrorKind::OutcomeUnknown,
                                       "the primary may not answer reads now",
                                       AttemptOutcome::PermissionLost);
@@ -376,10 +375,10 @@
 
 asio::awaitable<ExecutionResult>
 StatementRunner::begin(TargetPointer Target, ExecutionRequest &Request) {
-  if (!this->State.mayWrite(now()))
+  if (!this->State.mayWrite(steadyNow()))
     co_return noPrimary();
   const auto Held =
-      co_await Target->pin(demandOf(Request), now() + TransactionLimit);
+      co_await Target->pin(demandOf(Request), steadyNow() + TransactionLimit);
   if (!Held)
     co_return runFailure(Held.error());
   const auto Started = Target->beginStatement(Held.value(), Request.Deadline);
@@ -462,7 +461,7 @@
                                       AttemptOutcome::RefusedBeforeRun);
   const Transaction Current = Found->second;
   const bool Commits = Request.Action == Operation::Commit;
-  const bool Allowed = !Commits || this->State.mayWrite(now());
+  const bool Allowed = !Commits || this->State.mayWrite(steadyNow());
   const auto Started =
       Current.Target->beginStatement(Current.Held, Request.Deadline);
   if (!Started && Started.error().Kind != ErrorKind::TransactionLost)
@@ -475,7 +474,7 @@
     Current.Target->unpin(Current.Held);
     co_return runFailure(Started.error());
   }
-  const TimePoint SentAt = now();
+  const TimePoint SentAt = steadyNow();
   StatementGroups Statements = pairOf(
       plain(Commits && Allowed ? "COMMIT" : "ROLLBACK"), positionStatement());
   const auto Results = co_await this->run(Current.Target, Current.Held,
--- a/src/libs/server/upstreamservice.cpp
+++ b/src/libs/server/upstreamservice.cpp
@@ -1,9 +1,9 @@
 #include "upstreamservice.h"
 
+#include "http/resumewith.h"
 #include "http/runon.h"
 
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 
 #include <algorithm>
 
@@ -18,11 +18,9 @@
 constexpr std::chrono::milliseconds PoolInterval{500};
 constexpr std::size_t CheckResultBytes = 4096;
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 asio::awaitable<void> waitQuietly(asio::steady_timer &Timer) {
   boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  co_await Timer.async_wait(resumeWith(Ignored));
 }
 
 } // namespace
@@ -105,11 +103,11 @@
 
 asio::awaitable<void> UpstreamService::poolLoop() {
   while (!this->Stopped && !(this->Retired && this->Pool.drained())) {
-    for (const PoolAction &Action : this->Pool.poll(now(), this->Random))
+    for (const PoolAction &Action : this->Pool.poll(steadyNow(), this->Random))
       this->perform(Action);
     this->pump();
     this->PoolTimer.expires_at(
-        std::min(this->Pool.nextPoll(), now() + PoolInterval));
+        std::min(this->Pool.nextPoll(), steadyNow() + PoolInterval));
     co_await waitQuietly(this->PoolTimer);
   }
 }
@@ -133,17 +131,18 @@
 asio::awaitable<void> UpstreamService::openConnection(ConnectionId Id) {
   const auto Self = this->shared_from_this();
   Result<std::unique_ptr<PostgresConnection>> Opened =
-      co_await PostgresConnection::open(this->Options, now() + OpenDeadline);
+      co_await PostgresConnection::open(this->Options,
+                                        steadyNow() + OpenDeadline);
   if (this->Stopped)
     co_return;
   if (!Opened) {
     const bool Full = Opened.error().Kind == ErrorKind::TooManyConnections;
     this->Pool.openFailed(
-        Id, Full ? OpenFailure::LimitReached : OpenFailure::Unreachable, now(),
-        this->Random);
+        Id, Full ? OpenFailure::LimitReached : OpenFailure::Unreachable,
+        steadyNow(), this->Random);
     if (this->Connections.empty())
       this->refuseWaiting();
-  } else if (this->Pool.opened(Id, now())) {
+  } else if (this->Pool.opened(Id, steadyNow())) {
     this->Connections[Id] = std::move(Opened.value());
   }
   this->kick();
@@ -158,18 +157,18 @@
     std::vector<std::vector<Statement>> Groups(1);
     Groups.front().push_back({std::move(Sql), {}});
     const auto Results = co_await Found->second->run(
-        std::move(Groups), now() + CheckDeadline, CheckResultBytes);
+        std::move(Groups), steadyNow() + CheckDeadline, CheckResultBytes);
     Answered = Results && !Results.value()[0][0].Failure;
   }
   if (this->Stopped)
     co_return;
-  this->Pool.checked(Id, Answered, now());
+  this->Pool.checked(Id, Answered, steadyNow());
   this->kick();
 }
 
 void UpstreamService::pump() {
   while (!this->Stopped && this->Pool.canAcquire()) {
-    const DequeueResult Next = this->Queue.dequeue(now());
+    const DequeueResult Next = this->Queue.dequeue(steadyNow());
     for (const QueueItemId Id : Next.Expired)
       if (const auto Found = this->Waiters.find(Id);
           Found != this->Waiters.end()) {
@@ -217,7 +216,7 @@
   const QueueItem Item{++this->LastItem, Demand.Workspace, Demand.Class,
                        Demand.Deadline};
   this->Queue.setLimits(Demand.Workspace, Demand.Limits);
-  const Result<void> Queued = this->Queue.enqueue(Item, now());
+  const Result<void> Queued = this->Queue.enqueue(Item, steadyNow());
   if (!Queued)
     co_return Queued.error();
 
@@ -232,7 +231,7 @@
   }
   this->Waiters.erase(Item.Id);
   if (Self.Granted)
-    co_return Lease{*Self.Granted, now()};
+    co_return Lease{*Self.Granted, steadyNow()};
   this->Queue.cancel(Item.Id);
   if (Self.Refused)
     co_return failure(ErrorKind::Unavailable,
@@ -262,8 +261,9 @@
 }
 
 void UpstreamService::release(Lease Held, bool PlainStatement) {
-  this->Pool.release(Held.Id, this->useOf(Held.Id, PlainStatement), now());
-  this->Queue.completed(now() - Held.GrantedAt);
+  this->Pool.release(Held.Id, this->useOf(Held.Id, PlainStatement),
+                     steadyNow());
+  this->Queue.completed(steadyNow() - Held.GrantedAt);
   this->pump();
   this->kick();
 }
@@ -278,13 +278,13 @@
 }
 
 void UpstreamService::endStatement(Lease Held) {
-  this->Pool.endStatement(Held.Id, now());
+  this->Pool.endStatement(Held.Id, steadyNow());
   this->pump();
   this->kick();
 }
 
 void UpstreamService::unpin(Lease Held) {
-  this->Pool.unpin(Held.Id, this->useOf(Held.Id, true), now());
+  this->Pool.unpin(Held.Id, this->useOf(Held.Id, true), steadyNow());
   this->Queue.completed(this->Queue.serviceTime());
   this->pump();
   this->kick();
--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -1,12 +1,11 @@
 #include "callersession.h"
 
+#include "http/resumewith.h"
 #include "socketoptions.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -19,10 +18,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 } // namespace
 
 CallerSession::CallerSession(asio::ip::tcp::socket Socket, ProxyState &State,
--- a/src/libs/sessionproxy/fleetlink.cpp
+++ b/src/libs/sessionproxy/fleetlink.cpp
@@ -2,14 +2,13 @@
 
 #include "base/strictjson.h"
 #include "http/httpclient.h"
+#include "http/resumewith.h"
 #include "http/sleepuntil.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -63,8 +62,7 @@
     udp::endpoint From;
     error_code Failure;
     const std::size_t Size = co_await this->Socket.async_receive_from(
-        asio::buffer(this->Buffer), From,
-        asio::redirect_error(asio::use_awaitable, Failure));
+        asio::buffer(this->Buffer), From, resumeWith(Failure));
     if (this->Stopped)
       co_return;
     if (Failure) {
--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -48,8 +48,7 @@
 
 std::chrono::milliseconds reportInterval(std::size_t Hosts) {
   constexpr std::chrono::milliseconds Shortest{250};
-  constexpr std::size_t HostsAtShortest = 12;
-  return Shortest * std::max(Hosts, HostsAtShortest) / HostsAtShortest;
+  return Shortest * std::max(Hosts, SmallFleet) / SmallFleet;
 }
 
 std::chrono::milliseconds reportLifetime(std::size_t Hosts) {
@@ -57,10 +56,7 @@
   return reportInterval(Hosts) * Intervals;
 }
 
-std::size_t reportParts(std::size_t Hosts) {
-  constexpr std::size_t HostsInOnePart = 12;
-  return 1 + Hosts / HostsInOnePart;
-}
+std::size_t reportParts(std::size_t Hosts) { return 1 + Hosts / SmallFleet; }
 
 std::string encodeReport(const HostReport &Report) {
   Json Groups = Json::array();
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -46,6 +46,12 @@
   std::vector<DemandReport> Demands;
 };
 
+/// Up to this number of hosts, each one reports to all others four times a
+/// second and knows the demand of all; rates are shared by demand, and waits
+/// for the store need not grow. In larger fleets a host's part of a rate is
+/// less than one operation, and reports come too seldom to shift parts in time.
+constexpr std::size_t SmallFleet = 12;
+
 /// Interval at which each of \p Hosts hosts reports to all others. A quarter
 /// of a second lets a changed demand reach all hosts well inside the rate's
 /// window of 5 s; in larger fleets it grows, so that a host sends and receives
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -124,7 +124,7 @@
 
 // In a small fleet each host asks the store often enough itself.
 void ProxyState::confirmFrom(const HostReport &Report, BootTime Now) {
-  if (this->Fleet.size(Now) <= HostsSharingRates || Report.CatalogueAgeMs < 0 ||
+  if (this->Fleet.size(Now) <= SmallFleet || Report.CatalogueAgeMs < 0 ||
       !this->Catalogue || Report.CatalogueVersion != this->Catalogue->Version)
     return;
   const TimePoint At = steadyNow() - ReportTransit -
@@ -164,7 +164,7 @@
 
 boost::asio::awaitable<Result<void>>
 ProxyState::admitOperation(std::string Workspace) {
-  if (this->Fleet.size(BootClock::now()) <= HostsSharingRates)
+  if (this->Fleet.size(BootClock::now()) <= SmallFleet)
     co_return this->admitWithShares(Workspace, BootClock::now());
   const std::string Owner = this->Access.rateOwner(Workspace, steadyNow());
   Result<void> Admitted = success();
@@ -268,7 +268,7 @@
                                 .count();
   Report.Leaving = Leaving;
   const std::size_t Hosts = this->Fleet.size(Now);
-  const bool Shares = Hosts <= HostsSharingRates;
+  const bool Shares = Hosts <= SmallFleet;
   for (const auto &[Name, Rate] : this->Rates) {
     if (!Shares)
       break;
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -35,10 +35,6 @@
   /// Beyond this age of the last confirmation, a missing name or key may be
   /// one that was added since. Catalogues are in force within 3 s.
   static constexpr std::chrono::milliseconds CatalogueConfirmation{3500};
-  /// Beyond this number of hosts, one of them counts the operations of a
-  /// workspace. A host then has so few of them that its part of the rate is
-  /// less than one, and reports come too seldom to shift parts in time.
-  static constexpr std::size_t HostsSharingRates = 12;
   /// Part of its share of the limit that a host admits while the owner of a
   /// rate does not answer. The owner may still grant the whole limit to
   /// others, of which rules allow a tenth more.
--- a/src/libs/sessionproxy/relaylink.cpp
+++ b/src/libs/sessionproxy/relaylink.cpp
@@ -1,5 +1,6 @@
 #include "relaylink.h"
 
+#include "http/resumewith.h"
 #include "http/sleepuntil.h"
 #include "socketoptions.h"
 #include "telemetry/logging.h"
@@ -7,12 +8,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <utility>
 
 namespace lavenderdale {
@@ -21,10 +18,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 } // namespace
 
 struct RelayLink::Pending {
@@ -135,24 +128,15 @@
 asio::awaitable<void> RelayLink::read() {
   const std::shared_ptr<RelayLink> Keep = this->shared_from_this();
   const std::uint64_t ReadFrom = this->Generation;
-  std::array<char, RelayHeaderBytes> Header{};
   std::string Bytes;
   while (true) {
-    error_code Failure;
-    co_await asio::async_read(this->Socket, asio::buffer(Header),
-                              resumeWith(Failure));
-    const Result<std::size_t> Length =
-        relayLength({Header.data(), Header.size()});
-    if (!Failure && !Length)
-      Failure = asio::error::message_size;
-    if (!Failure) {
-      Bytes.resize(Length.value());
-      co_await asio::async_read(this->Socket, asio::buffer(Bytes),
-                                resumeWith(Failure));
-    }
+    const Result<void> Read = co_await readRelay(this->Socket, Bytes);
     if (this->Generation != ReadFrom)
       co_return;
-    if (Failure)
+    if (!Read && Read.error().Kind != ErrorKind::Unavailable)
+      logWarn("event=relay_answer_unreadable host=" + toString(this->Where) +
+              " error=\"" + Read.error().Detail + "\"");
+    if (!Read)
       break;
     this->HeardAt = steadyNow();
     this->HeardAtBoot = BootClock::now();
--- a/src/libs/sessionproxy/relaymessages.cpp
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -1,13 +1,19 @@
 #include "relaymessages.h"
 
+#include "http/resumewith.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <exception>
 #include <utility>
 
 namespace lavenderdale {
 namespace {
 
+namespace asio = boost::asio;
 using Json = nlohmann::json;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
@@ -184,6 +190,24 @@
   return Length;
 }
 
+asio::awaitable<Result<void>> readRelay(asio::ip::tcp::socket &From,
+                                        std::string &Bytes) {
+  std::array<char, RelayHeaderBytes> Header{};
+  boost::system::error_code Failure;
+  co_await asio::async_read(From, asio::buffer(Header), resumeWith(Failure));
+  if (Failure)
+    co_return failure(ErrorKind::Unavailable, Failure.message());
+  const Result<std::size_t> Length =
+      relayLength({Header.data(), Header.size()});
+  if (!Length)
+    co_return Length.error();
+  Bytes.resize(Length.value());
+  co_await asio::async_read(From, asio::buffer(Bytes), resumeWith(Failure));
+  if (Failure)
+    co_return failure(ErrorKind::Unavailable, Failure.message());
+  co_return success();
+}
+
 Result<RelayRequest> decodeRelayRequest(std::string_view Bytes) {
   return decode<RelayRequest>(Bytes, [](const Json &Value) {
     RelayRequest Request;
--- a/src/libs/sessionproxy/relaymessages.h
+++ b/src/libs/sessionproxy/relaymessages.h
@@ -2,6 +2,9 @@
 
 #include "upstreamwork.h"
 
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -69,6 +72,11 @@
 /// Length that \p Header announces. Errors: BadRequest beyond MaxRelayBytes.
 Result<std::size_t> relayLength(std::string_view Header);
 
+/// Reads one message from \p From into \p Bytes, without its header. Errors:
+/// Unavailable when the connection ends, BadRequest as relayLength().
+boost::asio::awaitable<Result<void>>
+readRelay(boost::asio::ip::tcp::socket &From, std::string &Bytes);
+
 /// Decode without the header. Errors: BadRequest.
 Result<RelayRequest> decodeRelayRequest(std::string_view Bytes);
 Result<RelayAnswer> decodeRelayAnswer(std::string_view Bytes);
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -1,5 +1,7 @@
 #include "relayserver.h"
 
+#include "http/listenon.h"
+#include "http/resumewith.h"
 #include "http/sleepuntil.h"
 #include "socketoptions.h"
 #include "telemetry/logging.h"
@@ -7,13 +9,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <utility>
 
@@ -24,10 +22,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 } // namespace
 
 /// One connection of another host, with the transactions held for it.
@@ -62,25 +56,13 @@
 asio::awaitable<void> RelayServer::Peer::run() {
   const std::shared_ptr<Peer> Keep = this->shared_from_this();
   setLivenessOptions(this->Socket, UnacknowledgedLimit);
-  std::array<char, RelayHeaderBytes> Header{};
   std::string Bytes;
   while (!this->Closed) {
-    error_code Failure;
-    co_await asio::async_read(this->Socket, asio::buffer(Header),
-                              resumeWith(Failure));
-    if (Failure)
-      break;
-    const Result<std::size_t> Length =
-        relayLength({Header.data(), Header.size()});
-    if (!Length) {
-      logWarn("event=relay_request_unreadable error=\"" +
-              Length.error().Detail + "\"");
-      break;
-    }
-    Bytes.resize(Length.value());
-    co_await asio::async_read(this->Socket, asio::buffer(Bytes),
-                              resumeWith(Failure));
-    if (Failure)
+    const Result<void> Read = co_await readRelay(this->Socket, Bytes);
+    if (!Read && Read.error().Kind != ErrorKind::Unavailable)
+      logWarn("event=relay_request_unreadable error=\"" + Read.error().Detail +
+              "\"");
+    if (!Read)
       break;
     Result<RelayRequest> Request = decodeRelayRequest(Bytes);
     if (!Request) {
@@ -260,7 +242,7 @@
     : Executor(Executor), State(State), Acceptor(Executor) {}
 
 Result<void> RelayServer::listen(const Endpoint &Where) {
-  BOOST_OUTCOME_TRY(listenOn(this->Acceptor, Where));
+  BOOST_OUTCOME_TRY(listenOn(this->Acceptor, Where, Backlog));
   asio::co_spawn(this->Executor, this->accept(), asio::detached);
   return success();
 }
--- a/src/libs/sessionproxy/relayserver.h
+++ b/src/libs/sessionproxy/relayserver.h
@@ -22,6 +22,8 @@
   /// A host that does not acknowledge bytes for this long is taken as gone,
   /// and the transactions held for it are rolled back.
   static constexpr std::chrono::milliseconds UnacknowledgedLimit{1500};
+  /// Hosts that connect at once, as after a loss of power.
+  static constexpr int Backlog = 1024;
 
   RelayServer(const boost::asio::any_io_executor &Executor, ProxyState &State);
 
--- a/src/libs/sessionproxy/sessionserver.cpp
+++ b/src/libs/sessionproxy/sessionserver.cpp
@@ -1,13 +1,12 @@
 #include "sessionserver.h"
 
+#include "http/listenon.h"
+#include "http/resumewith.h"
 #include "http/sleepuntil.h"
-#include "socketoptions.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 #include <vector>
@@ -28,7 +27,7 @@
       Protocol(Protocol), Acceptor(Executor) {}
 
 Result<void> SessionServer::listen(const Endpoint &Where) {
-  BOOST_OUTCOME_TRY(listenOn(this->Acceptor, Where));
+  BOOST_OUTCOME_TRY(listenOn(this->Acceptor, Where, Backlog));
   asio::co_spawn(this->Executor, this->accept(), asio::detached);
   asio::co_spawn(this->Executor, this->checkLimits(), asio::detached);
   return success();
@@ -39,8 +38,8 @@
   constexpr std::chrono::milliseconds PauseAfterFailure{20};
   while (!this->Stopped) {
     error_code Failure;
-    tcp::socket Socket = co_await this->Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, Failure));
+    tcp::socket Socket =
+        co_await this->Acceptor.async_accept(resumeWith(Failure));
     if (this->Stopped)
       co_return;
     if (Failure) {
--- a/src/libs/sessionproxy/sessionserver.h
+++ b/src/libs/sessionproxy/sessionserver.h
@@ -16,6 +16,8 @@
 public:
   /// How often the time limits of sessions are checked; they are seconds.
   static constexpr std::chrono::milliseconds CheckInterval{250};
+  /// Callers that connect at once, as after a loss of power.
+  static constexpr int Backlog = 1024;
 
   SessionServer(const boost::asio::any_io_executor &Executor, ProxyState &State,
                 StatementExecutor &Statements, const CallerProtocol &Protocol);
--- a/src/libs/sessionproxy/socketoptions.cpp
+++ b/src/libs/sessionproxy/socketoptions.cpp
@@ -36,27 +36,4 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, Probes);
 }
 
-Result<void> listenOn(boost::asio::ip::tcp::acceptor &Acceptor,
-                      const Endpoint &Where) {
-  using boost::asio::ip::tcp;
-  // Callers and hosts that connect at once, as after a loss of power.
-  constexpr int Backlog = 1024;
-  boost::system::error_code Failure;
-  const auto Address = boost::asio::ip::make_address(Where.Address, Failure);
-  const tcp::endpoint Local(Address, Where.Port);
-  if (!Failure)
-    Acceptor.open(Local.protocol(), Failure);
-  if (!Failure)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
-  if (!Failure)
-    Acceptor.bind(Local, Failure);
-  if (!Failure)
-    Acceptor.listen(Backlog, Failure);
-  if (Failure)
-    return failure(ErrorKind::Unavailable, "cannot listen on " +
-                                               toString(Where) + ": " +
-                                               Failure.message());
-  return success();
-}
-
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/socketoptions.h
+++ b/src/libs/sessionproxy/socketoptions.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include "base/result.h"
-#include "http/endpoint.h"
-
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
@@ -15,8 +12,4 @@
 void setLivenessOptions(boost::asio::ip::tcp::socket &Socket,
                         std::chrono::milliseconds Limit);
 
-/// Opens \p Acceptor on \p Where. Errors: Unavailable.
-Result<void> listenOn(boost::asio::ip::tcp::acceptor &Acceptor,
-                      const Endpoint &Where);
-
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/storepace.cpp
+++ b/src/libs/sessionproxy/storepace.cpp
@@ -1,13 +1,10 @@
 #include "storepace.h"
 
+#include "hostreport.h"
+
 #include <algorithm>
 
 namespace lavenderdale {
-namespace {
-
-constexpr std::size_t SmallFleet = 12; // Hosts that need no longer waits.
-
-} // namespace
 
 StorePace storePace(std::size_t Hosts) {
   using std::chrono::milliseconds;
@@ -21,8 +18,8 @@
   constexpr milliseconds ShortestHostInterval{5000};
   constexpr milliseconds LongestHostInterval{15000};
   const auto Scaled = [Hosts](milliseconds Shortest, milliseconds Longest) {
-    const std::size_t Counted = Hosts < SmallFleet ? SmallFleet : Hosts;
-    return std::min<milliseconds>(Shortest * Counted / SmallFleet, Longest);
+    return std::min<milliseconds>(
+        Shortest * std::max(Hosts, SmallFleet) / SmallFleet, Longest);
   };
   return {Scaled(ShortestCatalogueWait, LongestCatalogueWait),
           Scaled(ShortestUpstreamWait, LongestUpstreamWait),
--- a/src/libs/sessionproxy/upstreamentry.h
+++ b/src/libs/sessionproxy/upstreamentry.h
@@ -14,7 +14,6 @@
   std::string Group;
   Endpoint Address;
   std::string FailureDomain;
-  std::size_t Slots = 1;
   bool Leaving = false;
   bool ClaimsPrimary = false;
   std::uint64_t StartedAt = 0; ///< Tells a restart under the same id.
--- a/src/libs/sessionproxy/upstreamgate.cpp
+++ b/src/libs/sessionproxy/upstreamgate.cpp
@@ -1,11 +1,10 @@
 #include "upstreamgate.h"
 
+#include "http/resumewith.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -105,8 +104,7 @@
   this->pump();
   error_code Ignored;
   while (!Slot.Done) {
-    co_await Slot.Signal.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_await Slot.Signal.async_wait(resumeWith(Ignored));
     if (!Slot.Done)
       this->pump();
     if (!Slot.Done && steadyNow() >= Slot.Signal.expiry()) {
--- a/src/libs/sessionproxy/upstreamlink.cpp
+++ b/src/libs/sessionproxy/upstreamlink.cpp
@@ -1,11 +1,10 @@
 #include "upstreamlink.h"
 
+#include "http/resumewith.h"
 #include "socketoptions.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <sys/socket.h>
@@ -16,10 +15,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 Error refusal(const UpstreamReply &Reply) {
   const std::string Text = Reply.FailureCode + " " + Reply.FailureText;
   if (Reply.Failure == UpstreamFailure::ConnectionLimit)
--- a/src/libs/telemetry/boundedappender.cpp
+++ b/src/libs/telemetry/boundedappender.cpp
@@ -1,5 +1,7 @@
 #include "boundedappender.h"
 
+#include "base/timepoint.h"
+
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 
@@ -24,8 +26,7 @@
 
 void BoundedAppender::append(
     const log4cplus::spi::InternalLoggingEvent &Event) {
-  if (!this->takeBudget(std::chrono::steady_clock::now()) ||
-      this->Buffer.size() >= MaxBufferBytes) {
+  if (!this->takeBudget(steadyNow()) || this->Buffer.size() >= MaxBufferBytes) {
     ++this->Dropped;
     return;
   }
--- a/src/tools/loadtool/httpsender.cpp
+++ b/src/tools/loadtool/httpsender.cpp
@@ -2,10 +2,9 @@
 
 #include "base/strictjson.h"
 #include "http/httpmessage.h"
+#include "http/resumewith.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -21,10 +20,6 @@
 constexpr std::chrono::milliseconds ConnectLimit{1000};
 constexpr int Ok = 200;
 
-auto resumeWith(error_code &Failure) {
-  return asio::redirect_error(asio::use_awaitable, Failure);
-}
-
 http::request<http::string_body> makeRequest(const LoadOptions &Load,
                                              const LoadStatement &Statement,
                                              const std::string &Session) {
@@ -64,8 +59,7 @@
     const Endpoint &Where = this->Load.Targets[this->Target];
     auto Candidate = std::make_unique<boost::beast::tcp_stream>(this->Executor);
     error_code Failure;
-    Candidate->expires_at(
-        std::min(Deadline, std::chrono::steady_clock::now() + ConnectLimit));
+    Candidate->expires_at(std::min(Deadline, steadyNow() + ConnectLimit));
     co_await Candidate->async_connect(
         tcp::endpoint(asio::ip::make_address(Where.Address), Where.Port),
         resumeWith(Failure));
--- a/src/tools/loadtool/loadrunner.cpp
+++ b/src/tools/loadtool/loadrunner.cpp
@@ -21,8 +21,6 @@
 // connecting.
 constexpr std::chrono::microseconds HoldSpacing{200};
 
-TimePoint now() { return std::chrono::steady_clock::now(); }
-
 asio::awaitable<void> waitUntil(asio::io_context &Context, TimePoint When) {
   asio::steady_timer Timer(Context, When);
   co_await Timer.async_wait(asio::use_awaitable);
@@ -31,8 +29,9 @@
 } // namespace
 
 LoadRunner::LoadRunner(LoadOptions Options)
-    : Load(std::move(Options)), Random(Load.Seed), Start(now() + OpeningTime),
-      End(Start + Load.Time), NextDue(Start), Recorder(Start) {}
+    : Load(std::move(Options)), Random(Load.Seed),
+      Start(steadyNow() + OpeningTime), End(Start + Load.Time), NextDue(Start),
+      Recorder(Start) {}
 
 std::unique_ptr<StatementSender> LoadRunner::makeSender(std::size_t Index) {
   if (this->Load.Mode == LoadMode::Direct)
@@ -44,7 +43,7 @@
 
 TimePoint LoadRunner::takeDueTime() {
   if (this->Load.Rate <= 0)
-    return now();
+    return steadyNow();
   std::exponential_distribution<double> Gap(this->Load.Rate);
   this->NextDue += std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Gap(this->Random)));
@@ -69,25 +68,25 @@
 
 asio::awaitable<void> LoadRunner::work(std::size_t Index) {
   const std::unique_ptr<StatementSender> Sender = this->makeSender(Index);
-  co_await Sender->open(now() + this->Load.Timeout);
+  co_await Sender->open(steadyNow() + this->Load.Timeout);
   co_await waitUntil(this->Context, this->Start);
   while (true) {
     const TimePoint Due = this->takeDueTime();
     if (Due >= this->End)
       co_return;
-    if (Due > now())
+    if (Due > steadyNow())
       co_await waitUntil(this->Context, Due);
     const LoadStatement Next = this->takeStatement();
     const LoadAnswer Answer =
-        co_await Sender->send(Next, now() + this->Load.Timeout);
-    this->Recorder.record(Answer, Next.ReadOnly, Due, now());
+        co_await Sender->send(Next, steadyNow() + this->Load.Timeout);
+    this->Recorder.record(Answer, Next.ReadOnly, Due, steadyNow());
   }
 }
 
 asio::awaitable<void> LoadRunner::hold(std::size_t Index) {
   const std::unique_ptr<StatementSender> Sender = this->makeSender(Index);
   co_await waitUntil(this->Context, this->Start + HoldSpacing * Index);
-  const bool Open = co_await Sender->open(now() + this->Load.Timeout);
+  const bool Open = co_await Sender->open(steadyNow() + this->Load.Timeout);
   ++(Open ? this->Held : this->Failed);
   co_await waitUntil(this->Context, this->End);
 }
