End the process without waiting for the logging library's threads

Cause: after event=stopped, main returned and the destructor of log4cplus' static objects joined its thread pool. A trace on a scratch copy showed that run(), the proxy, the workers and main had ended by 3.3575 s, and that only static objects created before it were left.

Change: endProcess() writes what is buffered, checks for leaks in sanitized builds, and ends the process.

Ruled out: an open store call, a coroutine that holds the context, the destruction of workers (all ended, see above). lavenderdaled is not run on that platform and exits with its code in the process tests; it is unchanged.

--- a/src/libs/telemetry/logging.cpp
+++ b/src/libs/telemetry/logging.cpp
@@ -10,11 +10,16 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <memory>
 #include <unistd.h>
 
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/lsan_interface.h>
+#endif
+
 namespace lavenderdale {
 namespace {
 
@@ -84,6 +89,14 @@
       Host, log4cplus::INFO_LOG_LEVEL);
 }
 
+void endProcess(int Code) {
+  logger().removeAllAppenders();
+#ifdef __SANITIZE_ADDRESS__
+  __lsan_do_leak_check();
+#endif
+  std::_Exit(Code);
+}
+
 void logDebug(const std::string &Text) {
   log(log4cplus::DEBUG_LOG_LEVEL, Text);
 }
--- a/src/libs/telemetry/logging.h
+++ b/src/libs/telemetry/logging.h
@@ -19,6 +19,11 @@
 /// waiting for its reader.
 void startBoundedLogging(const std::string &Host);
 
+/// Writes what is still buffered and ends the process with \p Code, without
+/// destroying static objects. Those of the logging library join its threads,
+/// which does not end on a host that runs only one thread at a time.
+[[noreturn]] void endProcess(int Code);
+
 /// Each writes one line. Control characters and key secrets are replaced.
 void logDebug(const std::string &Text);
 void logInfo(const std::string &Text);
