Reserve the ports of all process tests

Cause of the known red test_paused_daemon: free_port() closed the port that it had found, and another process of the test run took it before the daemon did. Change: the reserved blocks of the session proxy's tests, below the range of outgoing connections, serve all process tests (tests/process/ports.py).

--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -10,13 +10,14 @@
 import secrets
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from ports import fixed_port
+
 ROOT = Path(__file__).resolve().parents[2]
 # Generous, so that no verdict depends on the speed of the machine.
 PATIENCE_S = 60.0
@@ -30,12 +31,6 @@
     return str(build_dir() / relative)
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def wait_until(what: str, condition, patience_s: float = PATIENCE_S):
     """Waits until condition() is true and returns its value."""
     deadline = time.monotonic() + patience_s
@@ -300,7 +295,7 @@
                          f"/apis/lavenderdale.example/v1/{plural}/{name}").body
 
     def add_daemon(self, name: str, domain: str) -> Daemon:
-        daemon = Daemon(name, domain, free_port(), free_port(), free_port(),
+        daemon = Daemon(name, domain, fixed_port(), fixed_port(), fixed_port(),
                         self.dir / f"{name}.toml", self.dir / f"{name}.log")
         platform_port = self.carried(f"{name}-platform", self.platform_port)
         peer_port = self.carried(f"{name}-peers", daemon.peers)
--- a/tests/process/test_badinput.py
+++ b/tests/process/test_badinput.py
@@ -5,7 +5,8 @@
 import subprocess
 import unittest
 
-from cluster import Cluster, free_port, program
+from cluster import Cluster, program
+from ports import fixed_port
 from fleet import INIT_SQL, start
 
 PATH = "/v1/routes/cuts/statements"
@@ -175,7 +176,7 @@
         self.assertEqual(2, unknown.returncode, unknown)
         self.assertIn("naem", unknown.stderr + unknown.stdout)
         wrong = self.settings_exit(good.replace(f'"127.0.0.1:{self.daemon.clients}"',
-                                                f"{free_port()}"))
+                                                f"{fixed_port()}"))
         self.assertEqual(2, wrong.returncode, wrong)
         self.assertIn("clients", wrong.stderr + wrong.stdout)
         doubled = self.settings_exit(good.replace("[host]\n", "[host]\nname = \"h9\"\n"))
