Refuse waiters of an unreachable upstream; replace idle connections at a limit

Load patterns: (1) an upstream whose path is cut: waiters stayed queued until 70 % of their timeout, although reads can go to another member. (2) All hosts lost power and are back; the upstream counts the connections of the old processes for 3 s, so each host gets about a third of the limit and backed off for up to 120 ms at a time while connections of other workspaces were idle.

Change: a failure to connect, with no connection left, refuses the waiters (they have not run). After a refusal at the limit the pool keeps to the connections that it had, replaces idle ones at once, and tries one more after each success.

--- a/src/libs/pooling/upstreampool.cpp
+++ b/src/libs/pooling/upstreampool.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace lavenderdale {
 
@@ -42,13 +43,16 @@
   this->RetryBackoff = {};
   this->NextLimitBackoff = InitialLimitBackoff;
   this->Connections[Connection] = {Workspace, false, false, Now};
+  // There is room again, perhaps for more.
+  this->Permitted = std::max(this->Permitted, this->Connections.size() + 1);
 }
 
 void UpstreamPool::openFailed(const std::string &Workspace, bool AtLimit,
                               TimePoint Now) {
   this->finishOpening(Workspace);
   if (AtLimit) {
-    this->OpenNotBefore = Now + this->NextLimitBackoff;
+    this->LimitedUntil = Now + this->NextLimitBackoff;
+    this->Permitted = this->Connections.size() + this->Opening;
     this->NextLimitBackoff =
         std::min<Duration>(this->NextLimitBackoff * 2, MaxLimitBackoff);
     this->SurplusNotBefore = Now + LimitHoldTime;
@@ -59,6 +63,7 @@
           ? Duration(InitialRetryBackoff)
           : std::min<Duration>(this->RetryBackoff * 2, MaxRetryBackoff);
   this->OpenNotBefore = Now + this->RetryBackoff;
+  this->RefuseAll = this->Connections.empty() && this->Opening == 0;
 }
 
 void UpstreamPool::released(ConnectionId Connection, TimePoint Now) {
@@ -110,7 +115,8 @@
   };
   for (const Queued &Each : this->Waiting) {
     Consider(Each.Waiter.GiveUpAt);
-    Consider(std::max(Each.QueuedAt + EvictionDelay, this->OpenNotBefore));
+    Consider(std::max({Each.QueuedAt + EvictionDelay, this->OpenNotBefore,
+                       this->LimitedUntil}));
   }
   if (this->Connections.size() > this->Guaranteed)
     for (const auto &[Id, Each] : this->Connections)
@@ -121,8 +127,9 @@
 
 void UpstreamPool::refuseExpired(TimePoint Now,
                                  std::vector<UpstreamPoolAction> &Actions) {
+  const bool All = std::exchange(this->RefuseAll, false);
   std::erase_if(this->Waiting, [&](const Queued &Each) {
-    if (Now < Each.Waiter.GiveUpAt)
+    if (!All && Now < Each.Waiter.GiveUpAt)
       return false;
     Actions.push_back(
         {UpstreamPoolAction::Kind::Refuse, Each.Waiter.Id, 0, {}});
@@ -172,10 +179,13 @@
     // Each connection that is being opened will serve one waiter.
     if (++Wanted[Workspace] <= this->openingFor(Workspace))
       continue;
-    const std::size_t Allowed = Now < this->SurplusNotBefore
-                                    ? std::max<std::size_t>(this->Guaranteed, 1)
-                                    : this->Max;
-    const bool Full = this->Connections.size() + this->Opening >= Allowed;
+    const std::size_t Allowed =
+        Now < this->SurplusNotBefore
+            ? std::max<std::size_t>(std::min(this->Guaranteed, this->Permitted),
+                                    1)
+            : this->Max;
+    const bool Full = Now < this->LimitedUntil ||
+                      this->Connections.size() + this->Opening >= Allowed;
     if (this->hasRunningStatement(Workspace) &&
         Now < Each.QueuedAt + EvictionDelay)
       continue;
--- a/src/libs/pooling/upstreampool.h
+++ b/src/libs/pooling/upstreampool.h
@@ -53,8 +53,10 @@
   /// further refusal up to the maximum.
   static constexpr std::chrono::milliseconds InitialLimitBackoff{15};
   static constexpr std::chrono::milliseconds MaxLimitBackoff{120};
-  /// For this long after such a refusal, no connections beyond the guaranteed
-  /// share are opened, so that other hosts can get their guaranteed share.
+  /// For this long after such a refusal, the pool keeps to the number of
+  /// connections that it had then: a waiter gets a connection in the place of
+  /// an idle one. Load pattern: a host was restarted after a loss of power, and
+  /// the upstream still counts the connections of its previous process.
   static constexpr std::chrono::milliseconds LimitHoldTime{600};
   /// Back-off after another failure to connect; doubles up to the maximum.
   static constexpr std::chrono::milliseconds InitialRetryBackoff{50};
@@ -87,7 +89,9 @@
   /// Reports that an Open succeeded. The new connection is idle.
   void opened(ConnectionId Connection, const std::string &Workspace,
               TimePoint Now);
-  /// Reports that an Open failed.
+  /// Reports that an Open failed. If it was not because of the connection limit
+  /// and no connection is left, the waiters are refused: an upstream that
+  /// cannot be reached answers none of them, and reads can go to another one.
   /// \param AtLimit whether the upstream refused because of its connection
   /// limit.
   void openFailed(const std::string &Workspace, bool AtLimit, TimePoint Now);
@@ -153,10 +157,15 @@
   std::deque<Queued> Waiting;
   std::map<std::string, std::size_t> OpeningFor;
   std::size_t Opening = 0;
+  bool RefuseAll = false; ///< The upstream was found to be unreachable.
   std::size_t Guaranteed = 1;
   std::size_t Max = 1;
-  TimePoint OpenNotBefore{};
+  TimePoint OpenNotBefore{}; ///< After a failure to connect.
+  TimePoint LimitedUntil{};  ///< End of the back-off after a limit refusal.
   TimePoint SurplusNotBefore{};
+  /// Connections at the last limit refusal, and one more than were opened
+  /// since.
+  std::size_t Permitted = 0;
   Duration RetryBackoff{};
   Duration NextLimitBackoff{InitialLimitBackoff};
 };
