--- a/src/libs/consistency/verifiedpositions.cpp
+++ b/src/libs/consistency/verifiedpositions.cpp
@@ -20,13 +20,27 @@
   this->Entries.push_back({Sent, At});
 }
 
-std::optional<Position>
-VerifiedPositions::oldestCovering(BootTime Since) const {
+std::optional<VerifiedPositions::Proof>
+VerifiedPositions::oldestProofSince(BootTime Since) const {
   const auto Found = std::lower_bound(
       this->Entries.begin(), this->Entries.end(), Since,
-      [](const Entry &Each, BootTime Time) { return Each.Sent < Time; });
+      [](const Proof &Each, BootTime Time) { return Each.Sent < Time; });
   if (Found == this->Entries.end())
     return std::nullopt;
+  return *Found;
+}
+
+std::optional<VerifiedPositions::Proof> VerifiedPositions::newestProof() const {
+  if (this->Entries.empty())
+    return std::nullopt;
+  return this->Entries.back();
+}
+
+std::optional<Position>
+VerifiedPositions::oldestCovering(BootTime Since) const {
+  const std::optional<Proof> Found = this->oldestProofSince(Since);
+  if (!Found)
+    return std::nullopt;
   return Found->At;
 }
 
--- a/src/libs/consistency/verifiedpositions.h
+++ b/src/libs/consistency/verifiedpositions.h
@@ -34,17 +34,23 @@
   /// position, the more replicas have replayed it.
   std::optional<Position> oldestCovering(BootTime Since) const;
 
+  /// A proof of leadership.
+  struct Proof {
+    BootTime Sent; ///< When the command was sent that the primary completed.
+    Position At;
+  };
+  /// \returns the proof that oldestCovering() uses.
+  std::optional<Proof> oldestProofSince(BootTime Since) const;
+  /// \returns the newest proof.
+  std::optional<Proof> newestProof() const;
+
   /// \returns the send time of the newest proof, or the epoch of the clock if
   /// there is none.
   BootTime newestProofTime() const;
   std::optional<Position> newestPosition() const;
 
 private:
-  struct Entry {
-    BootTime Sent;
-    Position At;
-  };
-  std::deque<Entry> Entries; ///< Ascending by Sent and by At.
+  std::deque<Proof> Entries; ///< Ascending by Sent and by At.
 };
 
 } // namespace lavenderdale
--- a/src/libs/failover/primarytracker.cpp
+++ b/src/libs/failover/primarytracker.cpp
@@ -25,15 +25,18 @@
 }
 
 void PrimaryTracker::recordLeadershipProof(const std::string &Id, Term InTerm,
-                                           TimePoint Now) {
+                                           TimePoint At) {
   if (InTerm < this->ProvenTerm)
     return;
+  if (InTerm == this->ProvenTerm && this->ProvenAt && At < *this->ProvenAt)
+    return;
   this->ProvenPrimary = Id;
   this->ProvenTerm = InTerm;
-  this->ProvenAt = Now;
-  this->FailedSince.reset();
+  this->ProvenAt = At;
+  if (this->FailedSince && *this->FailedSince <= At)
+    this->FailedSince.reset();
   const auto Found = this->Members.find(Id);
-  if (Found != this->Members.end())
+  if (Found != this->Members.end() && Found->second.RefusedAt <= At)
     Found->second.RefusedAt = {};
 }
 
@@ -68,26 +71,29 @@
 }
 
 std::optional<std::string> PrimaryTracker::primary(TimePoint Now) const {
-  // By strength of evidence: a proof without a later refusal, a recently
-  // ordered promotion, the newest claim.
+  // The latest evidence counts: a host that has not used the group lately knows
+  // only an old proof of a member that was replaced since.
+  enum Evidence { None, Claim, Order, Proof };
+  using Rank = std::tuple<TimePoint, Evidence>;
   const State *Best = nullptr;
-  using Rank = std::tuple<int, TimePoint>;
-  Rank BestRank{0, {}};
+  Rank BestRank(TimePoint{}, None);
+  const auto Consider = [&](const State &Each, TimePoint At, Evidence Kind) {
+    if (Rank(At, Kind) <= BestRank)
+      return;
+    Best = &Each;
+    BestRank = Rank(At, Kind);
+  };
   for (const auto &[Id, Each] : this->Members) {
     if (!this->mayBePrimary(Each, Now))
       continue;
-    Rank Own{0, {}};
-    if (Id == this->ProvenPrimary && Each.RefusedAt == TimePoint{})
-      Own = {3, {}};
-    else if (Each.OrderedAt != TimePoint{} &&
-             Now - Each.OrderedAt < PromotionTimeout)
-      Own = {2, Each.OrderedAt};
-    else if (Each.Entry.ClaimsPrimary)
-      Own = {1, Each.ClaimedSince};
-    if (std::get<0>(Own) == 0 || (Best && Own <= BestRank))
-      continue;
-    Best = &Each;
-    BestRank = Own;
+    if (Id == this->ProvenPrimary && Each.RefusedAt == TimePoint{} &&
+        this->ProvenAt)
+      Consider(Each, *this->ProvenAt, Proof);
+    if (Each.OrderedAt != TimePoint{} &&
+        Now - Each.OrderedAt < PromotionTimeout)
+      Consider(Each, Each.OrderedAt, Order);
+    if (Each.Entry.ClaimsPrimary)
+      Consider(Each, Each.ClaimedSince, Claim);
   }
   if (!Best)
     return std::nullopt;
--- a/src/libs/failover/primarytracker.h
+++ b/src/libs/failover/primarytracker.h
@@ -32,12 +32,21 @@
 
   void setMembers(const std::vector<Member> &Members, TimePoint Now);
 
-  /// \p Id proved at \p Now that it is the primary of \p InTerm.
-  void recordLeadershipProof(const std::string &Id, Term InTerm, TimePoint Now);
+  /// \p Id proved at \p At that it is the primary of \p InTerm. A proof that
+  /// is older than the latest one is ignored, and failures after \p At still
+  /// count.
+  void recordLeadershipProof(const std::string &Id, Term InTerm, TimePoint At);
   /// \p Id answered that it is not the primary.
   void recordLeadershipRefusal(const std::string &Id, TimePoint Now);
   /// A probe of \p Id got no answer.
   void recordUnreachable(const std::string &Id, TimePoint Now);
+  /// \p Id answered that it leads \p InTerm. Proves its leadership only in a
+  /// term that is newer than the known one: a primary that was replaced may not
+  /// know it yet.
+  void recordStatus(const std::string &Id, Term InTerm, TimePoint Now) {
+    if (InTerm > this->ProvenTerm)
+      this->recordLeadershipProof(Id, InTerm, Now);
+  }
   /// A host ordered the promotion of \p Id.
   void promotionOrdered(const std::string &Id, TimePoint Now);
 
@@ -53,6 +62,10 @@
   /// has failed since the last proof.
   bool isSuspected(TimePoint Now, std::chrono::milliseconds Limit) const;
 
+  /// Whether a probe has failed, or a member refused writes, since the last
+  /// proof.
+  bool hasFailed() const { return this->FailedSince.has_value(); }
+
   /// Whether a promotion was ordered within the last \p Limit.
   bool orderedWithin(std::chrono::milliseconds Limit, TimePoint Now) const;
 
--- a/src/libs/failover/promotionvote.cpp
+++ b/src/libs/failover/promotionvote.cpp
@@ -5,22 +5,20 @@
 
 namespace lavenderdale {
 
-bool shouldPromote(std::span<const PrimaryReport> Others, std::size_t Hosts,
-                   std::size_t Rank, std::chrono::milliseconds SuspectedFor,
+bool shouldPromote(std::span<const PrimaryReport> Others, std::size_t Heard,
+                   std::size_t Hosts, std::size_t Rank,
+                   std::chrono::milliseconds SuspectedFor,
                    const PromotionLimits &Limits) {
-  std::size_t Suspecting = 1;
+  bool OthersSuspect = Hosts == 1;
   for (const PrimaryReport &Each : Others) {
     if (Each.ProvenAge && *Each.ProvenAge < Limits.RecentProofAge)
       return false;
-    Suspecting += Each.Suspects ? 1 : 0;
+    OthersSuspect = OthersSuspect || Each.Suspects;
   }
-  const std::size_t Heard = Others.size() + 1;
-  if (2 * Suspecting <= Heard && Heard > 1)
-    return false;
-  const auto OwnDelay = Limits.RankDelay * static_cast<int>(Rank);
-  if (2 * Heard >= Hosts)
-    return SuspectedFor >= OwnDelay;
-  return SuspectedFor >= Limits.MinoritySuspicionTime + OwnDelay;
+  std::chrono::milliseconds Wait = Limits.delay(Rank);
+  if (2 * Heard < Hosts || !OthersSuspect)
+    Wait += Limits.MinoritySuspicionTime;
+  return SuspectedFor >= Wait;
 }
 
 std::optional<std::string>
--- a/src/libs/failover/promotionvote.h
+++ b/src/libs/failover/promotionvote.h
@@ -3,6 +3,7 @@
 #include "base/boottime.h"
 #include "consistency/position.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -13,7 +14,9 @@
 
 namespace lavenderdale {
 
-/// What one host reports about the primary of a group.
+/// What one host reports about the primary of a group. A host that neither
+/// suspects it nor has a recent proof has not tried to reach it lately, and has
+/// no say.
 struct PrimaryReport {
   bool Suspects = false; ///< Its probes found no primary.
   std::optional<std::chrono::milliseconds>
@@ -24,13 +27,22 @@
 struct PromotionLimits {
   /// A host that saw a proof more recent than this prevents a promotion.
   std::chrono::milliseconds RecentProofAge{600};
-  /// While less than half of the hosts can be heard, a suspicion has to last
-  /// for this long. Many hosts may restart at the same time, but a restart
-  /// takes less than this.
+  /// While less than half of the hosts can be heard, or no other host suspects
+  /// the primary, a suspicion has to last for this long. Many hosts may restart
+  /// at the same time, but a restart takes less than this.
   std::chrono::milliseconds MinoritySuspicionTime{3500};
   /// Delay between the hosts, which act one after the other so that they seldom
   /// compete for a claim.
   std::chrono::milliseconds RankDelay{350};
+  /// Hosts of a higher rank wait no longer than this one, so that the hosts of
+  /// a large fleet do not wait for dozens of others.
+  std::size_t MaxDelayedRank = 8;
+
+  /// How long the host of \p Rank leaves a promotion to those before it.
+  std::chrono::milliseconds delay(std::size_t Rank) const {
+    return this->RankDelay *
+           static_cast<int>(std::min(Rank, this->MaxDelayedRank));
+  }
 };
 
 /// Whether a host should try to replace a failed primary now. A network
@@ -38,11 +50,14 @@
 /// lead to the replacement of a primary that other hosts reach. If several
 /// hosts act at the same time, the claim in the object store decides.
 /// \param Others reports of the other hosts that were heard recently.
+/// \param Heard number of hosts to which there is a path now, including this
+///        one.
 /// \param Hosts number of hosts of the fleet, including this one.
-/// \param Rank index of this host among those heard, ordered by name.
+/// \param Rank position of this host in the promotionOrder() of the group.
 /// \param SuspectedFor how long this host has suspected the primary.
-bool shouldPromote(std::span<const PrimaryReport> Others, std::size_t Hosts,
-                   std::size_t Rank, std::chrono::milliseconds SuspectedFor,
+bool shouldPromote(std::span<const PrimaryReport> Others, std::size_t Heard,
+                   std::size_t Hosts, std::size_t Rank,
+                   std::chrono::milliseconds SuspectedFor,
                    const PromotionLimits &Limits);
 
 /// A member that may be promoted, from its answer to a recent probe.
--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -108,9 +108,11 @@
   const double Length = Seconds(Window).count();
   if (Age >= Length)
     return 0;
+  const double Fraction = this->demandFraction(Hosts, Now);
   const double Spent =
-      std::min(this->demand(Now) * Length,
-               this->limit() * this->demandFraction(Hosts, Now) * MaxPriorUse);
+      std::max(0.0, std::min(this->demand(Now) * Length,
+                             this->limit() * Fraction * MaxPriorUse) -
+                        this->PriorUseTolerance * Fraction);
   return Age < HoldTime ? Spent : Spent * (Length - Age) / (Length - HoldTime);
 }
 
--- a/src/libs/limits/sharedrate.h
+++ b/src/libs/limits/sharedrate.h
@@ -68,6 +68,13 @@
   /// \param Fraction 0 to 1; 1 for all.
   void setFraction(double Fraction);
 
+  /// Sets by how much the operations assumed for the previous process may be
+  /// underestimated, because the limit is only enforced up to a tolerance.
+  /// \param Operations of all hosts, in a window.
+  void setPriorUseTolerance(double Operations) {
+    this->PriorUseTolerance = Operations;
+  }
+
   /// State that another host reported.
   struct Report {
     std::uint64_t StartedAt = 0; ///< Identifies the process of the host.
@@ -129,6 +136,7 @@
   double Burst = 0;
   double Fraction = 1;
   std::chrono::milliseconds ReportLifetime{1500};
+  double PriorUseTolerance = 0;
   BootTime StartedAt;
   std::array<Slot, SlotCount> Admitted{};
   double Tokens = 0;
--- a/src/libs/placement/holderselector.cpp
+++ b/src/libs/placement/holderselector.cpp
@@ -1,35 +1,87 @@
 #include "holderselector.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 namespace lavenderdale {
 
 void HolderSelector::setHosts(std::vector<PlacementHost> NewLive) {
   if (NewLive == this->Live)
     return;
-  this->Live = std::move(NewLive);
-  this->Holders.clear();
-  const auto IsGone = [this](const std::string &Host) {
-    return std::ranges::find(this->Live, Host, &PlacementHost::Name) ==
-           this->Live.end();
+  const auto Before = [](const PlacementHost &A, const PlacementHost &B) {
+    return std::tie(A.Name, A.FailureDomain) <
+           std::tie(B.Name, B.FailureDomain);
   };
-  std::erase_if(this->HostsAvoidedUntil,
-                [&](const auto &Item) { return IsGone(Item.first); });
+  std::vector<PlacementHost> Joined;
+  std::vector<PlacementHost> Left;
+  std::ranges::set_difference(NewLive, this->Live, std::back_inserter(Joined),
+                              Before);
+  std::ranges::set_difference(this->Live, NewLive, std::back_inserter(Left),
+                              Before);
+  this->Live = std::move(NewLive);
+  for (const PlacementHost &Each : Left)
+    this->hostLeft(Each.Name);
+  for (const PlacementHost &Each : Joined)
+    this->hostJoined(Each);
+}
+
+void HolderSelector::hostJoined(const PlacementHost &Host) {
+  for (auto &[Upstream, List] : this->Holders) {
+    List.All.clear();
+    const bool Full = List.Holders.size() == HolderCount;
+    if (Full && List.Holders.back().SameDomain &&
+        Host.FailureDomain != List.FailureDomain)
+      continue;
+    RankedHolder New = rankHolder(Upstream, List.FailureDomain, Host);
+    const auto Place = std::ranges::find_if(
+        List.Holders, [&New](const RankedHolder &Each) { return Each < New; });
+    List.Holders.insert(Place, std::move(New));
+    if (List.Holders.size() > HolderCount)
+      List.Holders.pop_back();
+  }
+}
+
+void HolderSelector::hostLeft(const std::string &Host) {
+  std::erase_if(this->Holders, [&Host](const auto &Item) {
+    return std::ranges::find(Item.second.Holders, Host, &RankedHolder::Host) !=
+           Item.second.Holders.end();
+  });
+  for (auto &[Upstream, List] : this->Holders)
+    List.All.clear();
+  this->HostsAvoidedUntil.erase(Host);
   std::erase_if(this->PathsAvoidedUntil,
-                [&](const auto &Item) { return IsGone(Item.first.first); });
+                [&Host](const auto &Item) { return Item.first.first == Host; });
   std::erase_if(this->ConsecutiveLosses,
-                [&](const auto &Item) { return IsGone(Item.first.first); });
+                [&Host](const auto &Item) { return Item.first.first == Host; });
 }
 
-const std::vector<std::string> &
+const std::vector<RankedHolder> &
 HolderSelector::holders(const std::string &Upstream,
                         const std::string &FailureDomain) {
   const auto Known = this->Holders.find(Upstream);
-  if (Known != this->Holders.end())
-    return Known->second;
-  return this->Holders
-      .emplace(Upstream, holdersOf(Upstream, FailureDomain, this->Live))
-      .first->second;
+  if (Known != this->Holders.end() &&
+      Known->second.FailureDomain == FailureDomain)
+    return Known->second.Holders;
+  HolderList &List = this->Holders[Upstream];
+  List.FailureDomain = FailureDomain;
+  List.All.clear();
+  List.Holders = this->rankedHosts(Upstream, FailureDomain);
+  List.Holders.resize(std::min(HolderCount, List.Holders.size()));
+  return List.Holders;
+}
+
+std::vector<RankedHolder>
+HolderSelector::rankedHosts(const std::string &Upstream,
+                            const std::string &FailureDomain) const {
+  std::vector<RankedHolder> Ranked;
+  Ranked.reserve(this->Live.size());
+  for (const PlacementHost &Each : this->Live)
+    Ranked.push_back(rankHolder(Upstream, FailureDomain, Each));
+  std::ranges::sort(Ranked, [](const RankedHolder &A, const RankedHolder &B) {
+    return B < A;
+  });
+  return Ranked;
 }
 
 bool HolderSelector::isAvoided(const std::string &Host,
@@ -38,6 +90,14 @@
   const auto HostAvoided = this->HostsAvoidedUntil.find(Host);
   if (HostAvoided != this->HostsAvoidedUntil.end() && Now < HostAvoided->second)
     return true;
+  const std::string *Domain =
+      this->DomainsAvoidedUntil.empty() ? nullptr : this->domainOf(Host);
+  if (Domain) {
+    const auto DomainAvoided = this->DomainsAvoidedUntil.find(*Domain);
+    if (DomainAvoided != this->DomainsAvoidedUntil.end() &&
+        Now < DomainAvoided->second)
+      return true;
+  }
   const auto PathAvoided = this->PathsAvoidedUntil.find({Host, Upstream});
   return PathAvoided != this->PathsAvoidedUntil.end() &&
          Now < PathAvoided->second;
@@ -46,26 +106,64 @@
 std::string HolderSelector::choose(const std::string &Upstream,
                                    const std::string &FailureDomain,
                                    TimePoint Now) {
-  for (const std::string &Host : this->holders(Upstream, FailureDomain))
-    if (!this->isAvoided(Host, Upstream, Now))
-      return Host;
+  for (const RankedHolder &Each : this->holders(Upstream, FailureDomain))
+    if (!this->isAvoided(Each.Host, Upstream, Now))
+      return Each.Host;
+  HolderList &List = this->Holders[Upstream];
+  if (List.All.empty())
+    List.All = this->rankedHosts(Upstream, FailureDomain);
+  for (const RankedHolder &Each : List.All)
+    if (!this->isAvoided(Each.Host, Upstream, Now))
+      return Each.Host;
   return this->Self;
 }
 
 std::size_t HolderSelector::rank(const std::string &Host,
                                  const std::string &Upstream,
                                  const std::string &FailureDomain) {
-  constexpr std::size_t NoHolder = 2;
-  const std::vector<std::string> &Ordered =
+  const std::vector<RankedHolder> &Ordered =
       this->holders(Upstream, FailureDomain);
-  const auto Found = std::ranges::find(Ordered, Host);
+  const auto Found = std::ranges::find(Ordered, Host, &RankedHolder::Host);
   return Found == Ordered.end()
-             ? NoHolder
+             ? HolderCount
              : static_cast<std::size_t>(Found - Ordered.begin());
 }
 
 void HolderSelector::hostFailed(const std::string &Host, TimePoint Now) {
   this->HostsAvoidedUntil[Host] = Now + AvoidAfterFailure;
+  if (const std::string *Domain = this->domainOf(Host))
+    this->updateDomain(*Domain, Now);
+}
+
+const std::string *HolderSelector::domainOf(const std::string &Host) const {
+  const auto Found =
+      std::ranges::lower_bound(this->Live, Host, {}, &PlacementHost::Name);
+  return Found != this->Live.end() && Found->Name == Host
+             ? &Found->FailureDomain
+             : nullptr;
+}
+
+void HolderSelector::updateDomain(const std::string &FailureDomain,
+                                  TimePoint Now) {
+  const auto Answered = this->DomainsAnsweredAt.find(FailureDomain);
+  if (Answered != this->DomainsAnsweredAt.end() &&
+      Now - Answered->second < AvoidAfterFailure)
+    return;
+  std::size_t Hosts = 0;
+  std::size_t Failed = 0;
+  for (const PlacementHost &Each : this->Live) {
+    if (Each.FailureDomain != FailureDomain)
+      continue;
+    if (Each.Name == this->Self)
+      return;
+    ++Hosts;
+    const auto Avoided = this->HostsAvoidedUntil.find(Each.Name);
+    Failed += Avoided != this->HostsAvoidedUntil.end() && Now < Avoided->second
+                  ? 1
+                  : 0;
+  }
+  if (Hosts > 1 && Failed >= std::min(Hosts, FailedHostsOfCutDomain))
+    this->DomainsAvoidedUntil[FailureDomain] = Now + AvoidAfterFailure;
 }
 
 void HolderSelector::pathFailed(const std::string &Host,
@@ -89,8 +187,13 @@
   this->ConsecutiveLosses.erase({Host, Upstream});
 }
 
-void HolderSelector::hostAnswered(const std::string &Host) {
+void HolderSelector::hostAnswered(const std::string &Host, TimePoint Now) {
   this->HostsAvoidedUntil.erase(Host);
+  const std::string *Domain = this->domainOf(Host);
+  if (!Domain)
+    return;
+  this->DomainsAnsweredAt[*Domain] = Now;
+  this->DomainsAvoidedUntil.erase(*Domain);
 }
 
 } // namespace lavenderdale
--- a/src/libs/placement/holderselector.h
+++ b/src/libs/placement/holderselector.h
@@ -12,7 +12,13 @@
 namespace lavenderdale {
 
 /// Selects the host whose connection carries a statement to an upstream: one
-/// of the two holders of the upstream (see holdersOf()), or this host itself.
+/// of the two holders of the upstream (see holdersOf()), or the first host
+/// after them in the same order that answers.
+///
+/// Load pattern: a network partition leaves an upstream and most of the fleet
+/// on one side and the holders of the upstream on the other. All hosts of a
+/// side then go over the same host of their side, instead of each opening its
+/// own connections, which are more than the upstream permits.
 ///
 /// An upstream limits the number of connections from all hosts together, and
 /// each connection serves one workspace. If every host kept its own
@@ -30,16 +36,25 @@
   /// failed. A single answer can be lost without a fault of the path.
   static constexpr unsigned LostAnswersOfFailedPath = 2;
 
+  /// Number of hosts of a failure domain without an answer, or all of a smaller
+  /// domain, after which the other hosts of the domain are skipped too. A
+  /// domain that is cut off is thus noticed with its first hosts, instead of by
+  /// one timeout for each of them.
+  static constexpr std::size_t FailedHostsOfCutDomain = 3;
+
   explicit HolderSelector(std::string Self) : Self(std::move(Self)) {}
 
   /// Replaces the hosts to select from. Drops the recorded failures of hosts
-  /// that are no longer among them.
-  /// \param Live the live hosts, including this one.
+  /// that are no longer among them. A host that joins costs one hash for each
+  /// known upstream, and one that leaves a new selection for the upstreams that
+  /// it held, so that a fleet that starts at once does not select all holders
+  /// anew with each host that appears.
+  /// \param Live the live hosts, including this one, ordered by name.
   void setHosts(std::vector<PlacementHost> Live);
 
   /// \param FailureDomain failure domain of \p Upstream.
-  /// \returns the first holder that is not skipped because of a failure, or
-  ///          this host if there is none.
+  /// \returns the first host that is not skipped because of a failure, in the
+  ///          order of their preference as holders.
   std::string choose(const std::string &Upstream,
                      const std::string &FailureDomain, TimePoint Now);
 
@@ -48,14 +63,17 @@
   std::size_t rank(const std::string &Host, const std::string &Upstream,
                    const std::string &FailureDomain);
 
-  /// Records that \p Host did not answer. It is skipped for all upstreams.
+  /// Records that \p Host did not answer. It is skipped for all upstreams. If
+  /// several hosts of its domain did not, while none answered lately, the whole
+  /// domain is skipped.
   void hostFailed(const std::string &Host, TimePoint Now);
   /// Records that \p Host cannot reach \p Upstream. It is skipped for this
   /// upstream only.
   void pathFailed(const std::string &Host, const std::string &Upstream,
                   TimePoint Now);
-  /// Records that \p Host answered, which ends its avoidance.
-  void hostAnswered(const std::string &Host);
+  /// Records that \p Host answered, which ends its avoidance and that of its
+  /// domain.
+  void hostAnswered(const std::string &Host, TimePoint Now);
 
   /// Records that \p Answers answers of \p Upstream did not reach \p Host.
   void answersLost(const std::string &Host, const std::string &Upstream,
@@ -65,15 +83,32 @@
   void pathAnswered(const std::string &Host, const std::string &Upstream);
 
 private:
-  const std::vector<std::string> &holders(const std::string &Upstream,
-                                          const std::string &FailureDomain);
+  /// The holders of one upstream, the preferred one first.
+  struct HolderList {
+    std::string FailureDomain; ///< Of the upstream.
+    std::vector<RankedHolder> Holders;
+    /// All hosts in the same order; filled when both holders are skipped.
+    std::vector<RankedHolder> All;
+  };
+
+  const std::vector<RankedHolder> &holders(const std::string &Upstream,
+                                           const std::string &FailureDomain);
+  std::vector<RankedHolder> rankedHosts(const std::string &Upstream,
+                                        const std::string &FailureDomain) const;
+  void hostJoined(const PlacementHost &Host);
+  void hostLeft(const std::string &Host);
   bool isAvoided(const std::string &Host, const std::string &Upstream,
                  TimePoint Now) const;
+  /// Failure domain of a live host; nullptr if the host is not live.
+  const std::string *domainOf(const std::string &Host) const;
+  void updateDomain(const std::string &FailureDomain, TimePoint Now);
 
   const std::string Self;
   std::vector<PlacementHost> Live;
-  std::map<std::string, std::vector<std::string>> Holders; ///< By upstream.
+  std::map<std::string, HolderList> Holders; ///< By upstream.
   std::map<std::string, TimePoint> HostsAvoidedUntil;
+  std::map<std::string, TimePoint> DomainsAvoidedUntil;
+  std::map<std::string, TimePoint> DomainsAnsweredAt;
   using Path = std::pair<std::string, std::string>; ///< Host and upstream.
   std::map<Path, TimePoint> PathsAvoidedUntil;
   std::map<Path, unsigned> ConsecutiveLosses; ///< Missing answers.
--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -5,12 +5,12 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <cstdint>
+#include <set>
+#include <tuple>
 
 namespace lavenderdale {
 namespace {
 
-constexpr std::size_t HolderCount = 2;
 constexpr std::size_t RelayCount = 2;
 constexpr std::size_t MonitorCount = 3;
 constexpr std::size_t MinMonitorCount = 2;
@@ -102,6 +102,18 @@
 
 } // namespace
 
+bool RankedHolder::operator<(const RankedHolder &Other) const {
+  return std::tie(this->SameDomain, this->Weight, Other.Host) <
+         std::tie(Other.SameDomain, Other.Weight, this->Host);
+}
+
+RankedHolder rankHolder(std::string_view Upstream,
+                        std::string_view FailureDomain,
+                        const PlacementHost &Host) {
+  return {Host.FailureDomain == FailureDomain,
+          stableHash("holder", Upstream, Host.Name), Host.Name};
+}
+
 std::vector<std::string> holdersOf(std::string_view Upstream,
                                    std::string_view FailureDomain,
                                    std::span<const PlacementHost> Hosts) {
@@ -145,6 +157,23 @@
   return Names;
 }
 
+std::vector<std::string> promotionOrder(std::string_view Group,
+                                        std::span<const PlacementHost> Hosts) {
+  HostRefs All;
+  for (const PlacementHost &Host : Hosts)
+    All.push_back(&Host);
+  const HostRefs Ranked = ranked(All, "promoter", Group);
+  std::set<std::string_view> Domains;
+  std::vector<std::string> Names;
+  std::vector<std::string> Rest;
+  for (const PlacementHost *Host : Ranked) {
+    const bool FirstOfDomain = Domains.insert(Host->FailureDomain).second;
+    (FirstOfDomain ? Names : Rest).push_back(Host->Name);
+  }
+  Names.insert(Names.end(), Rest.begin(), Rest.end());
+  return Names;
+}
+
 std::vector<std::string> watchersOf(std::span<const PlacementUpstream> Group,
                                     std::span<const PlacementHost> Hosts) {
   std::vector<std::string> Names;
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -27,6 +29,27 @@
 /// host of a domain (about 0.3 µs each), so callers should cache the results
 /// until the hosts change.
 
+/// Number of hosts that hold connections to an upstream.
+constexpr std::size_t HolderCount = 2;
+
+/// A host with its rank as a holder of one upstream. Of two hosts, the greater
+/// one is preferred.
+struct RankedHolder {
+  bool SameDomain = false; ///< In the failure domain of the upstream.
+  std::uint64_t Weight = 0;
+  std::string Host;
+
+  bool operator==(const RankedHolder &) const = default;
+  /// Hosts of equal weight are ordered by name, the first name preferred.
+  bool operator<(const RankedHolder &Other) const;
+};
+
+/// Ranks one host, so that a cached result of holdersOf() can be updated when a
+/// host joins.
+RankedHolder rankHolder(std::string_view Upstream,
+                        std::string_view FailureDomain,
+                        const PlacementHost &Host);
+
 /// Selects the hosts that hold connections to an upstream, by rendezvous
 /// hashing: hosts of \p FailureDomain first, then hosts of other domains if it
 /// has fewer than two.
@@ -56,6 +79,13 @@
 std::vector<std::string> monitorsOf(const PlacementHost &Host,
                                     std::span<const PlacementHost> Hosts);
 
+/// Orders all hosts by who replaces the failed primary of \p Group first: the
+/// preferred host of each failure domain, then all others. A cut-off domain
+/// thus delays the replacement by one host, however many hosts it has.
+/// \returns host names.
+std::vector<std::string> promotionOrder(std::string_view Group,
+                                        std::span<const PlacementHost> Hosts);
+
 /// Selects the hosts that watch a database group.
 /// \returns the preferred holder of each member without duplicates, in the
 ///          order of the members.
--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -4,18 +4,20 @@
 
 namespace lavenderdale {
 
-void FleetView::setRegistered(const std::map<std::string, Endpoint> &Registered,
-                              BootTime Now) {
+void FleetView::setRegistered(
+    const std::map<std::string, Registration> &Registered, BootTime Now) {
   for (auto &[Name, Each] : this->Hosts)
     Each.Registered = false;
-  for (const auto &[Name, Address] : Registered) {
+  for (const auto &[Name, Entry] : Registered) {
     if (Name == this->OwnName)
       continue;
     Host &Each = this->Hosts[Name];
     if (Each.KnownSince == BootTime{})
       Each.KnownSince = Now;
     Each.Registered = true;
-    Each.Address = Address;
+    Each.Address = Entry.Address;
+    if (!Entry.FailureDomain.empty())
+      Each.FailureDomain = Entry.FailureDomain;
   }
   std::erase_if(this->Hosts, [&](const auto &Each) {
     return !Each.second.Registered && !this->isRecentlyHeard(Each.second, Now);
@@ -35,6 +37,7 @@
   const Result<Endpoint> Address = parseEndpoint(Report.Address);
   if (Address)
     Each.Address = Address.value();
+  Each.FailureDomain = Report.FailureDomain;
   Each.Last = Report;
   Each.HeardAt = Now;
   return true;
@@ -61,12 +64,40 @@
   return Found;
 }
 
+std::size_t FleetView::inContact(BootTime Now) const {
+  const std::chrono::milliseconds Limit =
+      contactLifetime(this->Hosts.size() + 1);
+  const auto Others = std::count_if(
+      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
+        return Each.second.Last && Now - Each.second.HeardAt < Limit;
+      });
+  return static_cast<std::size_t>(Others) + 1;
+}
+
+std::size_t FleetView::assumedInContact(BootTime Now) const {
+  const std::chrono::milliseconds Limit =
+      contactLifetime(this->Hosts.size() + 1);
+  const auto Unheard = std::count_if(
+      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
+        return !Each.second.Last && Each.second.Registered &&
+               Now - Each.second.KnownSince < Limit;
+      });
+  return static_cast<std::size_t>(Unheard) + this->inContact(Now);
+}
+
+std::map<std::string, const FleetView::Host *>
+FleetView::present(BootTime Now) const {
+  std::map<std::string, const Host *> Found;
+  for (const auto &[Name, Each] : this->Hosts)
+    if (this->isPresent(Each, Now))
+      Found.emplace_hint(Found.end(), Name, &Each);
+  return Found;
+}
+
 std::size_t FleetView::rank(BootTime Now) const {
   const auto Before = std::count_if(
       this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
-        return Each.first < this->OwnName &&
-               this->isRecentlyHeard(Each.second, Now) &&
-               !Each.second.Last->Leaving;
+        return Each.first < this->OwnName && this->isPresent(Each.second, Now);
       });
   return static_cast<std::size_t>(Before);
 }
@@ -80,6 +111,13 @@
   return Names;
 }
 
+bool FleetView::isPresent(const Host &Each, BootTime Now) const {
+  if (Each.Last)
+    return this->isRecentlyHeard(Each, Now) && !Each.Last->Leaving;
+  return Each.Registered && !Each.FailureDomain.empty() &&
+         Now - Each.KnownSince < reportLifetime(this->Hosts.size() + 1);
+}
+
 bool FleetView::isRecentlyHeard(const Host &Each, BootTime Now) const {
   return Each.Last &&
          Now - Each.HeardAt < reportLifetime(this->Hosts.size() + 1);
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -20,8 +20,15 @@
   /// removed. Longer than any network outage that operators plan for.
   static constexpr std::chrono::seconds SilenceLimit{20};
 
+  /// A host's registration in the object store.
+  struct Registration {
+    Endpoint Address;
+    std::string FailureDomain; ///< Empty if an older version registered it.
+  };
+
   struct Host {
     Endpoint Address;
+    std::string FailureDomain;
     bool Registered = false;        ///< In the object store.
     std::optional<HostReport> Last; ///< The latest report.
     BootTime HeardAt{};             ///< When the latest report arrived.
@@ -31,7 +38,7 @@
   explicit FleetView(std::string OwnName) : OwnName(std::move(OwnName)) {}
 
   /// Replaces the registered hosts.
-  void setRegistered(const std::map<std::string, Endpoint> &Hosts,
+  void setRegistered(const std::map<std::string, Registration> &Hosts,
                      BootTime Now);
 
   /// Records a report of another host.
@@ -47,8 +54,24 @@
   /// Hosts with a recent report, by name.
   std::vector<const Host *> recentlyHeard(BootTime Now) const;
 
-  /// Index of this host, by name, among the hosts with a recent report that are
-  /// not leaving.
+  /// Number of hosts, this one included, whose report arrived so lately that
+  /// this host cannot be cut off from them: about one interval ago. This host's
+  /// last report to a host that was heard longer ago may be as old.
+  std::size_t inContact(BootTime Now) const;
+
+  /// The same, with the registered hosts that had no time to report yet.
+  std::size_t assumedInContact(BootTime Now) const;
+
+  /// The other hosts to which work can be given: those with a recent report
+  /// that are not leaving, and registered ones that had no time to report yet.
+  ///
+  /// Load pattern: all hosts are restarted at the same moment. Their
+  /// registrations are still there, so all of them agree on the holders of each
+  /// upstream with the first list of hosts, instead of opening connections over
+  /// other holders with each report that arrives.
+  std::map<std::string, const Host *> present(BootTime Now) const;
+
+  /// Index of this host, by name, among itself and the hosts of present().
   std::size_t rank(BootTime Now) const;
 
   /// Names of registered hosts that have sent no report for SilenceLimit.
@@ -58,6 +81,7 @@
 
 private:
   bool isRecentlyHeard(const Host &Each, BootTime Now) const;
+  bool isPresent(const Host &Each, BootTime Now) const;
 
   const std::string OwnName;
   std::map<std::string, Host> Hosts; ///< Without this host.
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -45,6 +45,9 @@
   /// Time since the store last confirmed that version; -1 if it never did.
   std::int64_t CatalogueAgeMs = -1;
   bool Leaving = false;
+  /// The receiver is asked to report to the sender at once, because the path
+  /// between them may be cut.
+  bool WantsAnswer = false;
   std::vector<GroupReport> Groups;
   std::vector<DemandReport> Demands;
 };
@@ -70,6 +73,10 @@
 /// Age up to which a host's last report is considered recent: five intervals.
 std::chrono::milliseconds reportLifetime(std::size_t Hosts);
 
+/// Age up to which a host's last report shows that there is a path from it: one
+/// and a half intervals, and enough for two lost reports in a small fleet.
+std::chrono::milliseconds contactLifetime(std::size_t Hosts);
+
 /// Encodes \p Report as CBOR.
 std::string encodeReport(const HostReport &Report);
 
--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -80,7 +80,6 @@
                                  TimePoint Now) {
   FleetView &Fleet = this->State.fleet();
   const BootTime BootNow = BootClock::now();
-  const std::size_t Rank = Fleet.rank(BootNow);
   const PromotionLimits Limits;
   if (Group.tracker().orderedWithin(PromotionCooldown, Now))
     return false;
@@ -90,10 +89,12 @@
     Progress.LeavingSince.reset();
   else if (!Progress.LeavingSince)
     Progress.LeavingSince = Now;
-  if (Leaving &&
-      Now - *Progress.LeavingSince >= Limits.RankDelay * static_cast<int>(Rank))
-    return true;
   const std::optional<TimePoint> Since = Group.suspectedSince();
+  if (!Leaving && !Since)
+    return false;
+  const std::size_t Rank = this->State.access().promotionRank(Group.name());
+  if (Leaving && Now - *Progress.LeavingSince >= Limits.delay(Rank))
+    return true;
   if (!Since)
     return false;
   std::vector<PrimaryReport> Others;
@@ -110,8 +111,8 @@
                 BootNow - Host->HeardAt);
       Others.push_back(Opinion);
     }
-  return shouldPromote(Others, Fleet.size(BootNow), Rank,
-                       toMilliseconds(Now - *Since), Limits);
+  return shouldPromote(Others, Fleet.inContact(BootNow), Fleet.size(BootNow),
+                       Rank, toMilliseconds(Now - *Since), Limits);
 }
 
 PromotionCoordinator::Task<void>
@@ -131,6 +132,8 @@
   const Result<std::uint64_t> Token =
       co_await this->acquireClaim(Name, Progress);
   const BootTime ClaimedAt = BootClock::now();
+  if (Token)
+    co_await Group->probeLastPrimary(steadyNow() + ConfirmationTime);
   // Since the check, other hosts may have acted or the primary may have
   // recovered.
   if (!Token ||
@@ -208,7 +211,7 @@
 
 PromotionCoordinator::Task<Result<std::string>>
 PromotionCoordinator::chooseMember(ProxyGroup &Group, GroupState &Progress) {
-  constexpr std::chrono::milliseconds StatusTimeout{600};
+  constexpr std::chrono::milliseconds StatusTimeout{300};
   const auto Answers = co_await Group.queryStatus(steadyNow() + StatusTimeout);
   const TimePoint Now = steadyNow();
   const std::optional<std::string> Primary = Group.tracker().lastPrimary();
@@ -224,6 +227,8 @@
             " position=" + std::to_string(Status.Received.Log.Value) +
             (Leaving ? " leaving=true" : "") +
             (Status.Primary ? " role=primary" : " role=replica"));
+    if (Status.Primary)
+      Group.tracker().recordStatus(Id, Status.InTerm, Now);
     // When a leaving primary is replaced, neither it nor another leaving member
     // is a candidate; it stays primary if there is no other.
     if (Progress.LeavingSince && (Id == Primary || Leaving))
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -30,6 +30,10 @@
   /// Time after a claim within which the promotion must be requested. After it,
   /// the attempt is dropped, because the process may have been suspended.
   static constexpr std::chrono::milliseconds ClaimValidity{600};
+  /// Time in which a holder of the claim may start further probes of the failed
+  /// primary before it orders the promotion. Leaves time for the last one
+  /// within ClaimValidity.
+  static constexpr std::chrono::milliseconds ConfirmationTime{250};
   /// Minimum time between an accepted promotion and the next one of the same
   /// group. The promoted member needs up to one second to become primary.
   static constexpr std::chrono::milliseconds PromotionCooldown{2500};
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -1,5 +1,6 @@
 #include "proxygroup.h"
 
+#include "http/resumewith.h"
 #include "http/sleepuntil.h"
 #include "placement/memberchoice.h"
 #include "pooling/connectionshare.h"
@@ -27,11 +28,8 @@
                        const UpstreamProtocol &Protocol, UpstreamAccess &Access,
                        std::string Name, std::string OwnDomain)
     : Executor(Executor), Protocol(Protocol), Access(Access),
-      Name(std::move(Name)), OwnDomain(std::move(OwnDomain)) {}
-
-void ProxyGroup::start() {
-  asio::co_spawn(this->Executor, this->probeLoop(), asio::detached);
-}
+      Name(std::move(Name)), OwnDomain(std::move(OwnDomain)),
+      ProbeEnded(Executor) {}
 
 void ProxyGroup::stop() {
   this->Stopped = true;
@@ -68,7 +66,7 @@
   this->ConnectionLimit = Limit;
   for (const auto &[Id, Client] : this->Clients) {
     const ConnectionShare Share =
-        connectionShare(Limit, this->Access.rank(Client->entry()));
+        connectionShare(Limit, this->Access.rank(Client->entry(), steadyNow()));
     Client->pool().setCapacity(Share.Guaranteed, Share.Max);
   }
 }
@@ -150,15 +148,60 @@
 }
 
 void ProxyGroup::recordLeadershipProof(const UpstreamClient &Client,
-                                       BootTime Sent, const Position &At) {
+                                       BootTime Sent, const Position &At,
+                                       std::chrono::milliseconds Age) {
   const std::string &Id = Client.entry().Id;
   if (At.InTerm != this->Tracker.term())
     logInfo("event=primary_proved group=" + this->Name + " upstream=" + Id +
             " term=" + std::to_string(At.InTerm.Value) +
-            " position=" + std::to_string(At.Log.Value));
-  this->Tracker.recordLeadershipProof(Id, At.InTerm, steadyNow());
+            " position=" + std::to_string(At.Log.Value) +
+            " age_ms=" + std::to_string(Age.count()));
+  const TimePoint Now = steadyNow();
+  const TimePoint ProvenAt = Now - Age;
+  this->Tracker.recordLeadershipProof(Id, At.InTerm, ProvenAt);
+  if (this->TroubleAt && *this->TroubleAt <= ProvenAt)
+    this->TroubleAt.reset();
   this->Verified.add(Sent, At);
-  this->updateSuspicion(steadyNow());
+  this->updateSuspicion(Now);
+}
+
+void ProxyGroup::recordTroubleOfOthers(TimePoint Now) {
+  const std::optional<Duration> Age = this->Tracker.provenAge(Now);
+  if (Age && *Age < ProofInterval)
+    return;
+  this->LastUse = Now;
+  if (!this->TroubleAt)
+    this->TroubleAt = Now;
+}
+
+void ProxyGroup::recordRelayedWork(const UpstreamClient &Client,
+                                   const WorkResult &Result) {
+  const UpstreamReply *Reply = Result.firstReply();
+  if (!Reply || !Result.SetUpError.empty())
+    return;
+  if (Reply->ok() && Reply->At)
+    this->recordLeadershipProof(Client, Result.SentAt, *Reply->At);
+  else if (Reply->Failure == UpstreamFailure::ReadOnly)
+    this->recordLeadershipRefusal(Client);
+}
+
+std::optional<ProxyGroup::KnownProof>
+ProxyGroup::knownProof(const std::string &Upstream,
+                       std::chrono::milliseconds MaxAge) const {
+  if (this->Tracker.lastPrimary() != Upstream || this->Tracker.hasFailed())
+    return std::nullopt;
+  const BootTime Now = BootClock::now();
+  std::optional<VerifiedPositions::Proof> Found =
+      this->Verified.oldestProofSince(Now - MaxAge);
+  if (!Found)
+    return std::nullopt;
+  // An earlier primary proved the older ones.
+  if (Found->At.InTerm != this->Tracker.term())
+    Found = this->Verified.newestProof();
+  if (Found->At.InTerm != this->Tracker.term())
+    return std::nullopt;
+  return KnownProof{Found->At, std::chrono::ceil<std::chrono::milliseconds>(
+                                   Now - Found->Sent)};
 }
 
 void ProxyGroup::recordLeadershipRefusal(const UpstreamClient &Client) {
@@ -183,16 +226,61 @@
           " upstream=" + this->Tracker.lastPrimary().value_or("none"));
 }
 
-asio::awaitable<void> ProxyGroup::probeLoop() {
-  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
-  while (!this->Stopped) {
-    const TimePoint Now = steadyNow();
-    const std::optional<Duration> Age = this->Tracker.provenAge(Now);
-    if (this->inUse(Now) && (!Age || *Age >= ProofInterval))
-      co_await this->probe();
-    this->updateSuspicion(steadyNow());
-    co_await sleepUntil(steadyNow() + ProbeInterval);
+void ProxyGroup::supervise(TimePoint Now) {
+  this->updateSuspicion(Now);
+  if (!this->Stopped && !this->Probing && this->isProbeDue(Now))
+    asio::co_spawn(this->Executor, this->probe({}), asio::detached);
+}
+
+bool ProxyGroup::isProbeDue(TimePoint Now) {
+  if (!this->inUse(Now))
+    return false;
+  const std::optional<Duration> Age = this->Tracker.provenAge(Now);
+  if (this->inTrouble()) {
+    // The other hosts learn from the promoters and from the entries of the
+    // members who leads, so they probe only while they need the primary.
+    const bool Promoter =
+        this->Access.promotionRank(this->Name) < UpstreamAccess::PromoterCount;
+    return Promoter ? !Age || *Age >= ProbeInterval
+                    : Now - this->LastUse < ProofInterval &&
+                          Now - this->LastProbeAt >= ProofInterval;
   }
+  if (Age && *Age < ProofInterval)
+    return false;
+  const std::shared_ptr<UpstreamClient> Primary = this->primary(Now);
+  return !Primary || !this->Access.isRemote(Primary->entry(), Now);
+}
+
+asio::awaitable<void> ProxyGroup::proveLeadership(BootTime Since,
+                                                  TimePoint Deadline) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  boost::system::error_code Ignored;
+  while (this->Probing && steadyNow() < Deadline)
+    co_await this->ProbeEnded.async_wait(resumeWith(Ignored));
+  if (this->Probing || this->Stopped || this->includingAll(Since))
+    co_return;
+  // The holder measures the age later than this host, so a proof that is not
+  // too old then is not too old now either.
+  const auto MaxAge =
+      std::chrono::floor<std::chrono::milliseconds>(BootClock::now() - Since);
+  co_await this->probe(std::max(MaxAge, std::chrono::milliseconds(0)));
+}
+
+asio::awaitable<void> ProxyGroup::probe(std::chrono::milliseconds MaxProofAge) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  this->Probing = true;
+  this->LastProbeAt = steadyNow();
+  // Waiting reads are resumed when the probe has ended; the timer itself only
+  // limits their wait.
+  this->ProbeEnded.expires_at(steadyNow() + ProbeTimeout + ProbeInterval);
+  const std::optional<std::string> Target =
+      this->Tracker.probeTarget(steadyNow());
+  const auto Found = Target ? this->Clients.find(*Target) : this->Clients.end();
+  if (Found != this->Clients.end())
+    co_await this->runProbe(Found->second, MaxProofAge);
+  this->Probing = false;
+  this->ProbeEnded.cancel();
+  this->updateSuspicion(steadyNow());
 }
 
 asio::awaitable<ConnectionLease>
@@ -209,19 +297,16 @@
   co_return co_await Client->acquire(std::move(Waiter), Wait);
 }
 
-asio::awaitable<void> ProxyGroup::probe() {
-  const std::optional<std::string> Target =
-      this->Tracker.probeTarget(steadyNow());
-  const auto Found = Target ? this->Clients.find(*Target) : this->Clients.end();
-  if (Found == this->Clients.end())
-    co_return;
-  const std::shared_ptr<UpstreamClient> Client = Found->second;
+asio::awaitable<void>
+ProxyGroup::runProbe(std::shared_ptr<UpstreamClient> Client,
+                     std::chrono::milliseconds MaxProofAge) {
   const bool Remote = this->Access.isRemote(Client->entry(), steadyNow());
   UpstreamWork Work;
   Work.Commands.resize(2);
   Work.Commands[0].Type = Command::Kind::Begin;
   Work.Commands[1].Type = Command::Kind::Rollback;
   Work.Deadline = steadyNow() + (Remote ? RelayedProbeTimeout : ProbeTimeout);
+  Work.MaxProofAge = MaxProofAge;
   PoolWaiter Waiter;
   Waiter.Workspace = this->LastWorkspace;
   Waiter.Target = steadyNow();
@@ -229,59 +314,107 @@
   WaitHandle Wait;
   const WorkResult Result = co_await this->Access.run(
       Client, std::move(Waiter), std::move(Work), Wait, nullptr);
+  this->recordProbeResult(*Client, Result, Remote);
+}
+
+void ProxyGroup::recordProbeResult(UpstreamClient &Client,
+                                   const WorkResult &Result, bool Remote) {
+  const std::string &Target = Client.entry().Id;
   const TimePoint Now = steadyNow();
   // A relaying host that does not answer, or a lack of free connections, says
   // nothing about the member itself.
   if (Result.RelayFailed || (!Result.Connected && !Result.Unreachable)) {
-    if (!Result.Connected && Client->pool().connections() == 0 && !Remote)
-      this->Tracker.recordUnreachable(*Target, Now);
-    co_return;
+    if (!Result.Connected && Client.pool().connections() == 0 && !Remote)
+      this->Tracker.recordUnreachable(Target, Now);
+    return;
   }
   if (Result.Replies.empty() || Result.Lost) {
-    this->Tracker.recordUnreachable(*Target, Now);
-    logInfo("event=probe_failed group=" + this->Name + " upstream=" + *Target);
-    co_return;
+    this->Tracker.recordUnreachable(Target, Now);
+    logInfo("event=probe_failed group=" + this->Name + " upstream=" + Target);
+    return;
   }
   const UpstreamReply &Begun = Result.Replies.front();
-  if (Begun.At)
-    Client->recordPosition(*Begun.At, Now);
+  if (Begun.At && Result.ProofAge.count() == 0)
+    Client.recordPosition(*Begun.At, Now);
   if (Begun.ok() && Begun.At)
-    this->recordLeadershipProof(*Client, Result.SentAt, *Begun.At);
+    this->recordLeadershipProof(Client, Result.SentAt - Result.ProofAge,
+                                *Begun.At, Result.ProofAge);
   else if (Begun.Failure == UpstreamFailure::ReadOnly)
-    this->recordLeadershipRefusal(*Client);
+    this->recordLeadershipRefusal(Client);
+}
+
+asio::awaitable<void> ProxyGroup::probeLastPrimary(TimePoint Deadline) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  const std::optional<std::string> Last = this->Tracker.lastPrimary();
+  const auto Found = Last ? this->Clients.find(*Last) : this->Clients.end();
+  if (Found == this->Clients.end())
+    co_return;
+  const std::shared_ptr<UpstreamClient> Client = Found->second;
+  // A holder that does not answer is skipped by the next probe.
+  const TimePoint Begun = steadyNow();
+  do {
+    const bool Remote = this->Access.isRemote(Client->entry(), steadyNow());
+    co_await this->runProbe(Client, {});
+    if (!Remote)
+      break;
+  } while (steadyNow() < Deadline && this->inTrouble());
+  this->updateSuspicion(steadyNow());
+  logInfo("event=primary_probed_again group=" + this->Name + " upstream=" +
+          *Last + (this->SuspectedSince ? " suspected=yes" : " suspected=no") +
+          " took_ms=" +
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             steadyNow() - Begun)
+                             .count()));
 }
 
 asio::awaitable<std::vector<std::pair<std::string, UpstreamStatus>>>
 ProxyGroup::queryStatus(TimePoint Deadline) {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
-  std::vector<std::pair<std::string, UpstreamStatus>> Answers;
-  const auto Members = this->Clients;
-  for (const auto &[Id, Client] : Members) {
-    if (steadyNow() >= Deadline)
-      break;
-    // Limits the time for each member, so that one that does not answer leaves
-    // time for the others.
-    const TimePoint Limit =
-        std::min(Deadline, steadyNow() + std::chrono::milliseconds(250));
-    ConnectionLease Lease = co_await this->probeConnection(Client, Limit);
-    if (!Lease)
-      continue;
-    std::vector<UpstreamCommand> Commands(1);
-    Commands[0].Type = Command::Kind::Status;
-    const ExchangeResult Exchange =
-        co_await Lease->exchange(std::move(Commands), Limit);
-    if (Exchange.Lost || Exchange.Replies.empty())
-      continue;
-    Lease.markReusable();
-    const Result<UpstreamStatus> Status =
-        this->Protocol.decodeStatus(Exchange.Replies.front());
-    if (Status)
-      Answers.emplace_back(Id, Status.value());
-    else
-      logInfo("event=status_unreadable upstream=" + Id + " error=\"" +
-              Status.error().Detail + "\"");
-  }
-  co_return Answers;
+  struct Answers {
+    std::vector<std::pair<std::string, UpstreamStatus>> Received;
+    std::size_t Missing = 0;
+  };
+  const auto Query = std::make_shared<Answers>();
+  const auto Ended = std::make_shared<asio::steady_timer>(this->Executor);
+  Ended->expires_at(Deadline);
+  Query->Missing = this->Clients.size();
+  for (const auto &[Id, Client] : this->Clients)
+    asio::co_spawn(
+        this->Executor, this->queryMember(Client, Deadline),
+        [Query, Ended, Id = Id](const std::exception_ptr &,
+                                const std::optional<UpstreamStatus> &Status) {
+          if (Status)
+            Query->Received.emplace_back(Id, *Status);
+          if (--Query->Missing == 0)
+            Ended->cancel();
+        });
+  boost::system::error_code Ignored;
+  if (Query->Missing > 0)
+    co_await Ended->async_wait(resumeWith(Ignored));
+  co_return Query->Received;
+}
+
+asio::awaitable<std::optional<UpstreamStatus>>
+ProxyGroup::queryMember(std::shared_ptr<UpstreamClient> Client,
+                        TimePoint Deadline) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  ConnectionLease Lease = co_await this->probeConnection(Client, Deadline);
+  if (!Lease)
+    co_return std::nullopt;
+  std::vector<UpstreamCommand> Commands(1);
+  Commands[0].Type = Command::Kind::Status;
+  const ExchangeResult Exchange =
+      co_await Lease->exchange(std::move(Commands), Deadline);
+  if (Exchange.Lost || Exchange.Replies.empty())
+    co_return std::nullopt;
+  Lease.markReusable();
+  const Result<UpstreamStatus> Status =
+      this->Protocol.decodeStatus(Exchange.Replies.front());
+  if (Status)
+    co_return Status.value();
+  logInfo("event=status_unreadable upstream=" + Client->entry().Id +
+          " error=\"" + Status.error().Detail + "\"");
+  co_return std::nullopt;
 }
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -5,10 +5,13 @@
 #include "sessioncatalogue.h"
 #include "upstreamaccess.h"
 #include "upstreamclient.h"
+#include "upstreamwork.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,18 +25,20 @@
 /// primary, and the log positions known of it.
 class ProxyGroup : public std::enable_shared_from_this<ProxyGroup> {
 public:
-  /// The primary is probed when statements have not proved its leadership for
-  /// this long. Well below the smallest accepted age of routes, 1.5 s.
+  /// The host that holds the primary's connections probes it when statements
+  /// have not proved its leadership for this long. Well below the smallest
+  /// accepted age of routes, 1.5 s.
   static constexpr std::chrono::milliseconds ProofInterval{300};
-  /// Pause between probes while no member has proved to be the primary.
+  /// Interval at which supervise() is called, and pause between probes while no
+  /// member proves to be the primary.
   static constexpr std::chrono::milliseconds ProbeInterval{100};
   /// Starting a transaction uses no slot of the database, so even a busy
   /// primary answers in this time.
   static constexpr std::chrono::milliseconds ProbeTimeout{400};
-  /// Timeout of a probe through another host. If that host does not answer,
-  /// there is still time to probe over an own connection before the primary is
-  /// suspected.
-  static constexpr std::chrono::milliseconds RelayedProbeTimeout{150};
+  /// Timeout of a probe through another host. That host has time to find out
+  /// that it cannot connect to the primary; if it does not answer, there is
+  /// still time for another probe before the primary is suspected.
+  static constexpr std::chrono::milliseconds RelayedProbeTimeout{200};
   /// A group that has had no statements for this long is not probed.
   static constexpr std::chrono::seconds IdleTimeout{8};
   /// The primary is suspected after this long without proof of leadership.
@@ -43,7 +48,15 @@
              const UpstreamProtocol &Protocol, UpstreamAccess &Access,
              std::string Name, std::string OwnDomain);
 
-  void start();
+  /// Starts a probe if one is due, and updates the suspicion of the primary. To
+  /// be called every ProbeInterval.
+  ///
+  /// Load pattern: hundreds of hosts and dozens of groups, of which each host
+  /// uses most, but seldom. If each host probed each primary, probes would far
+  /// outnumber statements. Only the host over which all statements reach the
+  /// primary probes it, and hosts whose own statements or probes failed. The
+  /// others ask that host for its proof when a read needs one.
+  void supervise(TimePoint Now);
 
   /// Replaces the members of the group.
   void setMembers(const std::vector<UpstreamEntry> &Entries);
@@ -71,8 +84,23 @@
 
   /// Records that \p Client was the primary when it received a command that was
   /// sent at \p Sent and answered with position \p At.
+  /// \param Age time since the proof, if another host obtained it earlier.
   void recordLeadershipProof(const UpstreamClient &Client, BootTime Sent,
-                             const Position &At);
+                             const Position &At,
+                             std::chrono::milliseconds Age = {});
+  /// Records that a statement did not reach the primary. It is probed until it
+  /// proves its leadership.
+  void recordTrouble() { this->TroubleAt = steadyNow(); }
+  /// Whether the primary failed to answer since its last proof.
+  bool inTrouble() const {
+    return this->TroubleAt.has_value() || this->Tracker.hasFailed();
+  }
+  /// Records that another host does not reach the primary. This host then
+  /// probes it too, unless it has a recent proof.
+  void recordTroubleOfOthers(TimePoint Now);
+  /// Evaluates work that this host ran for another host at \p Client.
+  void recordRelayedWork(const UpstreamClient &Client,
+                         const WorkResult &Result);
   /// Records that \p Client refused a write or a read-write transaction because
   /// it is not the primary.
   void recordLeadershipRefusal(const UpstreamClient &Client);
@@ -85,7 +113,26 @@
     return this->Verified.oldestCovering(Since);
   }
 
-  /// Queries the status of all members that can be reached.
+  /// A proof of leadership that this host has, for another host.
+  struct KnownProof {
+    Position At;
+    std::chrono::milliseconds Age{};
+  };
+  /// Returns a proof that \p Upstream is the primary, the oldest one that is at
+  /// most \p MaxAge old, because more replicas have replayed its position.
+  std::optional<KnownProof> knownProof(const std::string &Upstream,
+                                       std::chrono::milliseconds MaxAge) const;
+
+  /// Makes sure that includingAll(\p Since) is known, if a proof can be had
+  /// until \p Deadline.
+  boost::asio::awaitable<void> proveLeadership(BootTime Since,
+                                               TimePoint Deadline);
+
+  /// Probes the last primary once more, so that a host does not act on what it
+  /// knew before a network partition ended, or before another host acted.
+  boost::asio::awaitable<void> probeLastPrimary(TimePoint Deadline);
+
+  /// Queries the status of all members that can be reached, at the same time.
   /// \returns the answers received, with the ids of the members.
   boost::asio::awaitable<std::vector<std::pair<std::string, UpstreamStatus>>>
   queryStatus(TimePoint Deadline);
@@ -107,8 +154,14 @@
 private:
   bool knownBehind(const UpstreamClient &Client, const Position &After,
                    TimePoint Now) const;
-  boost::asio::awaitable<void> probeLoop();
-  boost::asio::awaitable<void> probe();
+  bool isProbeDue(TimePoint Now);
+  boost::asio::awaitable<void> probe(std::chrono::milliseconds MaxProofAge);
+  boost::asio::awaitable<void> runProbe(std::shared_ptr<UpstreamClient> Client,
+                                        std::chrono::milliseconds MaxProofAge);
+  void recordProbeResult(UpstreamClient &Client, const WorkResult &Result,
+                         bool Remote);
+  boost::asio::awaitable<std::optional<UpstreamStatus>>
+  queryMember(std::shared_ptr<UpstreamClient> Client, TimePoint Deadline);
   boost::asio::awaitable<ConnectionLease>
   probeConnection(const std::shared_ptr<UpstreamClient> &Client,
                   TimePoint Limit);
@@ -125,6 +178,12 @@
   std::string LastWorkspace;
   TimePoint LastUse{};
   std::optional<TimePoint> SuspectedSince;
+  /// When a statement last failed to reach the primary; unset once it proved
+  /// its leadership since.
+  std::optional<TimePoint> TroubleAt;
+  bool Probing = false;
+  TimePoint LastProbeAt{};
+  boost::asio::steady_timer ProbeEnded; ///< Cancelled when a probe ends.
   std::size_t ConnectionLimit = 1;
   bool Stopped = false;
 };
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -1,5 +1,6 @@
 #include "proxystate.h"
 
+#include "failover/promotionvote.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -20,9 +21,10 @@
 } // namespace
 
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
-                       const UpstreamProtocol &Protocol, ProxyIdentity Identity)
+                       const UpstreamProtocol &Protocol, ProxyIdentity Identity,
+                       RateTolerance Tolerance)
     : Executor(std::move(Executor)), Protocol(Protocol),
-      Identity(std::move(Identity)),
+      Identity(std::move(Identity)), Tolerance(Tolerance),
       Access(this->Executor, this->Identity.Host, this->Identity.FailureDomain,
              this->Metrics),
       Fleet(this->Identity.Host) {}
@@ -38,8 +40,9 @@
           " source=" + Source);
   this->Catalogue = std::move(Offered);
   for (const auto &[Name, Workspace] : this->Catalogue->Workspaces)
-    this->Rates.try_emplace(Name, this->StartedAt)
-        .first->second.setLimits(Workspace.Rate, Workspace.Burst);
+    this->setLimits(
+        this->Rates.try_emplace(Name, this->StartedAt).first->second,
+        Workspace);
   std::erase_if(this->Rates, [this](const auto &Each) {
     return !this->Catalogue->Workspaces.count(Each.first);
   });
@@ -48,6 +51,14 @@
   this->applyFleet();
 }
 
+void ProxyState::setLimits(SharedRate &Rate,
+                           const SessionWorkspace &Workspace) const {
+  Rate.setLimits(Workspace.Rate, Workspace.Burst);
+  Rate.setPriorUseTolerance(
+      PriorUseToleranceShare *
+      (Rate.limit() * this->Tolerance.Fraction + this->Tolerance.Operations));
+}
+
 void ProxyState::applyUpstreams() {
   const auto ByGroup = this->Directory.byGroup();
   std::set<std::string> Wanted;
@@ -60,7 +71,6 @@
       Group = std::make_shared<ProxyGroup>(this->Executor, this->Protocol,
                                            this->Access, Name,
                                            this->Identity.FailureDomain);
-      Group->start();
     }
     const auto Members = ByGroup.find(Name);
     Group->setMembers(Members == ByGroup.end() ? std::vector<UpstreamEntry>()
@@ -102,6 +112,27 @@
   if (!this->Fleet.recordReport(Report, Now))
     return;
   this->confirmFrom(Report, Now);
+  if (this->Fleet.size(Now) <= SmallFleet)
+    this->applyDemands(Report, Now);
+  const TimePoint Steady = steadyNow();
+  for (const GroupReport &Each : Report.Groups) {
+    const std::shared_ptr<ProxyGroup> Group = this->findGroup(Each.Group);
+    if (!Group)
+      continue;
+    const bool Proven =
+        Each.PrimaryProofAgeMs >= 0 &&
+        Each.PrimaryProofAgeMs < PromotionLimits().RecentProofAge.count();
+    if (!Each.PromotionOrdered.empty())
+      Group->promotionOrdered(Each.PromotionOrdered);
+    else if (!Proven && this->Access.promotionRank(Each.Group) <
+                            UpstreamAccess::PromoterCount)
+      Group->recordTroubleOfOthers(Steady);
+  }
+  this->Access.recordReport(Report.Host, Steady);
+}
+
+// A large fleet does not divide rates by demand.
+void ProxyState::applyDemands(const HostReport &Report, BootTime Now) {
   // The report leaves out workspaces without demand.
   std::map<std::string, SharedRate::Report> UsageByWorkspace;
   for (const DemandReport &Each : Report.Demands)
@@ -115,12 +146,6 @@
                     : Found->second,
                 Now);
   }
-  for (const GroupReport &Each : Report.Groups) {
-    const std::shared_ptr<ProxyGroup> Group = this->findGroup(Each.Group);
-    if (Group && !Each.PromotionOrdered.empty())
-      Group->promotionOrdered(Each.PromotionOrdered);
-  }
-  this->Access.recordReport(Report.Host, steadyNow());
 }
 
 // In a small fleet, each host queries the store often enough itself.
@@ -133,6 +158,13 @@
   this->ConfirmedAt = std::max(this->ConfirmedAt.value_or(At), At);
 }
 
+void ProxyState::supervise(TimePoint Now) {
+  if (this->Directory.removeExpired(Now))
+    this->applyUpstreams();
+  for (const auto &[Name, Group] : this->Groups)
+    Group->supervise(Now);
+}
+
 bool ProxyState::canServe() const {
   return this->Catalogue && this->Directory.size() > 0;
 }
@@ -169,23 +201,35 @@
 ProxyState::admitOperation(std::string Workspace) {
   if (this->Fleet.size(BootClock::now()) <= SmallFleet)
     co_return this->admitWithShares(Workspace, BootClock::now());
-  const std::string Owner = this->Access.rateOwner(Workspace, steadyNow());
-  Result<void> Admitted = success();
-  if (Owner == this->Identity.Host) {
-    Admitted = this->admitAsOwner(Workspace, BootClock::now());
-  } else {
-    const std::optional<std::string> Refusal =
-        co_await this->Access.requestAdmission(Owner, Workspace);
-    if (!Refusal)
-      Admitted = this->admitWithoutOwner(Workspace, BootClock::now());
-    else if (!Refusal->empty())
-      Admitted = failure(ErrorKind::RateLimited, *Refusal);
-  }
+  const Result<void> Admitted = co_await this->admitByOwner(Workspace);
   if (Admitted)
     this->Metrics.Operations.add();
   co_return Admitted;
 }
 
+// An owner that cannot be reached is replaced by the next one, which all hosts
+// that cannot reach it ask. Limited, because each silent owner costs a timeout.
+boost::asio::awaitable<Result<void>>
+ProxyState::admitByOwner(std::string Workspace) {
+  constexpr int MaxOwnersAsked = 3;
+  std::string Owner = this->Access.rateOwner(Workspace, steadyNow());
+  for (int Asked = 0; Asked < MaxOwnersAsked; ++Asked) {
+    if (Owner == this->Identity.Host)
+      co_return this->admitAsOwner(Workspace, BootClock::now());
+    const std::optional<std::string> Refusal =
+        co_await this->Access.requestAdmission(Owner, Workspace);
+    if (Refusal && Refusal->empty())
+      co_return success();
+    if (Refusal)
+      co_return failure(ErrorKind::RateLimited, *Refusal);
+    std::string Next = this->Access.rateOwner(Workspace, steadyNow());
+    if (Next == Owner)
+      break;
+    Owner = std::move(Next);
+  }
+  co_return this->admitWithoutOwner(Workspace, BootClock::now());
+}
+
 Result<void> ProxyState::admitWithShares(const std::string &Workspace,
                                          BootTime Now) {
   const auto Found = this->Rates.find(Workspace);
@@ -198,8 +242,10 @@
   return success();
 }
 
-// Hosts that cannot be reached may be in another network partition with an
-// owner of their own, so their part of the limit is left to that owner.
+// Hosts without contact may be in another network partition with an owner of
+// their own, so their part of the limit is left to that owner. An owner that
+// was not asked during a whole window starts anew: another one may have
+// admitted operations meanwhile.
 Result<void> ProxyState::admitAsOwner(const std::string &Workspace,
                                       BootTime Now) {
   if (!this->Catalogue)
@@ -207,11 +253,17 @@
   const auto Declared = this->Catalogue->Workspaces.find(Workspace);
   if (Declared == this->Catalogue->Workspaces.end())
     return success();
-  const auto Present = static_cast<double>(this->Access.liveHosts());
+  const auto Present = static_cast<double>(this->Fleet.assumedInContact(Now));
   const auto Known = static_cast<double>(this->Fleet.size(Now));
   const double Part = std::min(1.0, Present / std::max(Known, 1.0));
-  SharedRate &Rate = this->OwnedRates.try_emplace(Workspace, Now).first->second;
-  Rate.setLimits(Declared->second.Rate, Declared->second.Burst);
+  OwnedRate &Owned =
+      this->OwnedRates.try_emplace(Workspace, OwnedRate{SharedRate(Now), Now})
+          .first->second;
+  if (Now - Owned.AskedAt >= SharedRate::Window)
+    Owned.Rate = SharedRate(Now);
+  Owned.AskedAt = Now;
+  SharedRate &Rate = Owned.Rate;
+  this->setLimits(Rate, Declared->second);
   Rate.setFraction(Part);
   return Rate.admit(1, Now) ? success()
                             : Result<void>(rateLimited(Rate, 1, Now));
@@ -241,13 +293,11 @@
           " window-ms=" + std::to_string(SharedRate::Window.count()));
 }
 
-std::shared_ptr<UpstreamClient>
-ProxyState::findClient(const std::string &Upstream) const {
-  for (const auto &[Name, Group] : this->Groups) {
-    const auto Found = Group->gates().find(Upstream);
-    if (Found != Group->gates().end())
-      return Found->second;
-  }
+std::shared_ptr<ProxyGroup>
+ProxyState::findGroupOf(const std::string &Upstream) const {
+  for (const auto &[Name, Group] : this->Groups)
+    if (Group->gates().contains(Upstream))
+      return Group;
   return nullptr;
 }
 
@@ -257,6 +307,20 @@
   return Found == this->Groups.end() ? nullptr : Found->second;
 }
 
+std::set<std::string> ProxyState::promotersToTell() {
+  std::set<std::string> Names;
+  for (const auto &[Name, Group] : this->Groups) {
+    if (!Group->inTrouble())
+      continue;
+    const std::vector<std::string> &Order = this->Access.promoters(Name);
+    const std::size_t Count =
+        std::min(Order.size(), UpstreamAccess::PromoterCount);
+    Names.insert(Order.begin(),
+                 Order.begin() + static_cast<std::ptrdiff_t>(Count));
+  }
+  return Names;
+}
+
 HostReport ProxyState::report(BootTime Now, bool Leaving) {
   constexpr double MinReportedDemand = 0.5; // Operations per second.
   HostReport Report;
@@ -292,7 +356,12 @@
     if (Ordered != this->PromotionOrders.end() &&
         Steady - Ordered->second.At < PromotionReportTime)
       Each.PromotionOrdered = Ordered->second.Member;
-    if (Group->inUse(Steady) || !Each.PromotionOrdered.empty())
+    // Other hosts need to know who reaches the primary and who does not, but
+    // not which hosts did not try.
+    const bool Proven =
+        Each.PrimaryProofAgeMs >= 0 &&
+        Each.PrimaryProofAgeMs < PromotionLimits().RecentProofAge.count();
+    if (Proven || Group->inTrouble() || !Each.PromotionOrdered.empty())
       Report.Groups.push_back(std::move(Each));
   }
   return Report;
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace lavenderdale {
@@ -28,6 +29,12 @@
   std::uint64_t StartedAt = 0; ///< Unix time in milliseconds.
 };
 
+/// How far the operations of a workspace in a window may exceed its limit.
+struct RateTolerance {
+  double Fraction = 0;   ///< Of the limit.
+  double Operations = 0; ///< In addition.
+};
+
 /// State of a session proxy: the catalogue, the groups, the rates and the
 /// fleet. Only admitOperation() waits for another host.
 class ProxyState {
@@ -42,8 +49,14 @@
   /// hosts, and the total may exceed the limit by at most a tenth.
   static constexpr double ShareWithoutOwner = 0.3;
 
+  /// Part of the tolerance of a rate that a starting host uses when it
+  /// estimates what its previous process admitted. The rest is for operations
+  /// that two owners admit while hosts learn which of them is the owner.
+  static constexpr double PriorUseToleranceShare = 0.5;
+
   ProxyState(boost::asio::any_io_executor Executor,
-             const UpstreamProtocol &Protocol, ProxyIdentity Identity);
+             const UpstreamProtocol &Protocol, ProxyIdentity Identity,
+             RateTolerance Tolerance);
 
   /// Applies a catalogue if it is newer than the current one.
   /// \param Source where it came from, for the log.
@@ -59,6 +72,11 @@
   /// Applies the report of another host.
   void applyReport(const HostReport &Report);
 
+  /// Does what is due at \p Now: removes upstreams that did not register again,
+  /// and supervises the primaries. To be called every
+  /// ProxyGroup::ProbeInterval.
+  void supervise(TimePoint Now);
+
   /// Returns whether this host has a catalogue and upstreams, so that it can
   /// serve.
   bool canServe() const;
@@ -77,12 +95,16 @@
   /// a large fleet. Errors: RateLimited.
   Result<void> admitAsOwner(const std::string &Workspace, BootTime Now);
 
-  /// Returns the connections of this host to \p Upstream, or nullptr.
-  std::shared_ptr<UpstreamClient> findClient(const std::string &Upstream) const;
+  /// Returns the group that \p Upstream is a member of, or nullptr.
+  std::shared_ptr<ProxyGroup> findGroupOf(const std::string &Upstream) const;
 
   /// Returns the group called \p Name, or nullptr.
   std::shared_ptr<ProxyGroup> findGroup(const std::string &Name) const;
 
+  /// Hosts that must hear at once which primaries this host does not reach,
+  /// because they replace them.
+  std::set<std::string> promotersToTell();
+
   /// Builds the next report to the other hosts.
   HostReport report(BootTime Now, bool Leaving);
 
@@ -113,10 +135,19 @@
     TimePoint At{};
   };
 
+  /// The count of a workspace whose rate this host owns.
+  struct OwnedRate {
+    SharedRate Rate;
+    BootTime AskedAt{}; ///< When an operation was last counted.
+  };
+
   bool confirmed(TimePoint Now) const;
   void confirmFrom(const HostReport &Report, BootTime Now);
+  boost::asio::awaitable<Result<void>> admitByOwner(std::string Workspace);
+  void applyDemands(const HostReport &Report, BootTime Now);
   Result<void> admitWithShares(const std::string &Workspace, BootTime Now);
   Result<void> admitWithoutOwner(const std::string &Workspace, BootTime Now);
+  void setLimits(SharedRate &Rate, const SessionWorkspace &Workspace) const;
   static Error rateLimited(const SharedRate &Rate, std::size_t Hosts,
                            BootTime Now);
   void applyConnectionLimits();
@@ -124,6 +155,7 @@
   boost::asio::any_io_executor Executor;
   const UpstreamProtocol &Protocol;
   const ProxyIdentity Identity;
+  const RateTolerance Tolerance;
   std::shared_ptr<const SessionCatalogue> Catalogue;
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
@@ -132,7 +164,7 @@
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
-  std::map<std::string, SharedRate> OwnedRates; ///< Owned by this host.
+  std::map<std::string, OwnedRate> OwnedRates;
   FleetView Fleet;
   std::size_t AppliedHosts = 0;
   std::map<std::string, PromotionOrder> PromotionOrders;
--- a/src/libs/sessionproxy/relayclient.cpp
+++ b/src/libs/sessionproxy/relayclient.cpp
@@ -37,8 +37,10 @@
   const std::shared_ptr<RelayClient> Self = this->shared_from_this();
   RelayOutcome Outcome;
   const bool Ready = co_await this->ensureOpen(Deadline);
-  if (!Ready)
+  if (!Ready) {
+    Outcome.HostSilent = true;
     co_return Outcome;
+  }
   Pending Slot(this->Executor);
   Request.Id = this->NextId++;
   Request.SinceLastReceived =
@@ -57,10 +59,13 @@
   this->Waiting.erase(Request.Id);
   Id = 0;
   Outcome.Answer = std::move(Slot.Answer);
+  if (Outcome.Answer)
+    co_return Outcome;
+  const bool SameConnection = this->Open && this->Generation == SentGeneration;
+  Outcome.HostSilent = !SameConnection || this->LastReceivedAt < SentAt;
   // If nothing has arrived since the request was sent, the connection may be
   // broken in one direction.
-  if (!Slot.Done && this->LastReceivedAt < SentAt &&
-      this->Generation == SentGeneration)
+  if (SameConnection && Outcome.HostSilent)
     this->close();
   co_return Outcome;
 }
--- a/src/libs/sessionproxy/relayclient.h
+++ b/src/libs/sessionproxy/relayclient.h
@@ -21,6 +21,9 @@
   std::optional<RelayAnswer> Answer;
   /// Whether the other host may have received the request.
   bool Sent = false;
+  /// Whether nothing at all arrived from the other host since the request was
+  /// sent, or it cannot be reached. A host that answers others is only busy.
+  bool HostSilent = false;
 };
 
 /// The connection over which work is relayed to another host. It is shared by
--- a/src/libs/sessionproxy/relaymessages.cpp
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -84,10 +84,17 @@
   Json Commands = Json::array();
   for (const UpstreamCommand &Each : Work.Commands)
     Commands.push_back(encode(Each));
-  return Json::array({Work.Values,
-                      Work.Definition ? Json(*Work.Definition) : Json(),
-                      Work.InTransaction,
-                      Work.Guard ? encode(*Work.Guard) : Json(), Commands});
+  return Json::array(
+      {Work.Values, Work.Definition ? Json(*Work.Definition) : Json(),
+       Work.InTransaction, Work.Guard ? encode(*Work.Guard) : Json(), Commands,
+       Work.MaxProofAge.count()});
+}
+
+// Element that was added at the end of an array after the first version. Hosts
+// of the version before leave it out, and ignore it.
+milliseconds decodeAddedTime(const Json &Value, std::size_t Index) {
+  return milliseconds(Index < Value.size() ? Value.at(Index).get<std::int64_t>()
+                                           : 0);
 }
 
 UpstreamWork decodeWork(const Json &Value) {
@@ -100,6 +107,7 @@
     Work.Guard = decodeCommand(Value.at(3));
   for (const Json &Each : Value.at(4))
     Work.Commands.push_back(decodeCommand(Each));
+  Work.MaxProofAge = decodeAddedTime(Value, 5);
   return Work;
 }
 
@@ -114,7 +122,7 @@
   return Json::array({Result.Connected, Result.Unreachable, Result.SetUpError,
                       Result.Guard ? encode(*Result.Guard) : Json(), Replies,
                       Result.Sent, Result.Lost, toMicroseconds(Result.Waited),
-                      toMicroseconds(Result.Ran)});
+                      toMicroseconds(Result.Ran), Result.ProofAge.count()});
 }
 
 WorkResult decodeResult(const Json &Value) {
@@ -130,6 +138,7 @@
   Value.at(6).get_to(Result.Lost);
   Result.Waited = microseconds(Value.at(7).get<std::int64_t>());
   Result.Ran = microseconds(Value.at(8).get<std::int64_t>());
+  Result.ProofAge = decodeAddedTime(Value, 9);
   return Result;
 }
 
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -22,6 +22,18 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// The answer to a probe that is not run.
+WorkResult proofResult(const ProxyGroup::KnownProof &Known) {
+  WorkResult Result;
+  Result.Connected = true;
+  Result.Sent = true;
+  Result.ProofAge = Known.Age;
+  UpstreamReply Begun;
+  Begun.At = Known.At;
+  Result.Replies.push_back(std::move(Begun));
+  return Result;
+}
+
 } // namespace
 
 /// One connection from another host, with the transactions held for it.
@@ -183,8 +195,23 @@
   Server->State.metrics().CarriedOut.add();
   RelayAnswer Answer;
   Answer.Id = Request.Id;
+  const std::shared_ptr<ProxyGroup> Group =
+      Server->State.findGroupOf(Request.Upstream);
   const std::shared_ptr<UpstreamClient> Client =
-      Server->State.findClient(Request.Upstream);
+      Group ? Group->gates().at(Request.Upstream) : nullptr;
+  if (Group && Request.Work.MaxProofAge.count() > 0)
+    if (const std::optional<ProxyGroup::KnownProof> Known =
+            Group->knownProof(Request.Upstream, Request.Work.MaxProofAge)) {
+      --Server->Active;
+      Answer.Result = proofResult(*Known);
+      this->enqueue(encodeRelay(Answer));
+      co_return;
+    }
+  if (Group) {
+    Group->recordUse(Request.Workspace, Arrived);
+    Server->State.access().recordRelayedWork(Request.Upstream, Arrived);
+  }
+  const bool ProvesLeadership = Request.Work.provesLeadership();
   ConnectionLease Lease;
   if (Request.Held != 0) {
     const auto Found = this->Held.find(Request.Held);
@@ -197,12 +224,23 @@
     Lease = co_await this->lease(Request, Client);
   }
   Answer.Result.Waited = steadyNow() - Arrived;
-  if (Lease && !this->Closed) {
+  // After a pause of this host, requests can still be unread that the other
+  // host has given up. A write among them must not take effect after newer
+  // ones.
+  if (!this->Closed && Request.Work.mayWrite() && closedByPeer(this->Socket)) {
+    logInfo("event=relay_request_given_up upstream=" + Request.Upstream);
+    this->close();
+  }
+  if (Lease && this->Closed && Request.Held == 0) {
+    Lease.markReusable(); // Nothing was sent on it.
+  } else if (Lease && !this->Closed) {
     Request.Work.Deadline = Arrived + Request.DeadlineIn;
     const Duration Waited = Answer.Result.Waited;
     Answer.Result = co_await executeWork(Lease, std::move(Request.Work),
                                          Server->State.access().names());
     Answer.Result.Waited = Waited;
+    if (Group && ProvesLeadership)
+      Group->recordRelayedWork(*Client, Answer.Result);
   }
   if (Request.Hold && !this->Closed && Answer.Result.Connected &&
       !Answer.Result.Lost && Answer.Result.SetUpError.empty() &&
--- a/src/libs/sessionproxy/reportexchange.cpp
+++ b/src/libs/sessionproxy/reportexchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <set>
 #include <utility>
 
 namespace lavenderdale {
@@ -80,6 +81,10 @@
       continue;
     }
     this->State.applyReport(Report.value());
+    if (Report.value().WantsAnswer)
+      this->sendTo(Report.value().Host,
+                   {From.address().to_string(), From.port()},
+                   this->encodeOwnReport(false));
     this->fetchIfBehind(Report.value());
   }
 }
@@ -98,26 +103,66 @@
   }
 }
 
-void ReportExchange::sendReports(std::size_t Part, std::size_t Parts) {
+std::string ReportExchange::encodeOwnReport(bool WantsAnswer) {
   HostReport Report = this->State.report(BootClock::now(), this->Leaving);
   Report.Address = toString(this->Reports);
   Report.Internal = toString(this->Internal);
-  const std::string Bytes = encodeReport(Report);
+  Report.WantsAnswer = WantsAnswer;
+  return encodeReport(Report);
+}
+
+// Lost reports are not sent again; the next one replaces them.
+void ReportExchange::sendTo(const std::string &Name, const Endpoint &Where,
+                            const std::string &Bytes) {
+  error_code Failure;
+  const auto Address = asio::ip::make_address(Where.Address, Failure);
+  if (Failure)
+    return;
+  this->Socket.send_to(asio::buffer(Bytes), udp::endpoint(Address, Where.Port),
+                       0, Failure);
+  if (Failure)
+    logDebug("event=report_send_failed host=" + Name + " error=\"" +
+             Failure.message() + "\"");
+}
+
+void ReportExchange::sendReports(std::size_t Part, std::size_t Parts) {
+  const std::string Bytes = this->encodeOwnReport(false);
+  const std::set<std::string> Urgent = this->State.promotersToTell();
   std::size_t Index = 0;
-  for (const auto &[Name, Host] : this->State.fleet().hosts()) {
-    if (Index++ % Parts != Part)
-      continue;
-    error_code Failure;
-    const auto Address = asio::ip::make_address(Host.Address.Address, Failure);
-    if (Failure)
-      continue;
-    // Lost reports are not sent again; the next one replaces them.
-    this->Socket.send_to(asio::buffer(Bytes),
-                         udp::endpoint(Address, Host.Address.Port), 0, Failure);
-    if (Failure)
-      logDebug("event=report_send_failed host=" + Name + " error=\"" +
-               Failure.message() + "\"");
+  for (const auto &[Name, Host] : this->State.fleet().hosts())
+    if (Index++ % Parts == Part || Urgent.contains(Name))
+      this->sendTo(Name, Host.Address, Bytes);
+}
+
+void ReportExchange::checkSuspectDomains() {
+  for (const std::string &Domain : this->State.access().takeDomainsToCheck())
+    if (this->CheckedDomains.insert(Domain).second)
+      asio::co_spawn(this->Executor, this->checkPaths(Domain), asio::detached);
+}
+
+asio::awaitable<void> ReportExchange::checkPaths(std::string FailureDomain) {
+  const std::shared_ptr<ReportExchange> Self = this->shared_from_this();
+  const TimePoint Start = steadyNow();
+  std::vector<std::string> Silent;
+  for (int Try = 0; Try < PathCheckTries && !this->Stopped; ++Try) {
+    Silent = this->State.access().silentHosts(
+        FailureDomain, Start - ReportExchange::RecentContact);
+    const std::string Bytes = this->encodeOwnReport(true);
+    for (const std::string &Name : Silent) {
+      const auto Host = this->State.fleet().hosts().find(Name);
+      if (Host != this->State.fleet().hosts().end())
+        this->sendTo(Name, Host->second.Address, Bytes);
+    }
+    co_await sleepUntil(steadyNow() + PathCheckTimeout);
   }
+  Silent = this->State.access().silentHosts(
+      FailureDomain, Start - ReportExchange::RecentContact);
+  logInfo("event=paths_checked domain=" + FailureDomain +
+          " silent_hosts=" + std::to_string(Silent.size()));
+  for (const std::string &Name : Silent)
+    this->State.access().hostFailed(Name);
+  co_await sleepUntil(steadyNow() + PathCheckPause);
+  this->CheckedDomains.erase(FailureDomain);
 }
 
 void ReportExchange::fetchIfBehind(const HostReport &Report) {
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -19,7 +19,8 @@
 SessionProxy::SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
                            SessionProxyDependencies Dependencies)
     : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
-      State(this->Executor, Dependencies.Upstreams, this->Settings.Identity),
+      State(this->Executor, Dependencies.Upstreams, this->Settings.Identity,
+            this->Settings.Tolerance),
       Statements(this->State.access(), this->State.metrics()),
       Server(std::make_shared<SessionServer>(
           this->Executor, this->State, this->Statements, Dependencies.Callers)),
@@ -49,7 +50,7 @@
   BOOST_OUTCOME_TRY(this->Server->listen(this->Settings.Callers));
   this->Follower->start();
   this->Promotions->start();
-  asio::co_spawn(this->Executor, this->expireUpstreams(), asio::detached);
+  asio::co_spawn(this->Executor, this->supervise(), asio::detached);
   logInfo("event=started callers=" + toString(this->Settings.Callers) +
           " domain=" + this->Settings.Identity.FailureDomain);
   return success();
@@ -82,17 +83,18 @@
   co_await this->waitForSessions(End - RunningStatementsReserve);
   this->Server->stopWaiting();
   co_await this->waitForSessions(End);
+  this->Stopped = true;
   this->Relays->stop();
   this->Fleet->stop();
   this->State.stop();
   logInfo("event=stopped sessions=" + std::to_string(this->Server->sessions()));
 }
 
-asio::awaitable<void> SessionProxy::expireUpstreams() {
-  while (!this->Stopping) {
-    co_await sleepUntil(steadyNow() + std::chrono::milliseconds(250));
-    if (this->State.directory().removeExpired(steadyNow()))
-      this->State.applyUpstreams();
+asio::awaitable<void> SessionProxy::supervise() {
+  while (!this->Stopped) {
+    co_await sleepUntil(steadyNow() + ProxyGroup::ProbeInterval);
+    this->State.supervise(steadyNow());
+    this->Fleet->checkSuspectDomains();
   }
 }
 
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -25,6 +25,7 @@
   Endpoint Reports;  ///< For other hosts: reports (UDP), relayed work (TCP).
   Endpoint Internal; ///< HTTP: metrics, catalogue for other hosts.
   std::chrono::milliseconds StopGrace{}; ///< From SIGTERM to the exit.
+  RateTolerance Tolerance;
 };
 
 /// External systems and codecs that a session proxy uses.
@@ -64,7 +65,7 @@
 private:
   boost::asio::awaitable<HttpResponse> answerReadiness(HttpRequest Request);
   boost::asio::awaitable<HttpResponse> answerInternal(HttpRequest Request);
-  boost::asio::awaitable<void> expireUpstreams();
+  boost::asio::awaitable<void> supervise();
   boost::asio::awaitable<void> waitForSessions(TimePoint Until);
 
   boost::asio::any_io_executor Executor;
@@ -79,6 +80,7 @@
   HttpServer ReadinessServer;
   HttpServer InternalServer;
   bool Stopping = false;
+  bool Stopped = false; ///< Nothing is served any more.
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/socketoptions.cpp
+++ b/src/libs/sessionproxy/socketoptions.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string>
 #include <sys/socket.h>
 
@@ -36,4 +37,9 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, Probes);
 }
 
+bool closedByPeer(boost::asio::ip::tcp::socket &Socket) {
+  pollfd Query{Socket.native_handle(), POLLRDHUP, 0};
+  return poll(&Query, 1, 0) > 0;
+}
+
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/socketoptions.h
+++ b/src/libs/sessionproxy/socketoptions.h
@@ -16,4 +16,9 @@
 void setLivenessOptions(boost::asio::ip::tcp::socket &Socket,
                         std::chrono::milliseconds Limit);
 
+/// Returns whether the peer of \p Socket has closed the connection, or the
+/// connection has failed. True as soon as the peer's close has arrived, even if
+/// data sent before it has not been read yet.
+bool closedByPeer(boost::asio::ip::tcp::socket &Socket);
+
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -171,7 +171,11 @@
 
 asio::awaitable<std::optional<Error>>
 StatementExecutor::runAtReader(StatementCall &Call, Attempt &Try) {
-  const std::optional<Position> Required = this->requiredPosition(Call);
+  std::optional<Position> Required = this->requiredPosition(Call);
+  if (!Required) {
+    co_await this->proveLeadership(Call);
+    Required = this->requiredPosition(Call);
+  }
   if (!Required)
     co_return co_await this->runAtPrimary(Call, Try);
   const std::shared_ptr<UpstreamClient> Client = Call.Group->chooseReader(
@@ -231,6 +235,9 @@
   Try.Guard = std::move(Result.Guard);
   Try.Reply.reset();
   const bool Answered = !Result.Replies.empty();
+  if ((Result.Lost || Result.Unreachable) &&
+      Call.Group->tracker().primary(Now) == Try.Upstream)
+    Call.Group->recordTrouble();
   if (!Result.SetUpError.empty()) {
     // The statement was sent together with the set-up commands. It may have run
     // without the session's values; without a reply, its result is unknown.
@@ -336,8 +343,12 @@
                          Call.Route.Consistency == ReadConsistency::Primary;
   Attempt Try;
   while (true) {
-    const std::optional<Position> Required =
+    std::optional<Position> Required =
         AtPrimary ? std::nullopt : this->requiredPosition(Call);
+    if (!AtPrimary && !Required) {
+      co_await this->proveLeadership(Call);
+      Required = this->requiredPosition(Call);
+    }
     std::shared_ptr<UpstreamClient> Client;
     if (Required)
       Client = Call.Group->chooseReader(Call.Workspace, *Required, Try.Excluded,
@@ -403,10 +414,20 @@
   this->Access.rollBack(std::move(Pinned));
 }
 
+BootTime StatementExecutor::oldestProofTime(const StatementCall &Call) {
+  return Call.ArrivedAtBootTime - Call.Route.AcceptedAge;
+}
+
+asio::awaitable<void> StatementExecutor::proveLeadership(StatementCall &Call) {
+  Call.Group->recordUse(Call.Workspace, steadyNow());
+  co_await Call.Group->proveLeadership(oldestProofTime(Call),
+                                       queueDeadline(Call));
+}
+
 std::optional<Position>
 StatementExecutor::requiredPosition(const StatementCall &Call) const {
   std::optional<Position> Required =
-      Call.Group->includingAll(Call.ArrivedAtBootTime - Call.Route.AcceptedAge);
+      Call.Group->includingAll(oldestProofTime(Call));
   const std::optional<Position> &Own = Call.Session.lastCommit();
   if (Required && Own && *Required < *Own &&
       Call.Route.Consistency == ReadConsistency::ReadYourWrites)
--- a/src/libs/sessionproxy/statementexecutor.h
+++ b/src/libs/sessionproxy/statementexecutor.h
@@ -97,6 +97,10 @@
           std::optional<Position> After, Attempt &Try);
   StatementOutcome handleFailure(StatementCall &Call, Attempt &Try);
 
+  /// Obtains a proof of leadership that requiredPosition() can use.
+  static boost::asio::awaitable<void> proveLeadership(StatementCall &Call);
+  /// A proof from this time on covers all commits that a read has to see.
+  static BootTime oldestProofTime(const StatementCall &Call);
   std::optional<Position> requiredPosition(const StatementCall &Call) const;
   static UpstreamWork workFor(const StatementCall &Call);
   static TimePoint queueDeadline(const StatementCall &Call);
--- a/src/libs/sessionproxy/storecallintervals.cpp
+++ b/src/libs/sessionproxy/storecallintervals.cpp
@@ -22,7 +22,7 @@
     return std::min<milliseconds>(
         Min * std::max(Hosts, SmallFleet) / SmallFleet, Max);
   };
-  return {Scaled(MinCatalogueWait, MaxCatalogueWait),
+  return {Scaled(MinCatalogueWait, MaxCatalogueWait), MinCatalogueWait,
           Scaled(MinUpstreamWait, MaxUpstreamWait), Scaled(MinPause, MaxPause),
           Scaled(MinHostInterval, MaxHostInterval)};
 }
--- a/src/libs/sessionproxy/storecallintervals.h
+++ b/src/libs/sessionproxy/storecallintervals.h
@@ -13,6 +13,10 @@
   /// Duration of a watch of the catalogue. A host that misses a version learns
   /// of it, and of the age of the last confirmation, from reports of others.
   std::chrono::milliseconds CatalogueWait{};
+  /// The same for the hosts that confirm the catalogue for all others. A change
+  /// ends the watches of all hosts at the same moment, so without such hosts
+  /// nobody would confirm it until all long watches end.
+  std::chrono::milliseconds ConfirmingWait{};
   /// Duration of a watch of the upstreams. Together with the timeout of a watch
   /// without an answer, it is well below the time within which hosts must
   /// stop using a leaving upstream.
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -15,6 +15,12 @@
 namespace asio = boost::asio;
 
 constexpr const char *AddressField = "reportAddress";
+constexpr const char *DomainField = "failureDomain";
+
+std::string stringField(const Json::Value &Spec, const char *Field) {
+  return Spec.isObject() && Spec[Field].isString() ? Spec[Field].asString()
+                                                   : std::string();
+}
 
 } // namespace
 
@@ -56,8 +62,15 @@
   co_await sleepUntil(steadyNow() + Backoff);
 }
 
+// One host of each failure domain confirms the catalogue.
 StoreCallIntervals StoreFollower::callIntervals() const {
-  return storeCallIntervals(this->State.fleet().size(BootClock::now()));
+  constexpr const char *ConfirmationKey = "catalogue";
+  StoreCallIntervals Intervals =
+      storeCallIntervals(this->State.fleet().size(BootClock::now()));
+  if (this->State.access().promotionRank(ConfirmationKey) <
+      UpstreamAccess::PromoterCount)
+    Intervals.CatalogueWait = Intervals.ConfirmingWait;
+  return Intervals;
 }
 
 StoreFollower::Task<void> StoreFollower::follow(FollowedCollection Followed) {
@@ -195,6 +208,8 @@
 StoreFollower::Task<void> StoreFollower::keepRegistered() {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   std::chrono::milliseconds Backoff = MinBackoff;
+  // After a restart of all hosts, the list tells at once who else there is.
+  co_await this->listHosts(ListFreshness::MayBeStale);
   while (!this->Stopped && !co_await this->registerHost())
     co_await this->backOff(Backoff);
   ListFreshness Freshness = ListFreshness::Current;
@@ -210,6 +225,7 @@
   StoredObject Own;
   Own.Name = this->State.identity().Host;
   Own.Spec[AddressField] = this->ReportAddress;
+  Own.Spec[DomainField] = this->State.identity().FailureDomain;
   const Result<StoredObject> Created = co_await this->Store.create(
       Collection::Hosts, Own, steadyNow() + CallTimeout);
   if (Created)
@@ -237,15 +253,12 @@
     logInfo("event=hosts_unknown error=\"" + Listed.error().Detail + "\"");
     co_return;
   }
-  std::map<std::string, Endpoint> Hosts;
+  std::map<std::string, FleetView::Registration> Hosts;
   for (const StoredObject &Each : Listed.value().Objects) {
-    const Json::Value &Address = Each.Spec.isObject()
-                                     ? Each.Spec[AddressField]
-                                     : Json::Value::nullSingleton();
     const Result<Endpoint> Where =
-        parseEndpoint(Address.isString() ? Address.asString() : std::string());
+        parseEndpoint(stringField(Each.Spec, AddressField));
     if (Where)
-      Hosts[Each.Name] = Where.value();
+      Hosts[Each.Name] = {Where.value(), stringField(Each.Spec, DomainField)};
     else
       logInfo("event=host_unreadable name=" + Each.Name);
   }
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -12,7 +12,10 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace lavenderdale {
 
@@ -51,6 +54,13 @@
   static constexpr std::chrono::milliseconds RecentContactLimit{400};
   /// Timeout of that ping; hosts answer within a few milliseconds.
   static constexpr std::chrono::milliseconds PingTimeout{100};
+  /// Interval at which a host that did not answer is pinged, until it answers
+  /// or is gone. It is used again only then, so that no statement has to find
+  /// out. Shorter than HolderSelector::AvoidAfterFailure.
+  static constexpr std::chrono::milliseconds RecheckInterval{500};
+  /// A host that received work of others for an upstream stands in for its
+  /// holders for this long.
+  static constexpr std::chrono::milliseconds StandInTime{1000};
   /// Timeout of a rate limit request; the owner answers from memory.
   static constexpr std::chrono::milliseconds RateCheckTimeout{80};
 
@@ -59,8 +69,8 @@
   UpstreamAccess(boost::asio::any_io_executor Executor, std::string OwnName,
                  std::string OwnDomain, ProxyMetrics &Metrics);
 
-  /// Replaces the hosts that work can be relayed to by those of \p Fleet with a
-  /// recent report that are not leaving.
+  /// Replaces the hosts that work can be relayed to by those present in
+  /// \p Fleet.
   void setHosts(const FleetView &Fleet, BootTime Now);
   /// Records that a report of host \p Name arrived at \p Now.
   void recordReport(const std::string &Name, TimePoint Now);
@@ -82,12 +92,40 @@
   /// Rolls back the transaction on \p Held without waiting for the upstream.
   void rollBack(HeldConnection Held);
 
+  /// Failure domains of which a host did not answer since the last call. The
+  /// others may be cut off together with it.
+  std::set<std::string> takeDomainsToCheck() {
+    return std::exchange(this->DomainsToCheck, {});
+  }
+  /// Names of the hosts of \p FailureDomain from which nothing arrived since
+  /// \p Since.
+  std::vector<std::string> silentHosts(const std::string &FailureDomain,
+                                       TimePoint Since) const;
+  /// Records that \p Name does not answer. It is skipped until it does.
+  void hostFailed(const std::string &Name);
+
   /// Whether statements for the upstream are currently relayed to another host.
   bool isRemote(const UpstreamEntry &Entry, TimePoint Now);
 
   /// Rank of this host among the hosts that can hold the upstream's
-  /// connections; 0 is the first choice.
-  std::size_t rank(const UpstreamEntry &Entry);
+  /// connections; 0 is the first choice. A host that currently stands in for
+  /// the holders has the rank of the second one.
+  std::size_t rank(const UpstreamEntry &Entry, TimePoint Now);
+  /// Records that another host sent work for \p Upstream over this one.
+  void recordRelayedWork(const std::string &Upstream, TimePoint Now) {
+    this->RelayedWorkAt[Upstream] = Now;
+  }
+
+  /// Hosts of promotionOrder() that are told at once about a primary that
+  /// cannot be reached: more than the failure domains that can be cut off
+  /// together.
+  static constexpr std::size_t PromoterCount = 5;
+
+  /// Hosts, this one included, by who replaces the failed primary of \p Group
+  /// first.
+  const std::vector<std::string> &promoters(const std::string &Group);
+  /// Position of this host among promoters().
+  std::size_t promotionRank(const std::string &Group);
 
   /// Name of the host that counts the operations of \p Workspace against its
   /// rate limit in a large fleet.
@@ -100,9 +138,6 @@
   boost::asio::awaitable<std::optional<std::string>>
   requestAdmission(const std::string &Owner, const std::string &Workspace);
 
-  /// Number of hosts that can run work, this one included.
-  std::size_t liveHosts() const { return this->Hosts.size() + 1; }
-
   StatementNames &names() { return this->Names; }
 
 private:
@@ -113,6 +148,8 @@
 
   std::string chooseHolder(const UpstreamEntry &Entry, TimePoint Now);
   boost::asio::awaitable<bool> isAlive(const std::string &Name);
+  static boost::asio::awaitable<bool> ping(RelayClient &Relay);
+  boost::asio::awaitable<void> recheck(std::string Name);
   void recordPathResult(const std::string &Host, const std::string &Upstream,
                         const WorkResult &Result, bool Statement);
   boost::asio::awaitable<WorkResult>
@@ -129,6 +166,11 @@
   ProxyMetrics &Metrics;
   HolderSelector Holders;
   std::map<std::string, Host> Hosts;
+  std::vector<PlacementHost> Live; ///< Hosts and this one.
+  std::map<std::string, std::vector<std::string>> Promoters; ///< By group.
+  std::set<std::string> DomainsToCheck;
+  std::map<std::string, TimePoint> RelayedWorkAt; ///< By upstream.
+  std::set<std::string> Rechecked; ///< Hosts that are being pinged.
   StatementNames Names;
 };
 
--- a/src/libs/sessionproxy/upstreamconnection.cpp
+++ b/src/libs/sessionproxy/upstreamconnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace lavenderdale {
@@ -39,13 +40,15 @@
   if (Failure)
     co_return failure(ErrorKind::Unavailable,
                       "invalid address " + Where.Address);
-  this->setDeadline(Deadline);
+  this->setDeadline(
+      std::min<TimePoint>(Deadline, steadyNow() + ConnectTimeout));
   const asio::ip::tcp::endpoint Peer(Address, Where.Port);
   co_await this->Socket.async_connect(Peer, resumeWith(Failure));
   if (Failure) {
     this->close();
     co_return failure(ErrorKind::Unavailable, "connect: " + Failure.message());
   }
+  this->setDeadline(Deadline);
   setLivenessOptions(this->Socket, UnacknowledgedTimeout);
   const std::string Out = this->Protocol.encodeGreeting(Greeting);
   co_await asio::async_write(this->Socket, asio::buffer(Out),
--- a/src/libs/sessionproxy/upstreamconnection.h
+++ b/src/libs/sessionproxy/upstreamconnection.h
@@ -37,6 +37,9 @@
   /// A peer that does not acknowledge bytes for this long is considered down;
   /// round trips between failure domains take milliseconds.
   static constexpr std::chrono::milliseconds UnacknowledgedTimeout{1500};
+  /// Timeout of the TCP connect, which takes one round trip of milliseconds,
+  /// however busy the upstream is.
+  static constexpr std::chrono::milliseconds ConnectTimeout{120};
   /// Maximum length of one line of a reply.
   static constexpr std::size_t MaxLineBytes = std::size_t{1} << 20;
 
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -40,6 +40,24 @@
                      [](const Command &Each) { return !Each.Id.empty(); });
 }
 
+// A single read has a guard, or the log position that it has to see.
+bool UpstreamWork::mayWrite() const {
+  return !this->Guard && !this->Commands.front().After;
+}
+
+// A single statement without a guard or a position is a write, see mayWrite().
+bool UpstreamWork::provesLeadership() const {
+  if (this->Guard || this->Commands.front().Type == Command::Kind::Begin)
+    return true;
+  return this->hasStatement() && this->mayWrite() && !this->InTransaction;
+}
+
+const UpstreamReply *WorkResult::firstReply() const {
+  if (this->Guard)
+    return &*this->Guard;
+  return this->Replies.empty() ? nullptr : &this->Replies.front();
+}
+
 TransactionState WorkResult::state() const {
   if (!this->Replies.empty())
     return this->Replies.back().State;
--- a/src/libs/sessionproxy/upstreamwork.h
+++ b/src/libs/sessionproxy/upstreamwork.h
@@ -28,9 +28,20 @@
   std::optional<UpstreamCommand> Guard;
   std::vector<UpstreamCommand> Commands;
   TimePoint Deadline{};
+  /// For a probe that starts and ends a transaction to prove that the upstream
+  /// is the primary: the host that holds the upstream's connections may answer
+  /// with a proof of this age instead. Zero for all other work.
+  std::chrono::milliseconds MaxProofAge{};
 
   /// Whether a caller's statement is among the commands.
   bool hasStatement() const;
+  /// Whether the commands are not just a single read: they may write, commit,
+  /// or be part of a transaction.
+  bool mayWrite() const;
+  /// Whether a successful reply to the first command shows that the upstream is
+  /// the primary: others refuse to start a transaction that may write, and to
+  /// write.
+  bool provesLeadership() const;
 };
 
 /// The result of running an UpstreamWork.
@@ -49,12 +60,17 @@
   /// Lost because the host that the work was relayed to did not answer.
   bool RelayFailed = false;
   BootTime SentAt{}; ///< Not after the first bytes reached the upstream.
+  /// Age of the proof of leadership that the reply repeats; zero if the work
+  /// was run.
+  std::chrono::milliseconds ProofAge{};
   Duration Waited{}; ///< Time waited for the connection.
   Duration Ran{};    ///< Time that the upstream took for the commands.
 
   /// Transaction state after the last reply; Open without any reply, as the
   /// commands may have started a transaction.
   TransactionState state() const;
+  /// The reply to the guard, or else to the first command; nullptr without one.
+  const UpstreamReply *firstReply() const;
 };
 
 /// Runs \p Work on \p Lease. Marks the connection as reusable if its state is
--- a/tests/auto/consistency/tst_verifiedpositions.cpp
+++ b/tests/auto/consistency/tst_verifiedpositions.cpp
@@ -60,3 +60,19 @@
   REQUIRE(Oldest);
   CHECK(Oldest->Log.Value >= 60'000);
 }
+
+// Guards against a host that repeats a proof of another host with a wrong age.
+TEST_CASE("a proof is returned with the time at which it was sent",
+          "[read-your-writes]") {
+  VerifiedPositions Positions;
+  CHECK_FALSE(Positions.oldestProofSince(at(0ms)));
+  CHECK_FALSE(Positions.newestProof());
+  Positions.add(at(0ms), position(1, 10));
+  Positions.add(at(300ms), position(1, 20));
+  const auto Oldest = Positions.oldestProofSince(at(1ms));
+  REQUIRE(Oldest);
+  CHECK(Oldest->Sent == at(300ms));
+  CHECK(Oldest->At == position(1, 20));
+  CHECK(Positions.newestProof()->Sent == at(300ms));
+  CHECK_FALSE(Positions.oldestProofSince(at(301ms)));
+}
--- a/tests/auto/failover/tst_primarytracker.cpp
+++ b/tests/auto/failover/tst_primarytracker.cpp
@@ -81,3 +81,49 @@
   }
   CHECK(Probed.size() == 3);
 }
+
+// Guards against a host that seldom uses a group and goes on with a member that
+// proved to be the primary long ago, although another one leads since.
+TEST_CASE("the latest evidence selects the primary", "[fencing]") {
+  PrimaryTracker Tracker = trackerWithClaim("a");
+  Tracker.recordLeadershipProof("a", Term{1}, Start + 1s);
+  Tracker.promotionOrdered("b", Start + 2s);
+  CHECK(Tracker.primary(Start + 2s) == "b");
+  // It does not lead yet, and the old primary still does.
+  Tracker.recordLeadershipRefusal("b", Start + 2100ms);
+  CHECK(Tracker.primary(Start + 2100ms) == "a");
+  Tracker.recordLeadershipProof("a", Term{1}, Start + 2200ms);
+  CHECK(Tracker.primary(Start + 2400ms) == "a");
+  Tracker.setMembers(
+      {{"a", true, false}, {"b", true, false}, {"c", false, false}},
+      Start + 3s);
+  CHECK(Tracker.primary(Start + 3s) == "b");
+}
+
+// Guards against an old proof that another host repeats and that hides a
+// failure seen since.
+TEST_CASE("an old proof does not end a newer suspicion", "[fencing]") {
+  PrimaryTracker Tracker = trackerWithClaim("a");
+  Tracker.recordLeadershipProof("a", Term{1}, Start);
+  Tracker.recordUnreachable("a", Start + 1s);
+  Tracker.recordLeadershipProof("a", Term{1}, Start + 500ms);
+  CHECK(Tracker.provenAge(Start + 1s) == Duration(500ms));
+  CHECK(Tracker.hasFailed());
+  Tracker.recordLeadershipProof("a", Term{1}, Start + 200ms);
+  CHECK(Tracker.provenAge(Start + 1s) == Duration(500ms));
+  Tracker.recordLeadershipProof("a", Term{1}, Start + 1100ms);
+  CHECK_FALSE(Tracker.hasFailed());
+}
+
+// Guards against a second promotion by a host that did not hear of the first
+// one, and against a replaced primary that still takes itself for one.
+TEST_CASE("a status proves leadership only in a newer term", "[fencing]") {
+  PrimaryTracker Tracker = trackerWithClaim("a");
+  Tracker.recordLeadershipProof("a", Term{1}, Start);
+  Tracker.recordStatus("b", Term{2}, Start + 1s);
+  CHECK(Tracker.lastPrimary() == "b");
+  Tracker.recordStatus("a", Term{1}, Start + 2s);
+  Tracker.recordStatus("a", Term{2}, Start + 2s);
+  CHECK(Tracker.lastPrimary() == "b");
+  CHECK(Tracker.provenAge(Start + 2s) == Duration(1s));
+}
--- a/tests/auto/limits/tst_sharedrate.cpp
+++ b/tests/auto/limits/tst_sharedrate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <numeric>
 #include <random>
 #include <vector>
@@ -173,6 +174,53 @@
         (Fleet::sum(Hosts.Requested) - Requested) * 95 / 100);
 }
 
+// Load pattern: all hosts of a large fleet are restarted, and each workspace
+// has an owner that does not know what was admitted before. Callers try again
+// after a refusal, which looks like a higher demand. Guards against refusals of
+// half of a demand that is well below the limit, and against more operations
+// than the tolerance permits.
+TEST_CASE("a new owner of a rate refuses little of a normal demand", "[rate]") {
+  constexpr double Rate = 20;
+  constexpr double Burst = 20;
+  constexpr double Limit = Rate * 5 + Burst;
+  constexpr double Tolerance = Limit * 0.1 + 20;
+  const auto Play = [](double UsedTolerance, double Demand, int Retries) {
+    std::mt19937 Random(7);
+    SharedRate Owner(Start);
+    Owner.setLimits(Rate, Burst);
+    Owner.setPriorUseTolerance(UsedTolerance);
+    std::map<BootTime, int> Arrivals; // Tries left after each.
+    std::exponential_distribution<double> Gap(Demand);
+    for (double At = 0; At < 5; At += Gap(Random))
+      Arrivals[Start + std::chrono::microseconds(
+                           static_cast<std::int64_t>(At * 1e6))] = Retries;
+    const auto Asked = static_cast<double>(Arrivals.size());
+    std::vector<double> Admitted; // Seconds since the start.
+    while (!Arrivals.empty()) {
+      const auto [At, Left] = *Arrivals.begin();
+      Arrivals.erase(Arrivals.begin());
+      if (Owner.admit(1, At))
+        Admitted.push_back(std::chrono::duration<double>(At - Start).count());
+      else if (Left > 0)
+        Arrivals[At + 150ms] = Left - 1;
+    }
+    return std::pair(Admitted, Asked);
+  };
+  const double Usual = Limit / 5 / 1.6;
+  const auto [Admitted, Asked] = Play(Tolerance / 2, Usual, 2);
+  CHECK(static_cast<double>(Admitted.size()) >= Asked * 0.9);
+  CHECK(Admitted.size() > Play(0, Usual, 2).first.size());
+  // The process before admitted the whole limit evenly, until a second before
+  // the start.
+  const std::vector<double> Hot = Play(Tolerance / 2, Rate * 4, 2).first;
+  for (std::size_t Last = 0; Last < Hot.size(); ++Last) {
+    const double From = Hot[Last] - 5;
+    const double Before = std::clamp(-1 - From, 0.0, 4.0) * Limit / 5;
+    const auto Now = static_cast<double>(Last + 1);
+    CHECK(Before + Now <= Limit + Tolerance);
+  }
+}
+
 // Guards against a lowered limit that does not take full effect.
 TEST_CASE("a lowered limit is enforced after one window", "[rate]") {
   Fleet Hosts(3, 100, 100);
--- a/tests/auto/placement/tst_placement.cpp
+++ b/tests/auto/placement/tst_placement.cpp
@@ -107,3 +107,28 @@
   const std::vector<PlacementHost> Small = {{"a", "x"}, {"b", "y"}, {"c", "z"}};
   CHECK(monitorsOf(Small[0], Small).size() == 2);
 }
+
+// Guards against a failed primary that waits for every host of a cut-off domain
+// before another domain acts.
+TEST_CASE("the first hosts of the promotion order are of different domains") {
+  std::vector<PlacementHost> Hosts;
+  Hosts.reserve(95);
+  for (int Number = 0; Number < 95; ++Number)
+    Hosts.push_back(
+        {"h" + std::to_string(Number), "d" + std::to_string(Number % 5)});
+  std::map<std::string, int> First;
+  for (int Group = 0; Group < 100; ++Group) {
+    const std::vector<std::string> Order =
+        promotionOrder("group" + std::to_string(Group), Hosts);
+    REQUIRE(Order.size() == Hosts.size());
+    CHECK(std::set<std::string>(Order.begin(), Order.end()).size() ==
+          Hosts.size());
+    std::set<std::string> Domains;
+    for (std::size_t Rank = 0; Rank < 5; ++Rank)
+      Domains.insert(std::ranges::find(Hosts, Order[Rank], &PlacementHost::Name)
+                         ->FailureDomain);
+    CHECK(Domains.size() == 5);
+    ++First[Order.front()];
+  }
+  CHECK(First.size() > 40); // The groups are spread over the hosts.
+}
--- a/tests/auto/sessionproxy/tst_fleetview.cpp
+++ b/tests/auto/sessionproxy/tst_fleetview.cpp
@@ -28,6 +28,7 @@
   Report.Groups.push_back({"orders", 120, true, "i-2"});
   Report.Demands.push_back({"w", 12.5, 60});
   Report.FailureDomain = "d1";
+  Report.WantsAnswer = true;
   const std::string Bytes = encodeReport(Report);
   const Result<HostReport> Read = decodeReport(Bytes);
   REQUIRE(Read);
@@ -36,6 +37,7 @@
   CHECK(Read.value().Demands[0].Demand == 12.5);
   CHECK(Read.value().Groups[0].PrimaryProofAgeMs == 120);
   CHECK(Read.value().FailureDomain == "d1");
+  CHECK(Read.value().WantsAnswer);
   // Truncated and corrupted datagrams must not crash the process.
   for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
     CHECK_FALSE(decodeReport(std::string_view(Bytes).substr(0, Size)));
@@ -76,3 +78,51 @@
   CHECK(View.recordReport(makeReport("b", 1, 2), Start));
   CHECK_FALSE(View.recordReport(makeReport("a", 9), Start));
 }
+
+// Guards against hosts that, after all were restarted, choose different holders
+// for an upstream until each has heard all others.
+TEST_CASE("registered hosts are present until they had time to report") {
+  FleetView View("a");
+  View.setRegistered({{"a", {{}, "d1"}}, {"b", {{}, "d1"}}, {"c", {{}, "d2"}}},
+                     Start);
+  REQUIRE(View.present(Start).size() == 2);
+  CHECK(View.present(Start).at("c")->FailureDomain == "d2");
+  const std::chrono::milliseconds Lifetime = reportLifetime(3);
+  View.recordReport(makeReport("b", 1), Start + Lifetime);
+  CHECK(View.present(Start + Lifetime).size() == 1);
+  CHECK(View.present(Start + Lifetime).contains("b"));
+  CHECK(View.present(Start + 2 * Lifetime).empty());
+}
+
+// Guards against a host that was heard, fell silent, and comes back to life
+// because its registration is still listed.
+TEST_CASE("a host that fell silent is not present, though registered") {
+  FleetView View("a");
+  View.recordReport(makeReport("b", 1), Start);
+  const BootTime Later = Start + reportLifetime(2);
+  View.setRegistered({{"a", {{}, "d1"}}, {"b", {{}, "d1"}}}, Later);
+  CHECK(View.present(Later).empty());
+}
+
+// Guards against two owners of a rate, on both sides of a network partition,
+// that each admit the whole limit until the other side counts as gone, and
+// against a host that acts for the fleet after it was cut off itself.
+TEST_CASE("hosts without a recent report are not in contact",
+          "[rate][fencing]") {
+  constexpr std::size_t Hosts = 95;
+  FleetView View("h0");
+  std::map<std::string, FleetView::Registration> Registered;
+  for (std::size_t Number = 0; Number < Hosts; ++Number)
+    Registered["h" + std::to_string(Number)] = {{}, "d1"};
+  View.setRegistered(Registered, Start);
+  CHECK(View.inContact(Start) == 1);
+  CHECK(View.assumedInContact(Start) == Hosts);
+  for (std::size_t Number = 1; Number < Hosts; ++Number)
+    View.recordReport(makeReport("h" + std::to_string(Number), 1), Start);
+  CHECK(View.inContact(Start + 1s) == Hosts);
+  const std::chrono::milliseconds Limit = contactLifetime(Hosts);
+  CHECK(Limit < reportLifetime(Hosts) / 3);
+  CHECK(View.inContact(Start + Limit) == 1);
+  CHECK(View.assumedInContact(Start + Limit) == 1);
+  CHECK(View.size(Start + Limit) == Hosts);
+}
--- a/tests/auto/sessionproxy/tst_relaymessages.cpp
+++ b/tests/auto/sessionproxy/tst_relaymessages.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 #include <string>
 
@@ -35,6 +37,7 @@
   Read.After = Position{Term{3}, LogPosition{1207}};
   Request.Work.Guard = UpstreamCommand{};
   Request.Work.Commands = {Read, UpstreamCommand{}};
+  Request.Work.MaxProofAge = 1500ms;
   return Request;
 }
 
@@ -66,6 +69,64 @@
   CHECK(Request.Work.Commands[0].Id == "5c0e");
   CHECK(Request.Work.Commands[0].After == Position{Term{3}, LogPosition{1207}});
   CHECK_FALSE(Request.Work.Commands[1].After);
+  CHECK(Request.Work.MaxProofAge == 1500ms);
+}
+
+// Guards against a rolling change of version during which hosts do not
+// understand each other.
+TEST_CASE("messages without the fields added last are read") {
+  using Json = nlohmann::json;
+  const auto WithoutLast = [](const std::string &Bytes,
+                              const Json::json_pointer &Array) {
+    Json Message = Json::from_cbor(body(Bytes));
+    Json &Shortened = Message.at(Array);
+    Shortened.erase(Shortened.size() - 1);
+    std::string Encoded;
+    Json::to_cbor(Message, Encoded);
+    return Encoded;
+  };
+  const Result<RelayRequest> Request = decodeRelayRequest(
+      WithoutLast(encodeRelay(requestWithAllFields()), "/11"_json_pointer));
+  REQUIRE(Request);
+  CHECK(Request.value().Work.MaxProofAge == 0ms);
+  CHECK(Request.value().Work.Commands.size() == 2);
+  RelayAnswer Answer;
+  Answer.Result.ProofAge = 200ms;
+  const Result<RelayAnswer> Read =
+      decodeRelayAnswer(WithoutLast(encodeRelay(Answer), "/4"_json_pointer));
+  REQUIRE(Read);
+  CHECK(Read.value().Result.ProofAge == 0ms);
+}
+
+// Guards against a probe that the upstream does not prove, and against a read
+// or a statement of a transaction that counts as a proof of leadership.
+TEST_CASE("only work that a replica refuses proves leadership", "[fencing]") {
+  UpstreamWork Write;
+  Write.Commands.resize(1);
+  Write.Commands[0].Id = "5c0e";
+  CHECK(Write.provesLeadership());
+  CHECK(Write.mayWrite());
+  UpstreamWork InTransaction = Write;
+  InTransaction.InTransaction = true;
+  CHECK_FALSE(InTransaction.provesLeadership());
+  CHECK(InTransaction.mayWrite());
+  UpstreamWork Read = Write;
+  Read.Commands[0].After = Position{Term{3}, LogPosition{4}};
+  CHECK_FALSE(Read.provesLeadership());
+  CHECK_FALSE(Read.mayWrite());
+  UpstreamWork ReadAtPrimary = Write;
+  ReadAtPrimary.Guard = UpstreamCommand{};
+  CHECK(ReadAtPrimary.provesLeadership());
+  CHECK_FALSE(ReadAtPrimary.mayWrite());
+  UpstreamWork Probe;
+  Probe.Commands.resize(2);
+  Probe.Commands[0].Type = UpstreamCommand::Kind::Begin;
+  CHECK(Probe.provesLeadership());
+  UpstreamWork Reading;
+  Reading.Commands.resize(1);
+  Reading.Commands[0].Type = UpstreamCommand::Kind::BeginReadOnly;
+  Reading.Commands[0].After = Position{Term{3}, LogPosition{4}};
+  CHECK_FALSE(Reading.provesLeadership());
 }
 
 // Guards against losing the information whether a statement may have run.
@@ -78,6 +139,7 @@
   Answer.Result.Sent = true;
   Answer.Result.Lost = true;
   Answer.Result.Ran = 1500us;
+  Answer.Result.ProofAge = 250ms;
   UpstreamReply Reply;
   Reply.Rows = {"one", "two"};
   Reply.Signature = "7.1f3";
@@ -95,6 +157,7 @@
   CHECK(Result.Sent);
   CHECK(Result.Lost);
   CHECK(Result.Ran == 1500us);
+  CHECK(Result.ProofAge == 250ms);
   REQUIRE(Result.Replies.size() == 2);
   CHECK(Result.Replies[1].Rows == Reply.Rows);
   CHECK(Result.Replies[1].Failure == UpstreamFailure::Behind);
--- a/tests/process/test_relays.py
+++ b/tests/process/test_relays.py
@@ -129,6 +129,38 @@
             except AssertionError as late:
                 raise AssertionError(f"{late}; {lines}; {self.fleet.hosts[paused].text()[-4000:]}") from late
 
+    def test_a_resumed_host_runs_no_write_that_was_given_up(self):
+        """Guards against a paused holder that, once it goes on, runs writes
+        whose sender has closed the connection and reported them as in doubt."""
+        for paused in range(self.HOSTS):
+            others = [n for n in range(self.HOSTS) if n != paused]
+            callers = [self.fleet.caller("desk", host=n) for n in others for _ in range(8)]
+            reading = [self.fleet.caller("desk", host=n) for n in others]
+            for caller in callers + reading:
+                self.assertTrue(caller.query("WRITE item x")[0].startswith("COMPLETE"))
+            self.fleet.hosts[paused].process.send_signal(signal.SIGSTOP)
+            given_up = []
+
+            def write(caller):
+                if caller.query("WRITE item y")[0].startswith("ERROR INDOUBT"):
+                    given_up.append(caller.last_id)
+            # A read is given up much earlier than a write, and closes the
+            # connection to the paused host for both.
+            readers = [threading.Thread(target=caller.query, args=("READ item",)) for caller in reading]
+            writers = [threading.Thread(target=write, args=(caller,)) for caller in callers]
+            for thread in writers + readers:
+                thread.start()
+            for thread in writers:
+                thread.join(PATIENCE_S)
+            ran_before = {run.id for run in self.fleet.runs()}
+            self.fleet.hosts[paused].process.send_signal(signal.SIGCONT)
+            reader = self.fleet.caller("desk", host=paused)
+            wait_until("the host serves again", lambda: reader.query("READ item")[0].startswith("ROW"))
+            late = {run.id for run in self.fleet.runs()} & set(given_up) - ran_before
+            self.assertEqual(set(), late, f"of {len(given_up)} that host {paused} had not answered")
+            for thread in readers:
+                thread.join(PATIENCE_S)
+
     def test_a_stopping_holder_ends_what_it_carries_out(self):
         """Guards against a planned stop that breaks statements which other
         hosts sent over the stopping one."""
