Keep a workspace within its limit when its owner is cut off; prepare operations while they are counted

The owner that they turn to knew only the demand of its side, and several hosts took its place at once; each admitted up to 15 % of the limit and half of the tolerance. When contact is back, the first owner used the whole limit although others had admitted in that window.

Change: in a large fleet an owner reports the use of workspaces from half of their limit on; another owner counts it in full, and from 90 % on as the whole limit. An owner uses the lowest contact of the last window (limits/contactfraction). Without any owner a host admits a tenth of its share.

An operation waited for three round trips between hosts: the rate's owner, a proof of leadership (reads) or a ping of the holder (writes), and the statement. The second is now under way while the first is waited for; hosts that need the same ping wait for one.

--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -109,10 +109,13 @@
   if (Age >= Length)
     return 0;
   const double Fraction = this->demandFraction(Hosts, Now);
+  const double Estimated = std::min(this->demand(Now) * Length,
+                                    this->limit() * Fraction * MaxPriorUse);
+  const double Reported = this->ReportedPriorUse >= this->limit() * FullUseShare
+                              ? std::max(this->ReportedPriorUse, this->limit())
+                              : this->ReportedPriorUse;
   const double Spent =
-      std::max(0.0, std::min(this->demand(Now) * Length,
-                             this->limit() * Fraction * MaxPriorUse) -
-                        this->PriorUseTolerance * Fraction);
+      std::max({0.0, Estimated - this->PriorUseTolerance * Fraction, Reported});
   return Age < HoldTime ? Spent : Spent * (Length - Age) / (Length - HoldTime);
 }
 
--- a/src/libs/limits/sharedrate.h
+++ b/src/libs/limits/sharedrate.h
@@ -48,6 +48,10 @@
   /// decrease linearly to zero at the end of the window.
   static constexpr std::chrono::milliseconds PriorUseHoldTime{3000};
 
+  /// From this fraction of the limit on, reported prior use counts as all of
+  /// it: what is left is admitted by the owner that reported it.
+  static constexpr double FullUseShare = 0.9;
+
   /// \param ProcessStart when this process started serving.
   explicit SharedRate(BootTime ProcessStart) : StartedAt(ProcessStart) {}
 
@@ -75,6 +79,14 @@
     this->PriorUseTolerance = Operations;
   }
 
+  /// Sets the operations that an owner before this one admitted in the window
+  /// before the start, as far as it reported them. They count as prior use in
+  /// full, even if the demand here is lower: that owner may still serve others,
+  /// and several hosts may take its place.
+  void setReportedPriorUse(double Operations) {
+    this->ReportedPriorUse = Operations;
+  }
+
   /// State that another host reported.
   struct Report {
     std::uint64_t StartedAt = 0; ///< Identifies the process of the host.
@@ -137,6 +149,7 @@
   double Fraction = 1;
   std::chrono::milliseconds ReportLifetime{1500};
   double PriorUseTolerance = 0;
+  double ReportedPriorUse = 0;
   BootTime StartedAt;
   std::array<Slot, SlotCount> Admitted{};
   double Tokens = 0;
--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -250,9 +250,15 @@
 
 // Key, route and rate are checked once per operation, which is a single
 // statement or a whole transaction.
-asio::awaitable<Result<void>> CallerSession::admitOperation() {
+asio::awaitable<Result<void>> CallerSession::admitOperation(bool Reads) {
   if (const Result<void> Allowed = this->checkAccess(); !Allowed)
     co_return Allowed.error();
+  const bool AtReplica =
+      Reads && this->Route.Consistency != ReadConsistency::Primary;
+  this->Group->prepareOperation(
+      this->Workspace,
+      AtReplica ? std::optional(BootClock::now() - this->Route.AcceptedAge)
+                : std::nullopt);
   co_return co_await this->State.admitOperation(this->Workspace);
 }
 
@@ -264,7 +270,8 @@
         Request, Out);
     co_return;
   }
-  const Result<void> Admitted = co_await this->admitOperation();
+  const Result<void> Admitted = co_await this->admitOperation(
+      Request.Kind == StatementKind::BeginReadOnly);
   if (!Admitted) {
     this->answerError(Admitted.error(), Request, Out);
     co_return;
@@ -326,7 +333,7 @@
     Writes = Prepared->Writes;
   }
   if (!this->Session.inTransaction()) {
-    const Result<void> Admitted = co_await this->admitOperation();
+    const Result<void> Admitted = co_await this->admitOperation(!Writes);
     if (!Admitted) {
       this->answerError(Admitted.error(), Request, Out);
       co_return;
--- a/src/libs/sessionproxy/callersession.h
+++ b/src/libs/sessionproxy/callersession.h
@@ -71,7 +71,7 @@
   boost::asio::awaitable<void> forward(const Statement &Request,
                                        const PreparedStatement *Prepared,
                                        bool Writes, std::string &Out);
-  boost::asio::awaitable<Result<void>> admitOperation();
+  boost::asio::awaitable<Result<void>> admitOperation(bool Reads);
   Result<void> checkAccess();
   void answerError(const Error &Failure, const Statement &Request,
                    std::string &Out);
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -343,6 +343,20 @@
     this->recordLeadershipRefusal(Client);
 }
 
+void ProxyGroup::prepareOperation(const std::string &Workspace,
+                                  std::optional<BootTime> Since) {
+  const TimePoint Now = steadyNow();
+  this->recordUse(Workspace, Now);
+  if (!Since) {
+    if (const std::shared_ptr<UpstreamClient> Primary = this->primary(Now))
+      this->Access.prepareWrite(Primary->entry());
+  } else if (!this->Probing && !this->includingAll(*Since)) {
+    asio::co_spawn(this->Executor,
+                   this->proveLeadership(*Since, Now + RelayedProbeTimeout),
+                   asio::detached);
+  }
+}
+
 asio::awaitable<void> ProxyGroup::probeLastPrimary(TimePoint Deadline) {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   const std::optional<std::string> Last = this->Tracker.lastPrimary();
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -128,6 +128,13 @@
   boost::asio::awaitable<void> proveLeadership(BootTime Since,
                                                TimePoint Deadline);
 
+  /// Starts what an operation will need that is not known yet, without waiting
+  /// for it: for a read, a proof of leadership since \p Since; for a write, an
+  /// answer of the host that holds the primary's connections. Called while the
+  /// operation is counted against its rate, which takes a round trip as well.
+  void prepareOperation(const std::string &Workspace,
+                        std::optional<BootTime> Since);
+
   /// Probes the last primary once more, so that a host does not act on what it
   /// knew before a network partition ended, or before another host acted.
   boost::asio::awaitable<void> probeLastPrimary(TimePoint Deadline);
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -114,6 +114,9 @@
   this->confirmFrom(Report, Now);
   if (this->Fleet.size(Now) <= SmallFleet)
     this->applyDemands(Report, Now);
+  else
+    for (const DemandReport &Each : Report.Demands)
+      this->ReportedUses[Each.Workspace] = {Each.Used, Now};
   const TimePoint Steady = steadyNow();
   for (const GroupReport &Each : Report.Groups) {
     const std::shared_ptr<ProxyGroup> Group = this->findGroup(Each.Group);
@@ -159,6 +162,7 @@
 }
 
 void ProxyState::supervise(TimePoint Now) {
+  this->contactFraction(BootClock::now());
   if (this->Directory.removeExpired(Now))
     this->applyUpstreams();
   for (const auto &[Name, Group] : this->Groups)
@@ -242,6 +246,23 @@
   return success();
 }
 
+SharedRate ProxyState::newOwnedRate(const std::string &Workspace,
+                                    BootTime Now) const {
+  SharedRate Rate(Now);
+  const auto Reported = this->ReportedUses.find(Workspace);
+  if (Reported != this->ReportedUses.end() &&
+      Now - Reported->second.At < SharedRate::Window)
+    Rate.setReportedPriorUse(Reported->second.Operations);
+  return Rate;
+}
+
+double ProxyState::contactFraction(BootTime Now) {
+  const auto InContact = static_cast<double>(this->Fleet.assumedInContact(Now));
+  const auto Known = static_cast<double>(this->Fleet.size(Now));
+  this->Contact.record(std::min(1.0, InContact / std::max(Known, 1.0)), Now);
+  return this->Contact.lowest(Now);
+}
+
 // Hosts without contact may be in another network partition with an owner of
 // their own, so their part of the limit is left to that owner. An owner that
 // was not asked during a whole window starts anew: another one may have
@@ -253,14 +274,17 @@
   const auto Declared = this->Catalogue->Workspaces.find(Workspace);
   if (Declared == this->Catalogue->Workspaces.end())
     return success();
-  const auto Present = static_cast<double>(this->Fleet.assumedInContact(Now));
-  const auto Known = static_cast<double>(this->Fleet.size(Now));
-  const double Part = std::min(1.0, Present / std::max(Known, 1.0));
+  const double Part = this->contactFraction(Now);
+  const auto Found = this->OwnedRates.find(Workspace);
   OwnedRate &Owned =
-      this->OwnedRates.try_emplace(Workspace, OwnedRate{SharedRate(Now), Now})
-          .first->second;
+      Found != this->OwnedRates.end()
+          ? Found->second
+          : this->OwnedRates
+                .emplace(Workspace,
+                         OwnedRate{this->newOwnedRate(Workspace, Now), Now})
+                .first->second;
   if (Now - Owned.AskedAt >= SharedRate::Window)
-    Owned.Rate = SharedRate(Now);
+    Owned.Rate = this->newOwnedRate(Workspace, Now);
   Owned.AskedAt = Now;
   SharedRate &Rate = Owned.Rate;
   this->setLimits(Rate, Declared->second);
@@ -344,6 +368,12 @@
     if (Demand >= MinReportedDemand || Used > 0)
       Report.Demands.push_back({Name, Demand, Used});
   }
+  if (!Shares)
+    for (const auto &[Name, Owned] : this->OwnedRates) {
+      const double Used = Owned.Rate.used(1, Now);
+      if (Used >= Owned.Rate.limit() * ReportedUseShare)
+        Report.Demands.push_back({Name, Owned.Rate.demand(Now), Used});
+    }
   const TimePoint Steady = steadyNow();
   for (const auto &[Name, Group] : this->Groups) {
     GroupReport Each;
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -2,6 +2,7 @@
 
 #include "base/boottime.h"
 #include "fleetview.h"
+#include "limits/contactfraction.h"
 #include "limits/sharedrate.h"
 #include "protocols.h"
 #include "proxygroup.h"
@@ -44,16 +45,21 @@
   /// catalogue is in force on all hosts within 3 s.
   static constexpr std::chrono::milliseconds CatalogueConfirmationLifetime{
       3500};
-  /// Fraction of its share of the limit that a host admits while the owner of
-  /// a rate does not answer. The owner may still grant the whole limit to other
-  /// hosts, and the total may exceed the limit by at most a tenth.
-  static constexpr double ShareWithoutOwner = 0.3;
-
+  /// Fraction of its share of the limit that a host admits while no owner of a
+  /// rate answers. An owner may still grant the whole limit to other hosts, and
+  /// the total may exceed the limit by at most a tenth.
+  static constexpr double ShareWithoutOwner = 0.1;
   /// Part of the tolerance of a rate that a starting host uses when it
   /// estimates what its previous process admitted. The rest is for operations
-  /// that two owners admit while hosts learn which of them is the owner.
+  /// that hosts admit without an owner, and for those that reach a database
+  /// later than they were counted.
   static constexpr double PriorUseToleranceShare = 0.5;
 
+  /// In a large fleet, the owner of a rate reports the use of a workspace from
+  /// this part of its limit on. If a network partition separates it from other
+  /// hosts, the owner that they turn to knows what was admitted already.
+  static constexpr double ReportedUseShare = 0.5;
+
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity,
              RateTolerance Tolerance);
@@ -140,11 +146,18 @@
     SharedRate Rate;
     BootTime AskedAt{}; ///< When an operation was last counted.
   };
+  /// The use of a workspace that its owner reported.
+  struct ReportedUse {
+    double Operations = 0; ///< In the window before the report.
+    BootTime At{};
+  };
 
   bool confirmed(TimePoint Now) const;
   void confirmFrom(const HostReport &Report, BootTime Now);
   boost::asio::awaitable<Result<void>> admitByOwner(std::string Workspace);
   void applyDemands(const HostReport &Report, BootTime Now);
+  SharedRate newOwnedRate(const std::string &Workspace, BootTime Now) const;
+  double contactFraction(BootTime Now);
   Result<void> admitWithShares(const std::string &Workspace, BootTime Now);
   Result<void> admitWithoutOwner(const std::string &Workspace, BootTime Now);
   void setLimits(SharedRate &Rate, const SessionWorkspace &Workspace) const;
@@ -165,6 +178,8 @@
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
   std::map<std::string, OwnedRate> OwnedRates;
+  std::map<std::string, ReportedUse> ReportedUses; ///< By workspace.
+  ContactFraction Contact;
   FleetView Fleet;
   std::size_t AppliedHosts = 0;
   std::map<std::string, PromotionOrder> PromotionOrders;
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -1,5 +1,6 @@
 #include "upstreamaccess.h"
 
+#include "http/resumewith.h"
 #include "http/sleepuntil.h"
 #include "telemetry/logging.h"
 
@@ -13,6 +14,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using boost::system::error_code;
 using std::chrono::milliseconds;
 
 milliseconds timeLeft(TimePoint Deadline, TimePoint Now) {
@@ -93,19 +95,56 @@
   return this->Hosts.count(Name) ? Name : this->OwnName;
 }
 
-asio::awaitable<bool> UpstreamAccess::isAlive(const std::string &Name) {
+bool UpstreamAccess::heardRecently(const std::string &Name,
+                                   TimePoint Now) const {
   const Host &Asked = this->Hosts.at(Name);
-  const std::shared_ptr<RelayClient> Relay = Asked.Relay;
-  const TimePoint Now = steadyNow();
-  if (Now - std::max(Asked.HeardAt, Relay->lastReceivedAt()) <
-      RecentContactLimit)
-    co_return true;
-  const bool Answered = co_await ping(*Relay);
-  if (Answered)
-    co_return true;
+  return Now - std::max(Asked.HeardAt, Asked.Relay->lastReceivedAt()) <
+         RecentContactLimit;
+}
+
+std::shared_ptr<UpstreamAccess::PendingPing>
+UpstreamAccess::startPing(const std::string &Name) {
+  std::shared_ptr<PendingPing> &Ping = this->Pings[Name];
+  if (Ping)
+    return Ping;
+  Ping = std::make_shared<PendingPing>(this->Executor);
+  Ping->Ended.expires_at(steadyNow() + PingTimeout * 2);
+  asio::co_spawn(this->Executor, this->runPing(Name, Ping), asio::detached);
+  return Ping;
+}
+
+asio::awaitable<void>
+UpstreamAccess::runPing(std::string Name, std::shared_ptr<PendingPing> Ping) {
+  const auto Found = this->Hosts.find(Name);
+  const std::shared_ptr<RelayClient> Relay =
+      Found == this->Hosts.end() ? nullptr : Found->second.Relay;
+  bool Answered = false;
+  if (Relay)
+    Answered = co_await ping(*Relay);
+  Ping->Answered = Answered;
+  Ping->Ended.cancel();
+  this->Pings.erase(Name);
+  if (Answered || !Relay)
+    co_return;
   logInfo("event=host_silent host=" + Name);
   this->hostFailed(Name);
-  co_return false;
+}
+
+asio::awaitable<bool> UpstreamAccess::isAlive(std::string Name) {
+  if (this->heardRecently(Name, steadyNow()))
+    co_return true;
+  const std::shared_ptr<PendingPing> Ping = this->startPing(Name);
+  error_code Ignored;
+  while (!Ping->Answered && steadyNow() < Ping->Ended.expiry())
+    co_await Ping->Ended.async_wait(resumeWith(Ignored));
+  co_return Ping->Answered.value_or(false);
+}
+
+void UpstreamAccess::prepareWrite(const UpstreamEntry &Entry) {
+  const TimePoint Now = steadyNow();
+  const std::string Name = this->chooseHolder(Entry, Now);
+  if (Name != this->OwnName && !this->heardRecently(Name, Now))
+    this->startPing(Name);
 }
 
 asio::awaitable<bool> UpstreamAccess::ping(RelayClient &Relay) {
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -9,9 +9,11 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -89,6 +91,10 @@
   boost::asio::awaitable<WorkResult> runHeld(HeldConnection &Held,
                                              UpstreamWork Work);
 
+  /// Starts to ping the host that holds the connections of \p Entry, if run()
+  /// would do so before it relays a write. Does not wait for the answer.
+  void prepareWrite(const UpstreamEntry &Entry);
+
   /// Rolls back the transaction on \p Held without waiting for the upstream.
   void rollBack(HeldConnection Held);
 
@@ -145,9 +151,21 @@
     std::shared_ptr<RelayClient> Relay;
     TimePoint HeardAt{};
   };
+  /// A ping that is under way; all who need its answer wait for the same one.
+  struct PendingPing {
+    explicit PendingPing(const boost::asio::any_io_executor &Executor)
+        : Ended(Executor) {}
+
+    boost::asio::steady_timer Ended; ///< Cancelled when the ping has ended.
+    std::optional<bool> Answered;
+  };
 
   std::string chooseHolder(const UpstreamEntry &Entry, TimePoint Now);
-  boost::asio::awaitable<bool> isAlive(const std::string &Name);
+  bool heardRecently(const std::string &Name, TimePoint Now) const;
+  std::shared_ptr<PendingPing> startPing(const std::string &Name);
+  boost::asio::awaitable<void> runPing(std::string Name,
+                                       std::shared_ptr<PendingPing> Ping);
+  boost::asio::awaitable<bool> isAlive(std::string Name);
   static boost::asio::awaitable<bool> ping(RelayClient &Relay);
   boost::asio::awaitable<void> recheck(std::string Name);
   void recordPathResult(const std::string &Host, const std::string &Upstream,
@@ -168,6 +186,7 @@
   std::map<std::string, Host> Hosts;
   std::vector<PlacementHost> Live; ///< Hosts and this one.
   std::map<std::string, std::vector<std::string>> Promoters; ///< By group.
+  std::map<std::string, std::shared_ptr<PendingPing>> Pings; ///< By host.
   std::set<std::string> DomainsToCheck;
   std::map<std::string, TimePoint> RelayedWorkAt; ///< By upstream.
   std::set<std::string> Rechecked; ///< Hosts that are being pinged.
--- a/tests/auto/limits/tst_sharedrate.cpp
+++ b/tests/auto/limits/tst_sharedrate.cpp
@@ -1,3 +1,4 @@
+#include "limits/contactfraction.h"
 #include "limits/sharedrate.h"
 
 #include <catch2/catch.hpp>
@@ -286,3 +287,72 @@
   CHECK(Max <= maxAdmissions(Rate, Burst));
   CHECK(Max >= (Rate * 5 + Burst) * 85 / 100);
 }
+
+// Load pattern: a workspace sends eight times its limit to both sides of a
+// network partition of a large fleet. Hosts lose contact to each other 3 s
+// after it begins. Guards against a second owner that admits a window of its
+// own, as it knows only the demand of its side, and against the first owner
+// that admits the whole limit when the partition has just ended.
+TEST_CASE("a partition of a large fleet admits no second window", "[rate]") {
+  constexpr double Rate = 187;
+  constexpr double Burst = 187;
+  constexpr double Limit = Rate * 5 + Burst;
+  constexpr double Tolerance = Limit * 0.1 + 20;
+  constexpr double FirstSide = 0.7;
+  const BootTime Cut = Start + 10s;
+  const BootTime Noticed = Cut + 3s;
+  const BootTime Healed = Cut + 6s;
+  std::mt19937 Random(11);
+  std::bernoulli_distribution AtFirstSide(FirstSide);
+  std::poisson_distribution<int> Arrivals(Rate * 8 / 1000);
+  SharedRate First(Start - 10s);
+  First.setLimits(Rate, Burst);
+  ContactFraction FirstContact;
+  // The hosts of the second side do not agree on the next owner at first.
+  std::vector<SharedRate> Others;
+  std::vector<BootTime> Admissions;
+  for (BootTime Now = Start; Now < Healed + 8s; Now += 1ms) {
+    const bool KnowsCut = Now >= Noticed && Now < Healed;
+    FirstContact.record(KnowsCut ? FirstSide : 1, Now);
+    First.setFraction(FirstContact.lowest(Now));
+    for (int Left = Arrivals(Random); Left > 0; --Left) {
+      const bool Separated = Now >= Cut && Now < Healed;
+      if (!Separated || AtFirstSide(Random)) {
+        if (First.admit(1, Now))
+          Admissions.push_back(Now);
+        continue;
+      }
+      while (Others.size() < 3) {
+        SharedRate &Other = Others.emplace_back(Now);
+        Other.setLimits(Rate, Burst);
+        Other.setPriorUseTolerance(Tolerance / 2);
+        Other.setReportedPriorUse(First.used(1, Now));
+      }
+      SharedRate &Asked = Others[KnowsCut ? 0 : Random() % Others.size()];
+      Asked.setFraction(KnowsCut ? 1 - FirstSide : 1);
+      if (Asked.admit(1, Now))
+        Admissions.push_back(Now);
+    }
+  }
+  std::size_t WindowStart = 0;
+  std::size_t Max = 0;
+  for (std::size_t Last = 0; Last < Admissions.size(); ++Last) {
+    while (Admissions[Last] - Admissions[WindowStart] >= 5s)
+      ++WindowStart;
+    Max = std::max(Max, Last - WindowStart + 1);
+  }
+  CHECK(static_cast<double>(Max) <= Limit + Tolerance);
+}
+
+TEST_CASE("the lowest contact of the last window counts", "[rate]") {
+  ContactFraction Contact;
+  CHECK(Contact.lowest(Start) == 1);
+  Contact.record(0.9, Start);
+  Contact.record(0.3, Start + 1s);
+  Contact.record(1, Start + 2s);
+  CHECK(Contact.lowest(Start + 2s) == 0.3);
+  CHECK(Contact.lowest(Start + 5900ms) == 0.3);
+  CHECK(Contact.lowest(Start + 6500ms) == 1);
+  Contact.record(0.8, Start + 1000s);
+  CHECK(Contact.lowest(Start + 1000s) == 0.8);
+}
