Reject deeply nested messages between hosts

Cause: the CBOR decoder recurses for each level of nesting. A relay message of 4 MB, the permitted length, that consists of array headers exhausted the stack and ended the process (exit by signal 11, seen with decodeRelayRequest alone).

Reports and relay messages use it.

--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -1,5 +1,7 @@
 #include "hostreport.h"
 
+#include "cbordecoder.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -85,7 +87,7 @@
 
 Result<HostReport> decodeReport(std::string_view Bytes) {
   try {
-    const Json Message = Json::from_cbor(Bytes);
+    const Json Message = decodeCbor(Bytes);
     HostReport Report;
     Message.at(0).get_to(Report.Format);
     Message.at(1).get_to(Report.Host);
--- a/src/libs/sessionproxy/relaymessages.cpp
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -1,5 +1,6 @@
 #include "relaymessages.h"
 
+#include "cbordecoder.h"
 #include "http/resumewith.h"
 
 #include <boost/asio/buffer.hpp>
@@ -156,7 +157,7 @@
 template <typename Message, typename Decode>
 Result<Message> decode(std::string_view Bytes, Decode Read) {
   try {
-    return Read(Json::from_cbor(Bytes));
+    return Read(decodeCbor(Bytes));
   } catch (const std::exception &Failure) {
     return failure(ErrorKind::BadRequest, Failure.what());
   }
--- a/tests/process/test_relays.py
+++ b/tests/process/test_relays.py
@@ -1,4 +1,5 @@
 """Statements that reach an upstream over the connections of another host."""
+import contextlib
 import itertools
 import re
 import signal
@@ -161,6 +162,26 @@
             for thread in readers:
                 thread.join(PATIENCE_S)
 
+    def test_malformed_messages_end_no_host(self):
+        """Guards against a message of a broken host that ends the process of
+        another, or breaks its sessions."""
+        caller = self.fleet.caller("desk", host=0)
+        nested = b"\x81" * (4 << 20)
+        whole = len(nested).to_bytes(4, "big") + nested
+        for message in (whole, whole[:100000], b"\xff" * 64, b"\x00\x00\x00\x05\x9b\xff\xff\xff\xff", b""):
+            with socket.create_connection(("127.0.0.1", self.fleet.hosts[0].reports), PATIENCE_S) as link:
+                link.settimeout(PATIENCE_S)
+                with contextlib.suppress(OSError):
+                    link.sendall(message)
+                    link.shutdown(socket.SHUT_WR)
+                    while link.recv(4096):
+                        pass
+        with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            for message in (b"\x81" * 60000, b"\xff" * 200, b"", bytes(range(256))):
+                datagrams.sendto(message, ("127.0.0.1", self.fleet.hosts[0].reports))
+        self.assertTrue(caller.query("WRITE item x")[0].startswith("COMPLETE"))
+        self.fleet.hosts[0].check_runs()
+
     def test_a_stopping_holder_ends_what_it_carries_out(self):
         """Guards against a planned stop that breaks statements which other
         hosts sent over the stopping one."""
