--- a/src/libs/failover/primarytracker.cpp
+++ b/src/libs/failover/primarytracker.cpp
@@ -45,7 +45,8 @@
   const auto Found = this->Members.find(Id);
   if (Found != this->Members.end())
     Found->second.RefusedAt = Now;
-  if (!this->FailedSince)
+  const bool LeaderKnown = this->Members.contains(this->ProvenPrimary);
+  if (!this->FailedSince && (Id == this->ProvenPrimary || !LeaderKnown))
     this->FailedSince = Now;
 }
 
--- a/src/libs/failover/primarytracker.h
+++ b/src/libs/failover/primarytracker.h
@@ -36,7 +36,8 @@
   /// is older than the latest one is ignored, and failures after \p At still
   /// count.
   void recordLeadershipProof(const std::string &Id, Term InTerm, TimePoint At);
-  /// \p Id answered that it is not the primary.
+  /// \p Id answered that it is not the primary. That counts as a failure of the
+  /// primary only if \p Id was the known one, or none is known.
   void recordLeadershipRefusal(const std::string &Id, TimePoint Now);
   /// A probe of \p Id got no answer.
   void recordUnreachable(const std::string &Id, TimePoint Now);
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -104,10 +104,11 @@
 
 std::shared_ptr<UpstreamAccess::PendingPing>
 UpstreamAccess::startPing(const std::string &Name) {
-  std::shared_ptr<PendingPing> &Ping = this->Pings[Name];
-  if (Ping)
-    return Ping;
-  Ping = std::make_shared<PendingPing>(this->Executor);
+  const auto UnderWay = this->Pings.find(Name);
+  if (UnderWay != this->Pings.end())
+    return UnderWay->second;
+  auto Ping = std::make_shared<PendingPing>(this->Executor);
+  this->Pings[Name] = Ping;
   Ping->Ended.expires_at(steadyNow() + PingTimeout * 2);
   asio::co_spawn(this->Executor, this->runPing(Name, Ping), asio::detached);
   return Ping;
--- a/tests/auto/failover/tst_primarytracker.cpp
+++ b/tests/auto/failover/tst_primarytracker.cpp
@@ -127,3 +127,18 @@
   CHECK(Tracker.lastPrimary() == "b");
   CHECK(Tracker.provenAge(Start + 2s) == Duration(1s));
 }
+
+// Guards against a write that was sent to a replica by mistake and makes a
+// healthy primary suspect.
+TEST_CASE("a refusal by a replica is no failure of the primary") {
+  PrimaryTracker Tracker = trackerWithClaim("a");
+  Tracker.recordLeadershipProof("a", Term{1}, Start);
+  Tracker.recordLeadershipRefusal("b", Start + 1s);
+  CHECK_FALSE(Tracker.hasFailed());
+  CHECK(Tracker.primary(Start + 1s) == "a");
+  Tracker.recordLeadershipRefusal("a", Start + 2s);
+  CHECK(Tracker.hasFailed());
+  PrimaryTracker Unknown = trackerWithClaim("a");
+  Unknown.recordLeadershipRefusal("a", Start);
+  CHECK(Unknown.hasFailed());
+}
