Replace a failed primary without waiting for it once more

Change: the status of a suspected primary is not queried, and the probe after the claim is left out by hosts that had contact to at least half of the fleet during the last window: they were not cut off. A leaving primary, which answers at once, is still probed.

Ruled out: a shorter timeout of that probe, because a host whose cut has just ended needs up to 0.5 s until it reaches the primary again.

--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -132,7 +132,11 @@
   const Result<std::uint64_t> Token =
       co_await this->acquireClaim(Name, Progress);
   const BootTime ClaimedAt = BootClock::now();
-  if (Token)
+  // A host that had contact to most of the fleet all the time was not cut off,
+  // so its suspicion does not date from before the end of a cut.
+  const bool MayBeStale =
+      !Group->suspectedSince() || this->State.lowestContact() < MajorityContact;
+  if (Token && MayBeStale)
     co_await Group->probeLastPrimary(steadyNow() + ConfirmationTime);
   // Since the check, other hosts may have acted or the primary may have
   // recovered.
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -34,6 +34,10 @@
   /// primary before it orders the promotion. Leaves time for the last one
   /// within ClaimValidity.
   static constexpr std::chrono::milliseconds ConfirmationTime{250};
+  /// A host that was in contact with less than this part of the fleet, at any
+  /// time in the last seconds, probes the failed primary again before it orders
+  /// the promotion.
+  static constexpr double MajorityContact = 0.5;
   /// Minimum time between an accepted promotion and the next one of the same
   /// group. The promoted member needs up to one second to become primary.
   static constexpr std::chrono::milliseconds PromotionCooldown{2500};
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -391,8 +391,12 @@
   const auto Query = std::make_shared<Answers>();
   const auto Ended = std::make_shared<asio::steady_timer>(this->Executor);
   Ended->expires_at(Deadline);
-  Query->Missing = this->Clients.size();
-  for (const auto &[Id, Client] : this->Clients)
+  std::map<std::string, std::shared_ptr<UpstreamClient>> Queried =
+      this->Clients;
+  if (this->SuspectedSince)
+    Queried.erase(this->Tracker.lastPrimary().value_or(""));
+  Query->Missing = Queried.size();
+  for (const auto &[Id, Client] : Queried)
     asio::co_spawn(
         this->Executor, this->queryMember(Client, Deadline),
         [Query, Ended, Id = Id](const std::exception_ptr &,
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -139,7 +139,9 @@
   /// knew before a network partition ended, or before another host acted.
   boost::asio::awaitable<void> probeLastPrimary(TimePoint Deadline);
 
-  /// Queries the status of all members that can be reached, at the same time.
+  /// Queries the status of all members that can be reached, at the same time. A
+  /// primary that is suspected is left out: it did not answer the probes, and
+  /// waiting for it would delay its replacement.
   /// \returns the answers received, with the ids of the members.
   boost::asio::awaitable<std::vector<std::pair<std::string, UpstreamStatus>>>
   queryStatus(TimePoint Deadline);
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -83,6 +83,12 @@
   /// ProxyGroup::ProbeInterval.
   void supervise(TimePoint Now);
 
+  /// The lowest part of the fleet with which this host was in contact during
+  /// the last ContactFraction::Window; 1 for all.
+  double lowestContact() const {
+    return this->Contact.lowest(BootClock::now());
+  }
+
   /// Returns whether this host has a catalogue and upstreams, so that it can
   /// serve.
   bool canServe() const;
