End the wait for a connection of relayed work before its deadline

Change: the wait ends 30 ms before the deadline of the work.

Ruled out: reports that are lost within the domain (hosts were heard there all the time). No test of its own: the wait is measured in the shell; tst_relayclient shows what a missing answer means.

--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -357,8 +357,9 @@
   Request.Workspace = Waiter.Workspace;
   Request.Priority = Waiter.Priority;
   Request.TargetIn = timeLeft(Waiter.Target, Start);
-  // A wait beyond the deadline of the work would look like a failed host.
-  Request.GiveUpIn = timeLeft(std::min(Waiter.GiveUpAt, Work.Deadline), Start);
+  Request.GiveUpIn = timeLeft(
+      std::min<TimePoint>(Waiter.GiveUpAt, Work.Deadline - AnswerReserve),
+      Start);
   Request.DeadlineIn = timeLeft(Work.Deadline, Start);
   Request.Hold = Hold != nullptr;
   const TimePoint Deadline = Work.Deadline;
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -56,6 +56,10 @@
   static constexpr std::chrono::milliseconds RecentContactLimit{400};
   /// Timeout of that ping; hosts answer within a few milliseconds.
   static constexpr std::chrono::milliseconds PingTimeout{100};
+  /// Time before the deadline of relayed work at which its wait for a
+  /// connection ends, so that the answer that it has not run arrives in time.
+  /// Without that answer the other host would look as if it had failed.
+  static constexpr std::chrono::milliseconds AnswerReserve{30};
   /// Interval at which a host that did not answer is pinged, until it answers
   /// or is gone. It is used again only then, so that no statement has to find
   /// out. Shorter than HolderSelector::AvoidAfterFailure.
