--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """LOST: a replica that lacks acknowledged commits is promoted, although one that
 has them all is up. See claim.txt."""
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -88,4 +89,4 @@
     return True
 
 
-main(Path(__file__).parent, case)
+main(Path(__file__).parent, case, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """UNASKED: a line feed inside a client's text ends the statement at the daemon,
 and the rest of the text is run as statements of its own. See claim.txt."""
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -67,4 +68,4 @@
             each.stop()
 
 
-main(Path(__file__).parent, case)
+main(Path(__file__).parent, case, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -285,9 +285,8 @@
     os._exit(code)
 
 
-def main(folder, case):
+def main(folder, case, trouble):
     """Runs case(trouble, record), and exits as the review's page says."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.add(f"trouble={'yes' if trouble else 'no'}")
     watchdog = threading.Timer(TIME_LIMIT_S + 8, end, (2,))
