Keep the cost of reports and joins low in fleets of hundreds of hosts

The fleet spent its processor time on that and served 1 % of the operations. Change: PromotionRanking keeps the orders and hashes a host once for each group; FleetView keeps its counts until a report or the time changes them; UpstreamAccess looks at the hosts only after a change; TroubleNotices limits the notices of a host that does not replace the primary itself to one a second for each receiver; the group of an upstream is looked up in a map. Considered: telling nobody but the first host of each domain, which delays the replacement if that host is lost. A test of the owner of a rate was added while its count was examined; it passes on the former code too.

--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t RelayCount = 2;
 constexpr std::size_t MonitorCount = 3;
 constexpr std::size_t MinMonitorCount = 2;
+constexpr std::string_view PromoterRole = "promoter";
 
 using HostRefs = std::vector<const PlacementHost *>;
 
@@ -162,7 +163,7 @@
   HostRefs All;
   for (const PlacementHost &Host : Hosts)
     All.push_back(&Host);
-  const HostRefs Ranked = ranked(All, "promoter", Group);
+  const HostRefs Ranked = ranked(All, PromoterRole, Group);
   std::set<std::string_view> Domains;
   std::vector<std::string> Names;
   std::vector<std::string> Rest;
@@ -174,6 +175,10 @@
   return Names;
 }
 
+std::uint64_t promoterWeight(std::string_view Group, std::string_view Host) {
+  return stableHash(PromoterRole, Group, Host);
+}
+
 std::vector<std::string> watchersOf(std::span<const PlacementUpstream> Group,
                                     std::span<const PlacementHost> Hosts) {
   std::vector<std::string> Names;
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -86,6 +86,10 @@
 std::vector<std::string> promotionOrder(std::string_view Group,
                                         std::span<const PlacementHost> Hosts);
 
+/// \returns the weight by which promotionOrder() compares hosts; the highest
+///          comes first, and hosts of equal weight are ordered by name.
+std::uint64_t promoterWeight(std::string_view Group, std::string_view Host);
+
 /// Selects the hosts that watch a database group.
 /// \returns the preferred holder of each member without duplicates, in the
 ///          order of the members.
--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -6,6 +6,7 @@
 
 void FleetView::setRegistered(
     const std::map<std::string, Registration> &Registered, BootTime Now) {
+  this->Cached.reset();
   for (auto &[Name, Each] : this->Hosts)
     Each.Registered = false;
   for (const auto &[Name, Entry] : Registered) {
@@ -34,25 +35,91 @@
                     (Report.StartedAt == Each.Last->StartedAt &&
                      Report.Sequence <= Each.Last->Sequence)))
     return false;
+  const bool CountedBefore = this->isCounted(Each, Now);
+  const Endpoint AddressBefore = Each.Address;
   const Result<Endpoint> Address = parseEndpoint(Report.Address);
   if (Address)
     Each.Address = Address.value();
+  const bool Moved = !(Each.Address == AddressBefore) ||
+                     Each.FailureDomain != Report.FailureDomain;
   Each.FailureDomain = Report.FailureDomain;
   Each.Last = Report;
   Each.HeardAt = Now;
+  if (!CountedBefore || Moved || Report.Leaving)
+    this->Cached.reset();
   return true;
 }
 
 std::size_t FleetView::size(BootTime Now) const {
-  const auto Others = std::count_if(
-      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
-        if (this->isRecentlyHeard(Each.second, Now))
-          return !Each.second.Last->Leaving;
-        const BootTime SilentSince =
-            std::max(Each.second.HeardAt, Each.second.KnownSince);
-        return Each.second.Registered && Now - SilentSince < SilenceLimit;
-      });
-  return static_cast<std::size_t>(Others) + 1;
+  return this->counts(Now).Size;
+}
+
+std::size_t FleetView::inContact(BootTime Now) const {
+  return this->counts(Now).InContact;
+}
+
+std::size_t FleetView::assumedInContact(BootTime Now) const {
+  return this->counts(Now).AssumedInContact;
+}
+
+std::size_t FleetView::rank(BootTime Now) const {
+  return this->counts(Now).Rank;
+}
+
+std::uint64_t FleetView::presentRevision(BootTime Now) const {
+  return this->counts(Now).Revision;
+}
+
+const FleetView::Counts &FleetView::counts(BootTime Now) const {
+  if (!this->Cached || Now < this->Cached->CountedAt ||
+      Now >= this->Cached->ValidUntil)
+    this->Cached = this->count(Now);
+  return *this->Cached;
+}
+
+FleetView::Counts FleetView::count(BootTime Now) const {
+  Counts Sum{1, 1, 1, 0, ++this->Revision, Now, BootTime::max()};
+  const std::chrono::milliseconds Contact =
+      contactLifetime(this->Hosts.size() + 1);
+  const std::chrono::milliseconds Report =
+      reportLifetime(this->Hosts.size() + 1);
+  const auto ChangesAt = [&Sum, Now](BootTime Time) {
+    if (Time > Now)
+      Sum.ValidUntil = std::min(Sum.ValidUntil, Time);
+  };
+  for (const auto &[Name, Each] : this->Hosts) {
+    Sum.Size += this->mayBeServing(Each, Now) ? 1 : 0;
+    Sum.InContact += this->isInContact(Each, Now) ? 1 : 0;
+    const bool HadNoTimeToReport =
+        !Each.Last && Each.Registered && Now - Each.KnownSince < Contact;
+    Sum.AssumedInContact +=
+        HadNoTimeToReport || this->isInContact(Each, Now) ? 1 : 0;
+    if (Name < this->OwnName && this->isPresent(Each, Now))
+      ++Sum.Rank;
+    for (const BootTime Since : {Each.HeardAt, Each.KnownSince}) {
+      ChangesAt(Since + Contact);
+      ChangesAt(Since + Report);
+      ChangesAt(Since + SilenceLimit);
+    }
+  }
+  return Sum;
+}
+
+bool FleetView::mayBeServing(const Host &Each, BootTime Now) const {
+  if (this->isRecentlyHeard(Each, Now))
+    return !Each.Last->Leaving;
+  const BootTime SilentSince = std::max(Each.HeardAt, Each.KnownSince);
+  return Each.Registered && Now - SilentSince < SilenceLimit;
+}
+
+bool FleetView::isInContact(const Host &Each, BootTime Now) const {
+  return Each.Last &&
+         Now - Each.HeardAt < contactLifetime(this->Hosts.size() + 1);
+}
+
+bool FleetView::isCounted(const Host &Each, BootTime Now) const {
+  return this->isInContact(Each, Now) && this->isRecentlyHeard(Each, Now) &&
+         !Each.Last->Leaving;
 }
 
 std::vector<const FleetView::Host *>
@@ -64,27 +131,6 @@
   return Found;
 }
 
-std::size_t FleetView::inContact(BootTime Now) const {
-  const std::chrono::milliseconds Limit =
-      contactLifetime(this->Hosts.size() + 1);
-  const auto Others = std::count_if(
-      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
-        return Each.second.Last && Now - Each.second.HeardAt < Limit;
-      });
-  return static_cast<std::size_t>(Others) + 1;
-}
-
-std::size_t FleetView::assumedInContact(BootTime Now) const {
-  const std::chrono::milliseconds Limit =
-      contactLifetime(this->Hosts.size() + 1);
-  const auto Unheard = std::count_if(
-      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
-        return !Each.second.Last && Each.second.Registered &&
-               Now - Each.second.KnownSince < Limit;
-      });
-  return static_cast<std::size_t>(Unheard) + this->inContact(Now);
-}
-
 std::map<std::string, const FleetView::Host *>
 FleetView::present(BootTime Now) const {
   std::map<std::string, const Host *> Found;
@@ -94,14 +140,6 @@
   return Found;
 }
 
-std::size_t FleetView::rank(BootTime Now) const {
-  const auto Before = std::count_if(
-      this->Hosts.begin(), this->Hosts.end(), [&](const auto &Each) {
-        return Each.first < this->OwnName && this->isPresent(Each.second, Now);
-      });
-  return static_cast<std::size_t>(Before);
-}
-
 std::vector<std::string> FleetView::silentHosts(BootTime Now) const {
   std::vector<std::string> Names;
   for (const auto &[Name, Each] : this->Hosts)
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -79,12 +79,36 @@
 
   const std::map<std::string, Host> &hosts() const { return this->Hosts; }
 
+  /// Number that changes whenever present() may have changed.
+  std::uint64_t presentRevision(BootTime Now) const;
+
 private:
+  /// Results of a walk over all hosts. They stay the same until ValidUntil,
+  /// unless a report or the registrations change a host's state.
+  struct Counts {
+    std::size_t Size = 0;
+    std::size_t InContact = 0;
+    std::size_t AssumedInContact = 0;
+    std::size_t Rank = 0;
+    std::uint64_t Revision = 0;
+    BootTime CountedAt{};
+    BootTime ValidUntil{};
+  };
+
+  const Counts &counts(BootTime Now) const;
+  Counts count(BootTime Now) const;
+  bool mayBeServing(const Host &Each, BootTime Now) const;
+  bool isInContact(const Host &Each, BootTime Now) const;
+  /// Whether all counts include \p Each, and a report only confirms that.
+  bool isCounted(const Host &Each, BootTime Now) const;
   bool isRecentlyHeard(const Host &Each, BootTime Now) const;
   bool isPresent(const Host &Each, BootTime Now) const;
 
   const std::string OwnName;
   std::map<std::string, Host> Hosts; ///< Without this host.
+  /// Cached, because each operation and each report needs the counts.
+  mutable std::optional<Counts> Cached;
+  mutable std::uint64_t Revision = 0;
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -82,6 +82,10 @@
     Each.second->stop();
     return true;
   });
+  this->GroupsByUpstream.clear();
+  for (const auto &[Name, Group] : this->Groups)
+    for (const auto &[Upstream, Client] : Group->gates())
+      this->GroupsByUpstream[Upstream] = Group;
   this->applyGroupSettings();
 }
 
@@ -321,10 +325,8 @@
 
 std::shared_ptr<ProxyGroup>
 ProxyState::findGroupOf(const std::string &Upstream) const {
-  for (const auto &[Name, Group] : this->Groups)
-    if (Group->gates().contains(Upstream))
-      return Group;
-  return nullptr;
+  const auto Found = this->GroupsByUpstream.find(Upstream);
+  return Found == this->GroupsByUpstream.end() ? nullptr : Found->second;
 }
 
 std::shared_ptr<ProxyGroup>
@@ -333,16 +335,17 @@
   return Found == this->Groups.end() ? nullptr : Found->second;
 }
 
-std::set<std::string> ProxyState::promotersToTell() {
+std::set<std::string> ProxyState::promotersToTell(TimePoint Now) {
   std::set<std::string> Names;
   for (const auto &[Name, Group] : this->Groups) {
     if (!Group->inTrouble())
       continue;
-    const std::vector<std::string> &Order = this->Access.promoters(Name);
-    const std::size_t Count =
-        std::min(Order.size(), UpstreamAccess::PromoterCount);
-    Names.insert(Order.begin(),
-                 Order.begin() + static_cast<std::ptrdiff_t>(Count));
+    // The hosts that may replace the primary agree with each report.
+    const bool Promoter =
+        this->Access.promotionRank(Name) < UpstreamAccess::PromoterCount;
+    for (std::string &Each : this->Access.promoters(Name))
+      if (Promoter || this->Notices.due(Each, Now))
+        Names.insert(std::move(Each));
   }
   return Names;
 }
@@ -422,6 +425,7 @@
   for (const auto &[Name, Group] : this->Groups)
     Group->stop();
   this->Groups.clear();
+  this->GroupsByUpstream.clear();
 }
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/boottime.h"
+#include "failover/troublenotices.h"
 #include "fleetview.h"
 #include "limits/contactfraction.h"
 #include "limits/sharedrate.h"
@@ -113,9 +114,9 @@
   /// Returns the group called \p Name, or nullptr.
   std::shared_ptr<ProxyGroup> findGroup(const std::string &Name) const;
 
-  /// Hosts that must hear at once which primaries this host does not reach,
-  /// because they replace them.
-  std::set<std::string> promotersToTell();
+  /// Hosts that must hear at \p Now which primaries this host does not reach,
+  /// because they replace them. Counts the notices to them as sent.
+  std::set<std::string> promotersToTell(TimePoint Now);
 
   /// Builds the next report to the other hosts.
   HostReport report(BootTime Now, bool Leaving);
@@ -181,6 +182,7 @@
   ProxyMetrics Metrics;
   UpstreamAccess Access;
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
+  std::map<std::string, std::shared_ptr<ProxyGroup>> GroupsByUpstream;
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
   std::map<std::string, OwnedRate> OwnedRates;
@@ -189,6 +191,7 @@
   FleetView Fleet;
   std::size_t AppliedHosts = 0;
   std::map<std::string, PromotionOrder> PromotionOrders;
+  TroubleNotices Notices;
   std::uint64_t Sequence = 0;
 };
 
--- a/src/libs/sessionproxy/reportexchange.cpp
+++ b/src/libs/sessionproxy/reportexchange.cpp
@@ -127,7 +127,7 @@
 
 void ReportExchange::sendReports(std::size_t Part, std::size_t Parts) {
   const std::string Bytes = this->encodeOwnReport(false);
-  const std::set<std::string> Urgent = this->State.promotersToTell();
+  const std::set<std::string> Urgent = this->State.promotersToTell(steadyNow());
   std::size_t Index = 0;
   for (const auto &[Name, Host] : this->State.fleet().hosts())
     if (Index++ % Parts == Part || Urgent.contains(Name))
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -53,10 +53,14 @@
                                std::string OwnName, std::string OwnDomain,
                                ProxyMetrics &Metrics)
     : Executor(std::move(Executor)), OwnName(std::move(OwnName)),
-      OwnDomain(std::move(OwnDomain)), Metrics(Metrics),
-      Holders(this->OwnName) {}
+      OwnDomain(std::move(OwnDomain)), Metrics(Metrics), Holders(this->OwnName),
+      Promoters(this->OwnName) {}
 
 void UpstreamAccess::setHosts(const FleetView &Fleet, BootTime Now) {
+  const std::uint64_t Revision = Fleet.presentRevision(Now);
+  if (Revision == this->AppliedRevision)
+    return;
+  this->AppliedRevision = Revision;
   std::vector<PlacementHost> NewLive{{this->OwnName, this->OwnDomain}};
   const TimePoint SteadyTime = steadyNow();
   std::map<std::string, Host> Present;
@@ -79,7 +83,7 @@
   if (NewLive == this->Live)
     return;
   this->Live = NewLive;
-  this->Promoters.clear();
+  this->Promoters.setHosts(this->Live);
   this->Holders.setHosts(std::move(NewLive));
 }
 
@@ -200,18 +204,12 @@
   this->Rechecked.erase(Name);
 }
 
-const std::vector<std::string> &
-UpstreamAccess::promoters(const std::string &Group) {
-  std::vector<std::string> &Known = this->Promoters[Group];
-  if (Known.empty())
-    Known = promotionOrder(Group, this->Live);
-  return Known;
+std::vector<std::string> UpstreamAccess::promoters(const std::string &Group) {
+  return this->Promoters.first(Group, PromoterCount);
 }
 
 std::size_t UpstreamAccess::promotionRank(const std::string &Group) {
-  const std::vector<std::string> &Order = this->promoters(Group);
-  return static_cast<std::size_t>(std::ranges::find(Order, this->OwnName) -
-                                  Order.begin());
+  return this->Promoters.ownRank(Group);
 }
 
 std::string UpstreamAccess::rateOwner(const std::string &Workspace,
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -2,6 +2,7 @@
 
 #include "fleetview.h"
 #include "placement/holderselector.h"
+#include "placement/promotionranking.h"
 #include "proxymetrics.h"
 #include "relayclient.h"
 #include "upstreamclient.h"
@@ -131,10 +132,10 @@
   /// together.
   static constexpr std::size_t PromoterCount = 5;
 
-  /// Hosts, this one included, by who replaces the failed primary of \p Group
-  /// first.
-  const std::vector<std::string> &promoters(const std::string &Group);
-  /// Position of this host among promoters().
+  /// The first PromoterCount hosts, this one included, by who replaces the
+  /// failed primary of \p Group first.
+  std::vector<std::string> promoters(const std::string &Group);
+  /// Position of this host in the promotionOrder() of \p Group.
   std::size_t promotionRank(const std::string &Group);
 
   /// Name of the host that counts the operations of \p Workspace against its
@@ -188,8 +189,9 @@
   ProxyMetrics &Metrics;
   HolderSelector Holders;
   std::map<std::string, Host> Hosts;
-  std::vector<PlacementHost> Live; ///< Hosts and this one.
-  std::map<std::string, std::vector<std::string>> Promoters; ///< By group.
+  std::vector<PlacementHost> Live;   ///< Hosts and this one.
+  std::uint64_t AppliedRevision = 0; ///< FleetView::presentRevision() of Live.
+  PromotionRanking Promoters;
   std::map<std::string, std::shared_ptr<PendingPing>> Pings; ///< By host.
   std::set<std::string> DomainsToCheck;
   std::map<std::string, TimePoint> RelayedWorkAt; ///< By upstream.
--- a/tests/auto/limits/tst_sharedrate.cpp
+++ b/tests/auto/limits/tst_sharedrate.cpp
@@ -138,6 +138,39 @@
   CHECK(Last >= First * 0.6);
 }
 
+// Load pattern: 90 hosts ask the owner of a rate to count the operations of one
+// workspace, which sends half again as much as its limit permits.
+// Guards against an owner that grants less than the limit, because it counts in
+// slots or counts operations of some hosts twice.
+TEST_CASE("an owner that counts all operations grants the whole limit",
+          "[rate]") {
+  constexpr double Rate = 58;
+  constexpr double Burst = 58;
+  constexpr double Limit = Rate * 5 + Burst;
+  constexpr std::size_t AskingHosts = 90;
+  SharedRate Owner(Start - 10s);
+  Owner.setLimits(Rate, Burst);
+  std::mt19937_64 Random{90};
+  std::poisson_distribution<int> Arrivals(110.0 / 1000 / AskingHosts);
+  std::vector<BootTime> Admitted;
+  for (BootTime Now = Start; Now < Start + 60s; Now += 1ms)
+    for (std::size_t Host = 0; Host < AskingHosts; ++Host)
+      for (int Left = Arrivals(Random); Left > 0; --Left)
+        if (Owner.admit(1, Now))
+          Admitted.push_back(Now);
+  const auto admittedBetween = [&Admitted](BootTime From, BootTime Until) {
+    return static_cast<std::size_t>(std::ranges::lower_bound(Admitted, Until) -
+                                    std::ranges::lower_bound(Admitted, From));
+  };
+  std::size_t Most = 0;
+  for (BootTime From = Start; From <= Start + 55s; From += 10ms)
+    Most = std::max(Most, admittedBetween(From, From + 5s));
+  constexpr double Windows = 10;
+  CHECK(static_cast<double>(admittedBetween(Start + 5s, Start + 55s)) >=
+        Windows * Limit);
+  CHECK(Most <= maxAdmissions(Rate, Burst));
+}
+
 // Load pattern: hosts cannot reach each other while all of them are overloaded.
 TEST_CASE("partitioned hosts together stay within the limit", "[rate]") {
   Fleet Hosts(6, 40, 40);
--- a/tests/auto/sessionproxy/tst_fleetview.cpp
+++ b/tests/auto/sessionproxy/tst_fleetview.cpp
@@ -2,7 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <optional>
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace lavenderdale;
 using namespace std::chrono_literals;
@@ -126,3 +130,67 @@
   CHECK(View.assumedInContact(Start + Limit) == 1);
   CHECK(View.size(Start + Limit) == Hosts);
 }
+
+// Guards against counts that are kept from before a report, a registration or
+// the passing of time changed them. The reference counts anew at each step.
+TEST_CASE("cached counts of hosts equal those of a fresh view") {
+  struct Event {
+    BootTime At;
+    std::optional<HostReport> Report; ///< Otherwise a list of registrations.
+    std::map<std::string, FleetView::Registration> Registered;
+  };
+  constexpr unsigned Seed = 271828;
+  std::mt19937 Random(Seed);
+  std::vector<Event> Events;
+  FleetView Cached("h3");
+  const auto apply = [](FleetView &View, const Event &Each) {
+    if (Each.Report)
+      View.recordReport(*Each.Report, Each.At);
+    else
+      View.setRegistered(Each.Registered, Each.At);
+  };
+  BootTime Now = Start;
+  std::uint64_t Sequence = 0;
+  for (int Step = 0; Step < 400; ++Step) {
+    Now += std::chrono::milliseconds(Random() % 4 == 0 ? Random() % 9000
+                                                       : Random() % 300);
+    Event Next{Now, std::nullopt, {}};
+    if (Random() % 8 == 0) {
+      for (int Host = 0; Host < 10; ++Host)
+        if (Random() % 2 == 0)
+          Next.Registered["h" + std::to_string(Host)] = {{"10.0.0.1", 7000},
+                                                         "d1"};
+    } else {
+      Next.Report = makeReport("h" + std::to_string(Random() % 10), ++Sequence);
+      Next.Report->Leaving = Random() % 10 == 0;
+    }
+    apply(Cached, Next);
+    Events.push_back(std::move(Next));
+    for (const int Later : {0, 700, 1400, 6000}) {
+      const BootTime Asked = Now + std::chrono::milliseconds(Later);
+      FleetView Fresh("h3");
+      for (const Event &Each : Events)
+        apply(Fresh, Each);
+      INFO("step " << Step << " later " << Later);
+      CHECK(Cached.size(Asked) == Fresh.size(Asked));
+      CHECK(Cached.inContact(Asked) == Fresh.inContact(Asked));
+      CHECK(Cached.assumedInContact(Asked) == Fresh.assumedInContact(Asked));
+      CHECK(Cached.rank(Asked) == Fresh.rank(Asked));
+    }
+  }
+}
+
+// Guards against work that still goes to the former address of a host.
+TEST_CASE("the revision of the present hosts changes with them") {
+  FleetView View("a");
+  View.recordReport(makeReport("b", 1), Start);
+  const std::uint64_t Joined = View.presentRevision(Start);
+  View.recordReport(makeReport("b", 2), Start + 100ms);
+  CHECK(View.presentRevision(Start + 100ms) == Joined);
+  HostReport Moved = makeReport("b", 3);
+  Moved.Address = "10.0.0.2:7000";
+  View.recordReport(Moved, Start + 200ms);
+  const std::uint64_t AfterMove = View.presentRevision(Start + 200ms);
+  CHECK(AfterMove != Joined);
+  CHECK(View.presentRevision(Start + 60s) != AfterMove);
+}
