Do not let each cut-off host grant what a silent owner of a rate left

Change: an owner that takes over from one that reported its use grants only the part of the limit that corresponds to the hosts it has heard since. The count of an owner is a class of its own, OwnedRate, instead of a part of ProxyState. Ruled out: two owners on the same side (refusals show one count), and pacing.

--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -62,6 +62,14 @@
   return this->counts(Now).AssumedInContact;
 }
 
+std::size_t FleetView::heardSince(BootTime Since) const {
+  const auto Others =
+      std::ranges::count_if(this->Hosts, [Since](const auto &Each) {
+        return Each.second.Last && Each.second.HeardAt >= Since;
+      });
+  return static_cast<std::size_t>(Others) + 1;
+}
+
 std::size_t FleetView::rank(BootTime Now) const {
   return this->counts(Now).Rank;
 }
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -62,6 +62,14 @@
   /// The same, with the registered hosts that had no time to report yet.
   std::size_t assumedInContact(BootTime Now) const;
 
+  /// Number of hosts, this one included, that were heard since \p Since.
+  std::size_t heardSince(BootTime Since) const;
+
+  /// Age up to which a report shows that this host is in contact.
+  std::chrono::milliseconds contactAge() const {
+    return contactLifetime(this->Hosts.size() + 1);
+  }
+
   /// The other hosts to which work can be given: those with a recent report
   /// that are not leaving, and registered ones that had no time to report yet.
   ///
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -252,14 +252,15 @@
   return success();
 }
 
-SharedRate ProxyState::newOwnedRate(const std::string &Workspace,
-                                    BootTime Now) const {
-  SharedRate Rate(Now);
+/// Returns the operations that another owner of the rate reported in the last
+/// window.
+std::optional<double> ProxyState::reportedUse(const std::string &Workspace,
+                                              BootTime Now) const {
   const auto Reported = this->ReportedUses.find(Workspace);
-  if (Reported != this->ReportedUses.end() &&
-      Now - Reported->second.At < SharedRate::Window)
-    Rate.setReportedPriorUse(Reported->second.Operations);
-  return Rate;
+  if (Reported == this->ReportedUses.end() ||
+      Now - Reported->second.At >= SharedRate::Window)
+    return std::nullopt;
+  return Reported->second.Operations;
 }
 
 double ProxyState::contactFraction(BootTime Now) {
@@ -280,23 +281,22 @@
   const auto Declared = this->Catalogue->Workspaces.find(Workspace);
   if (Declared == this->Catalogue->Workspaces.end())
     return success();
-  const double Part = this->contactFraction(Now);
-  const auto Found = this->OwnedRates.find(Workspace);
-  OwnedRate &Owned =
-      Found != this->OwnedRates.end()
-          ? Found->second
-          : this->OwnedRates
-                .emplace(Workspace,
-                         OwnedRate{this->newOwnedRate(Workspace, Now), Now})
-                .first->second;
-  if (Now - Owned.AskedAt >= SharedRate::Window)
-    Owned.Rate = this->newOwnedRate(Workspace, Now);
-  Owned.AskedAt = Now;
-  SharedRate &Rate = Owned.Rate;
-  this->setLimits(Rate, Declared->second);
-  Rate.setFraction(Part);
-  return Rate.admit(1, Now) ? success()
-                            : Result<void>(rateLimited(Rate, 1, Now));
+  auto Found = this->OwnedRates.find(Workspace);
+  if (Found == this->OwnedRates.end() || Found->second.isExpired(Now))
+    Found =
+        this->OwnedRates
+            .insert_or_assign(Workspace,
+                              OwnedRate(this->reportedUse(Workspace, Now), Now))
+            .first;
+  OwnedRate &Owned = Found->second;
+  this->setLimits(Owned.rate(), Declared->second);
+  FleetContact Contact{this->contactFraction(Now), 1, this->Fleet.size(Now),
+                       this->Fleet.contactAge()};
+  if (Owned.isTakingOver(Contact.Lifetime, Now))
+    Contact.HeardSince = this->Fleet.heardSince(Owned.startedAt());
+  return Owned.admit(Contact, Now)
+             ? success()
+             : Result<void>(rateLimited(Owned.rate(), 1, Now));
 }
 
 Result<void> ProxyState::admitWithoutOwner(const std::string &Workspace,
@@ -375,9 +375,9 @@
   }
   if (!Shares)
     for (const auto &[Name, Owned] : this->OwnedRates) {
-      const double Used = Owned.Rate.used(1, Now);
-      if (Used >= Owned.Rate.limit() * ReportedUseShare)
-        Report.Demands.push_back({Name, Owned.Rate.demand(Now), Used});
+      const double Used = Owned.rate().used(1, Now);
+      if (Used >= Owned.rate().limit() * ReportedUseShare)
+        Report.Demands.push_back({Name, Owned.rate().demand(Now), Used});
     }
   const TimePoint Steady = steadyNow();
   for (const auto &[Name, Group] : this->Groups) {
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -4,6 +4,7 @@
 #include "failover/troublenotices.h"
 #include "fleetview.h"
 #include "limits/contactfraction.h"
+#include "limits/ownedrate.h"
 #include "limits/sharedrate.h"
 #include "protocols.h"
 #include "proxygroup.h"
@@ -148,11 +149,6 @@
     TimePoint At{};
   };
 
-  /// The count of a workspace whose rate this host owns.
-  struct OwnedRate {
-    SharedRate Rate;
-    BootTime AskedAt{}; ///< When an operation was last counted.
-  };
   /// The use of a workspace that its owner reported.
   struct ReportedUse {
     double Operations = 0; ///< In the window before the report.
@@ -163,7 +159,8 @@
   void confirmFrom(const HostReport &Report, BootTime Now);
   boost::asio::awaitable<Result<void>> admitByOwner(std::string Workspace);
   void applyDemands(const HostReport &Report, BootTime Now);
-  SharedRate newOwnedRate(const std::string &Workspace, BootTime Now) const;
+  std::optional<double> reportedUse(const std::string &Workspace,
+                                    BootTime Now) const;
   double contactFraction(BootTime Now);
   Result<void> admitWithShares(const std::string &Workspace, BootTime Now);
   Result<void> admitWithoutOwner(const std::string &Workspace, BootTime Now);
