Prefer hosts of large capacity as holders and owners of rates

Cause: placement took all hosts for equal. Of 137 hosts, 6 have half a core and 131 a twelfth; an upstream's holder was a small host in 19 of 20 cases, on which a single upstream uses half of the processor time in a burst. Change: a host declares its capacity (its share of a core times the number of cores) in its registration and its reports. Holders and owners are ranked by weighted rendezvous hashing with the third power of the capacity. Reports carry it in a map at their end, for further extensions; hosts of the version before ignore it. Considered: weights in proportion to the capacity, with which four of five upstreams would still be held by small hosts.

--- a/src/libs/placement/holderselector.cpp
+++ b/src/libs/placement/holderselector.cpp
@@ -10,8 +10,8 @@
   if (NewLive == this->Live)
     return;
   const auto Before = [](const PlacementHost &A, const PlacementHost &B) {
-    return std::tie(A.Name, A.FailureDomain) <
-           std::tie(B.Name, B.FailureDomain);
+    return std::tie(A.Name, A.FailureDomain, A.Capacity) <
+           std::tie(B.Name, B.FailureDomain, B.Capacity);
   };
   std::vector<PlacementHost> Joined;
   std::vector<PlacementHost> Left;
--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -38,6 +38,13 @@
   return Value;
 }
 
+// Hosts of equal capacity have equal weights, so their hashes decide alone.
+double weightedScore(std::uint64_t Hash, double Capacity) {
+  constexpr double HashRange = 0x1p64;
+  const double Uniform = (static_cast<double>(Hash) + 1) / (HashRange + 2);
+  return -std::pow(Capacity, CapacityExponent) / std::log(Uniform);
+}
+
 HostRefs hostsOf(std::string_view FailureDomain,
                  std::span<const PlacementHost> Hosts, bool Inside = true) {
   HostRefs Found;
@@ -104,15 +111,16 @@
 } // namespace
 
 bool RankedHolder::operator<(const RankedHolder &Other) const {
-  return std::tie(this->SameDomain, this->Weight, Other.Host) <
-         std::tie(Other.SameDomain, Other.Weight, this->Host);
+  return std::tie(this->SameDomain, this->Score, this->Weight, Other.Host) <
+         std::tie(Other.SameDomain, Other.Score, Other.Weight, this->Host);
 }
 
 RankedHolder rankHolder(std::string_view Upstream,
                         std::string_view FailureDomain,
                         const PlacementHost &Host) {
+  const std::uint64_t Hash = stableHash("holder", Upstream, Host.Name);
   return {Host.FailureDomain == FailureDomain,
-          stableHash("holder", Upstream, Host.Name), Host.Name};
+          weightedScore(Hash, Host.Capacity), Hash, Host.Name};
 }
 
 std::vector<std::string> holdersOf(std::string_view Upstream,
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -14,6 +14,8 @@
 struct PlacementHost {
   std::string Name;
   std::string FailureDomain;
+  /// Processor capacity in cores; 0 if the host does not declare it.
+  double Capacity = 0;
 
   bool operator==(const PlacementHost &) const = default;
 };
@@ -36,6 +38,7 @@
 /// one is preferred.
 struct RankedHolder {
   bool SameDomain = false; ///< In the failure domain of the upstream.
+  double Score = 0;        ///< Of weighted rendezvous hashing.
   std::uint64_t Weight = 0;
   std::string Host;
 
@@ -44,8 +47,16 @@
   bool operator<(const RankedHolder &Other) const;
 };
 
-/// Ranks one host, so that a cached result of holdersOf() can be updated when a
-/// host joins.
+/// The weight of a host grows with this power of its capacity. The connections
+/// to an upstream are not divided, so its holder needs the capacity for all of
+/// its statements: a host of a sixth of the capacity, in proportion to which it
+/// would still hold most upstreams of a large fleet, is busy with a single one.
+constexpr double CapacityExponent = 3;
+
+/// Ranks one host. The score is that of weighted rendezvous hashing
+/// (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA
+/// 2005). Hosts of equal capacity are ranked as by holdersOf(), whose cached
+/// result can be updated in this way when a host joins.
 RankedHolder rankHolder(std::string_view Upstream,
                         std::string_view FailureDomain,
                         const PlacementHost &Host);
--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -19,6 +19,9 @@
     Each.Address = Entry.Address;
     if (!Entry.FailureDomain.empty())
       Each.FailureDomain = Entry.FailureDomain;
+    // A report is newer than the registration.
+    if (!Each.Last)
+      Each.Capacity = Entry.Capacity;
   }
   std::erase_if(this->Hosts, [&](const auto &Each) {
     return !Each.second.Registered && !this->isRecentlyHeard(Each.second, Now);
@@ -41,8 +44,10 @@
   if (Address)
     Each.Address = Address.value();
   const bool Moved = !(Each.Address == AddressBefore) ||
-                     Each.FailureDomain != Report.FailureDomain;
+                     Each.FailureDomain != Report.FailureDomain ||
+                     Each.Capacity != Report.Capacity;
   Each.FailureDomain = Report.FailureDomain;
+  Each.Capacity = Report.Capacity;
   Each.Last = Report;
   Each.HeardAt = Now;
   if (!CountedBefore || Moved || Report.Leaving)
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -24,11 +24,13 @@
   struct Registration {
     Endpoint Address;
     std::string FailureDomain; ///< Empty if an older version registered it.
+    double Capacity = 0;       ///< In cores; 0 if not declared.
   };
 
   struct Host {
     Endpoint Address;
     std::string FailureDomain;
+    double Capacity = 0;            ///< In cores; 0 if not declared.
     bool Registered = false;        ///< In the object store.
     std::optional<HostReport> Last; ///< The latest report.
     BootTime HeardAt{};             ///< When the latest report arrived.
--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -1,6 +1,7 @@
 #include "hostreport.h"
 
 #include "cbordecoder.h"
+#include "placement/hostcapacity.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,6 +49,25 @@
   return Report;
 }
 
+// Members that hosts of other versions do not know are in a map at the end.
+constexpr const char *CapacityKey = "weight";
+
+Json encodeExtensions(const HostReport &Report) {
+  Json Extensions = Json::object();
+  if (Report.Capacity > 0)
+    Extensions[CapacityKey] = Report.Capacity;
+  return Extensions;
+}
+
+// A missing or malformed member leaves its default.
+void decodeExtensions(const Json &Extensions, HostReport &Report) {
+  if (!Extensions.is_object())
+    return;
+  const auto Capacity = Extensions.find(CapacityKey);
+  if (Capacity != Extensions.end() && Capacity->is_number())
+    Report.Capacity = usableCapacity(Capacity->get<double>());
+}
+
 } // namespace
 
 std::chrono::milliseconds reportInterval(std::size_t Hosts) {
@@ -79,7 +99,7 @@
       {Report.Format, Report.Host, Report.FailureDomain, Report.Address,
        Report.Internal, Report.StartedAt, Report.Sequence,
        Report.CatalogueVersion, Report.CatalogueAgeMs, Report.Leaving, Groups,
-       Demands, Report.WantsAnswer});
+       Demands, Report.WantsAnswer, encodeExtensions(Report)});
   std::string Bytes;
   Json::to_cbor(Message, Bytes);
   return Bytes;
@@ -110,6 +130,9 @@
     constexpr std::size_t WantsAnswerIndex = 12;
     if (Message.size() > WantsAnswerIndex)
       Message.at(WantsAnswerIndex).get_to(Report.WantsAnswer);
+    constexpr std::size_t ExtensionsIndex = 13;
+    if (Message.size() > ExtensionsIndex)
+      decodeExtensions(Message.at(ExtensionsIndex), Report);
     return Report;
   } catch (const std::exception &Failure) {
     return failure(ErrorKind::BadRequest, Failure.what());
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -49,6 +49,8 @@
   /// between them may be cut.
   bool WantsAnswer = false;
   std::vector<GroupReport> Groups;
+  /// Processor capacity of the sender in cores; 0 if it is not declared.
+  double Capacity = 0;
   /// In a small fleet, the demand at the sender; in a large one, the use of the
   /// workspaces of which the sender owns the rate.
   std::vector<DemandReport> Demands;
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -25,7 +25,9 @@
                        RateTolerance Tolerance)
     : Executor(std::move(Executor)), Protocol(Protocol),
       Identity(std::move(Identity)), Tolerance(Tolerance),
-      Access(this->Executor, this->Identity.Host, this->Identity.FailureDomain,
+      Access(this->Executor,
+             {this->Identity.Host, this->Identity.FailureDomain,
+              this->Identity.Capacity},
              this->Metrics),
       Fleet(this->Identity.Host) {}
 
@@ -356,6 +358,7 @@
   Report.Host = this->Identity.Host;
   Report.FailureDomain = this->Identity.FailureDomain;
   Report.StartedAt = this->Identity.StartedAt;
+  Report.Capacity = this->Identity.Capacity;
   Report.Sequence = ++this->Sequence;
   Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
   if (this->ConfirmedAt)
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -30,6 +30,7 @@
   std::string Host;
   std::string FailureDomain;
   std::uint64_t StartedAt = 0; ///< Unix time in milliseconds.
+  double Capacity = 0; ///< Processor capacity in cores; 0 if not declared.
 };
 
 /// How far the operations of a workspace in a window may exceed its limit.
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -1,6 +1,7 @@
 #include "storefollower.h"
 
 #include "http/sleepuntil.h"
+#include "placement/hostcapacity.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,12 +17,19 @@
 
 constexpr const char *AddressField = "reportAddress";
 constexpr const char *DomainField = "failureDomain";
+constexpr const char *CapacityField = "capacity";
 
 std::string stringField(const Json::Value &Spec, const char *Field) {
   return Spec.isObject() && Spec[Field].isString() ? Spec[Field].asString()
                                                    : std::string();
 }
 
+double capacityOf(const Json::Value &Spec) {
+  return Spec.isObject() && Spec[CapacityField].isNumeric()
+             ? usableCapacity(Spec[CapacityField].asDouble())
+             : 0;
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(asio::any_io_executor Executor, ObjectStore &Store,
@@ -230,6 +238,8 @@
   Own.Name = this->State.identity().Host;
   Own.Spec[AddressField] = this->ReportAddress;
   Own.Spec[DomainField] = this->State.identity().FailureDomain;
+  if (this->State.identity().Capacity > 0)
+    Own.Spec[CapacityField] = this->State.identity().Capacity;
   const Result<StoredObject> Created = co_await this->Store.create(
       Collection::Hosts, Own, steadyNow() + CallTimeout);
   if (Created)
@@ -262,7 +272,8 @@
     const Result<Endpoint> Where =
         parseEndpoint(stringField(Each.Spec, AddressField));
     if (Where)
-      Hosts[Each.Name] = {Where.value(), stringField(Each.Spec, DomainField)};
+      Hosts[Each.Name] = {Where.value(), stringField(Each.Spec, DomainField),
+                          capacityOf(Each.Spec)};
     else
       logInfo("event=host_unreadable name=" + Each.Name);
   }
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -2,6 +2,7 @@
 
 #include "http/resumewith.h"
 #include "http/sleepuntil.h"
+#include "placement/hostcapacity.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -50,22 +51,20 @@
 }
 
 UpstreamAccess::UpstreamAccess(asio::any_io_executor Executor,
-                               std::string OwnName, std::string OwnDomain,
-                               ProxyMetrics &Metrics)
-    : Executor(std::move(Executor)), OwnName(std::move(OwnName)),
-      OwnDomain(std::move(OwnDomain)), Metrics(Metrics), Holders(this->OwnName),
-      Promoters(this->OwnName) {}
+                               PlacementHost Self, ProxyMetrics &Metrics)
+    : Executor(std::move(Executor)), Self(std::move(Self)), Metrics(Metrics),
+      Holders(this->Self.Name), Promoters(this->Self.Name) {}
 
 void UpstreamAccess::setHosts(const FleetView &Fleet, BootTime Now) {
   const std::uint64_t Revision = Fleet.presentRevision(Now);
   if (Revision == this->AppliedRevision)
     return;
   this->AppliedRevision = Revision;
-  std::vector<PlacementHost> NewLive{{this->OwnName, this->OwnDomain}};
+  std::vector<PlacementHost> NewLive{this->Self};
   const TimePoint SteadyTime = steadyNow();
   std::map<std::string, Host> Present;
   for (const auto &[Name, Each] : Fleet.present(Now)) {
-    NewLive.push_back({Name, Each->FailureDomain});
+    NewLive.push_back({Name, Each->FailureDomain, Each->Capacity});
     Host &Entry = Present[Name];
     const auto Known = this->Hosts.find(Name);
     if (Known != this->Hosts.end() &&
@@ -79,6 +78,7 @@
   }
   // Transactions that are held over a replaced relay client keep it alive.
   this->Hosts = std::move(Present);
+  fillCapacities(NewLive);
   std::ranges::sort(NewLive, {}, &PlacementHost::Name);
   if (NewLive == this->Live)
     return;
@@ -96,7 +96,7 @@
 std::string UpstreamAccess::chooseHolder(const UpstreamEntry &Entry,
                                          TimePoint Now) {
   std::string Name = this->Holders.choose(Entry.Id, Entry.FailureDomain, Now);
-  return this->Hosts.count(Name) ? Name : this->OwnName;
+  return this->Hosts.count(Name) ? Name : this->Self.Name;
 }
 
 bool UpstreamAccess::heardRecently(const std::string &Name,
@@ -148,7 +148,7 @@
 void UpstreamAccess::prepareWrite(const UpstreamEntry &Entry) {
   const TimePoint Now = steadyNow();
   const std::string Name = this->chooseHolder(Entry, Now);
-  if (Name != this->OwnName && !this->heardRecently(Name, Now))
+  if (Name != this->Self.Name && !this->heardRecently(Name, Now))
     this->startPing(Name);
 }
 
@@ -217,7 +217,7 @@
   // Hosts of all failure domains are candidates, because no host is in the
   // domain with the empty name.
   std::string Name = this->Holders.choose("rate/" + Workspace, "", Now);
-  return this->Hosts.count(Name) ? Name : this->OwnName;
+  return this->Hosts.count(Name) ? Name : this->Self.Name;
 }
 
 asio::awaitable<std::optional<std::string>>
@@ -243,12 +243,12 @@
 }
 
 bool UpstreamAccess::isRemote(const UpstreamEntry &Entry, TimePoint Now) {
-  return this->chooseHolder(Entry, Now) != this->OwnName;
+  return this->chooseHolder(Entry, Now) != this->Self.Name;
 }
 
 std::size_t UpstreamAccess::rank(const UpstreamEntry &Entry, TimePoint Now) {
   const std::size_t Rank =
-      this->Holders.rank(this->OwnName, Entry.Id, Entry.FailureDomain);
+      this->Holders.rank(this->Self.Name, Entry.Id, Entry.FailureDomain);
   if (Rank < HolderCount)
     return Rank;
   const auto Relayed = this->RelayedWorkAt.find(Entry.Id);
@@ -265,7 +265,7 @@
   // The outcome of a write is unknown if the holder fails, and a probe that is
   // lost with its holder delays the next proof that the primary is still the
   // primary.
-  if (Name != this->OwnName && Work.mayWrite()) {
+  if (Name != this->Self.Name && Work.mayWrite()) {
     const bool Alive = co_await this->isAlive(Name);
     if (!Alive)
       Name = this->chooseHolder(Client->entry(), steadyNow());
@@ -275,7 +275,7 @@
   const std::string Upstream = Target->entry().Id;
   const bool Statement = Work.hasStatement();
   WorkResult Result;
-  if (Name != this->OwnName && this->Hosts.count(Name)) {
+  if (Name != this->Self.Name && this->Hosts.count(Name)) {
     Result = co_await this->runRemotely(Name, Client, Waiter, Work, Wait, Hold);
     this->recordPathResult(Name, Upstream, Result, Statement);
     // Nothing was sent to the upstream, so the work can still run over the
@@ -289,7 +289,7 @@
   Result = co_await this->runLocally(std::move(Client), std::move(Waiter),
                                      std::move(Work), Wait, Hold);
   Result.Waited += Before;
-  this->recordPathResult(this->OwnName, Upstream, Result, Statement);
+  this->recordPathResult(this->Self.Name, Upstream, Result, Statement);
   co_return Result;
 }
 
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -71,10 +71,9 @@
   /// Timeout of a rate limit request; the owner answers from memory.
   static constexpr std::chrono::milliseconds RateCheckTimeout{80};
 
-  /// \param OwnName name of this host.
-  /// \param OwnDomain failure domain of this host.
-  UpstreamAccess(boost::asio::any_io_executor Executor, std::string OwnName,
-                 std::string OwnDomain, ProxyMetrics &Metrics);
+  /// \param Self this host, with its capacity if its settings declare one.
+  UpstreamAccess(boost::asio::any_io_executor Executor, PlacementHost Self,
+                 ProxyMetrics &Metrics);
 
   /// Replaces the hosts that work can be relayed to by those present in
   /// \p Fleet.
@@ -184,8 +183,7 @@
               HeldConnection *Hold);
 
   boost::asio::any_io_executor Executor;
-  const std::string OwnName;
-  const std::string OwnDomain;
+  const PlacementHost Self;
   ProxyMetrics &Metrics;
   HolderSelector Holders;
   std::map<std::string, Host> Hosts;
--- a/tests/auto/sessionproxy/tst_fleetview.cpp
+++ b/tests/auto/sessionproxy/tst_fleetview.cpp
@@ -1,6 +1,7 @@
 #include "sessionproxy/fleetview.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <map>
 #include <optional>
@@ -131,6 +132,32 @@
   CHECK(View.size(Start + Limit) == Hosts);
 }
 
+// Guards against a rolling restart in which reports of the other version are
+// rejected, and against extensions of a faulty host.
+TEST_CASE("reports with, without and with damaged extensions are read") {
+  HostReport Report = makeReport("a", 7);
+  Report.Capacity = 0.5;
+  CHECK(decodeReport(encodeReport(Report)).value().Capacity == 0.5);
+  const nlohmann::json Full = nlohmann::json::from_cbor(encodeReport(Report));
+  const auto read = [](const nlohmann::json &Message) {
+    std::string Bytes;
+    nlohmann::json::to_cbor(Message, Bytes);
+    return decodeReport(Bytes);
+  };
+  nlohmann::json Older = Full;
+  Older.erase(Older.size() - 1);
+  CHECK(read(Older).value().Capacity == 0);
+  for (const char *Extensions :
+       {"null", "[]", "{}", R"({"weight": "x"})", R"({"weight": -1})",
+        R"({"weight": 1e300})", R"({"later": [1]})"}) {
+    nlohmann::json Changed = Full;
+    Changed.back() = nlohmann::json::parse(Extensions);
+    const Result<HostReport> Decoded = read(Changed);
+    REQUIRE(Decoded);
+    CHECK(Decoded.value().Capacity == 0);
+  }
+}
+
 // Guards against counts that are kept from before a report, a registration or
 // the passing of time changed them. The reference counts anew at each step.
 TEST_CASE("cached counts of hosts equal those of a fresh view") {
