--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -119,8 +119,9 @@
                         std::string_view FailureDomain,
                         const PlacementHost &Host) {
   const std::uint64_t Hash = stableHash("holder", Upstream, Host.Name);
-  return {Host.FailureDomain == FailureDomain,
-          weightedScore(Hash, Host.Capacity), Hash, Host.Name};
+  const double Capacity = FailureDomain.empty() ? 1 : Host.Capacity;
+  return {Host.FailureDomain == FailureDomain, weightedScore(Hash, Capacity),
+          Hash, Host.Name};
 }
 
 std::vector<std::string> holdersOf(std::string_view Upstream,
--- a/src/libs/placement/placement.h
+++ b/src/libs/placement/placement.h
@@ -56,7 +56,9 @@
 /// Ranks one host. The score is that of weighted rendezvous hashing
 /// (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA
 /// 2005). Hosts of equal capacity are ranked as by holdersOf(), whose cached
-/// result can be updated in this way when a host joins.
+/// result can be updated in this way when a host joins. For an empty
+/// \p FailureDomain, capacities are ignored: owners of rates have little to do,
+/// and with a few large owners the loss of one would limit many workspaces.
 RankedHolder rankHolder(std::string_view Upstream,
                         std::string_view FailureDomain,
                         const PlacementHost &Host);
--- a/tests/auto/placement/tst_hostcapacity.cpp
+++ b/tests/auto/placement/tst_hostcapacity.cpp
@@ -130,3 +130,14 @@
         std::numeric_limits<double>::quiet_NaN()})
     CHECK(usableCapacity(Bad) == 0);
 }
+
+// Guards against rates that are all owned by a few large hosts: when one was
+// cut off, most workspaces were limited at once.
+TEST_CASE("owners of rates are spread over all hosts") {
+  HolderSelector Selector = selectorOf(unevenHosts());
+  std::map<std::string, int> Owned;
+  for (int Number = 0; Number < Upstreams; ++Number)
+    ++Owned[Selector.choose("rate/w" + std::to_string(Number), "",
+                            TimePoint(1000s))];
+  CHECK(Owned.size() == 46);
+}
