Take hosts of a cut-off failure domain out of rotation

Change: DomainIsolation fails the readiness check when no host of another domain has answered for 300 ms, and closes the idle sessions once the balancer has noticed, so that their callers reconnect to hosts of other domains. The host goes on serving what still arrives.

--- a/src/libs/placement/holderselector.cpp
+++ b/src/libs/placement/holderselector.cpp
@@ -135,6 +135,22 @@
     this->updateDomain(*Domain, Now);
 }
 
+bool HolderSelector::otherDomainsSkipped(TimePoint Now) const {
+  if (this->DomainsAvoidedUntil.empty())
+    return false;
+  const std::string *Own = this->domainOf(this->Self);
+  bool Others = false;
+  for (const PlacementHost &Each : this->Live) {
+    if (Own && Each.FailureDomain == *Own)
+      continue;
+    Others = true;
+    const auto Avoided = this->DomainsAvoidedUntil.find(Each.FailureDomain);
+    if (Avoided == this->DomainsAvoidedUntil.end() || Now >= Avoided->second)
+      return false;
+  }
+  return Others;
+}
+
 const std::string *HolderSelector::domainOf(const std::string &Host) const {
   const auto Found =
       std::ranges::lower_bound(this->Live, Host, {}, &PlacementHost::Name);
--- a/src/libs/placement/holderselector.h
+++ b/src/libs/placement/holderselector.h
@@ -82,6 +82,10 @@
   /// of missing answers.
   void pathAnswered(const std::string &Host, const std::string &Upstream);
 
+  /// Returns whether all failure domains with hosts, except that of this host,
+  /// are skipped at \p Now; false if there are no others.
+  bool otherDomainsSkipped(TimePoint Now) const;
+
 private:
   /// The holders of one upstream, the preferred one first.
   struct HolderList {
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -34,6 +34,9 @@
       UpstreamConnections(
           this->Registry.gauge("lavenderdale_upstream_connections",
                                "Connections of this host to upstreams")),
+      Isolated(this->Registry.gauge(
+          "lavenderdale_domain_isolated",
+          "1 while no host of another failure domain answers")),
       StatementTime(
           this->Registry.histogram("lavenderdale_statement_seconds",
                                    "From a caller's statement to its reply")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -37,6 +37,7 @@
   Gauge &CatalogueVersion;
   Gauge &Hosts;
   Gauge &UpstreamConnections;
+  Gauge &Isolated; ///< 1 while no host of another failure domain answers.
   LatencyHistogram &StatementTime; ///< From the caller's message to the reply.
   LatencyHistogram &WaitTime;      ///< Wait for an upstream connection.
   LatencyHistogram &UpstreamTime;  ///< Time spent at upstreams.
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -95,13 +95,29 @@
     co_await sleepUntil(steadyNow() + ProxyGroup::ProbeInterval);
     this->State.supervise(steadyNow());
     this->Fleet->checkSuspectDomains();
+    this->checkIsolation(steadyNow());
   }
 }
 
+void SessionProxy::checkIsolation(TimePoint Now) {
+  this->Isolation.update(this->State.access().otherDomainsSilent(Now), Now);
+  const bool NowIsolated = this->Isolation.isIsolated(Now);
+  if (NowIsolated != this->Isolated)
+    logWarn(std::string("event=") +
+            (NowIsolated ? "domain_isolated" : "domain_reconnected") +
+            " domain=" + this->State.identity().FailureDomain +
+            " sessions=" + std::to_string(this->Server->sessions()));
+  this->Isolated = NowIsolated;
+  this->State.metrics().Isolated.set(NowIsolated ? 1 : 0);
+  if (!this->Stopping && this->Isolation.takeMoveSessions(Now))
+    this->Server->moveSessions();
+}
+
 asio::awaitable<HttpResponse>
 SessionProxy::answerReadiness(HttpRequest Request) {
   HttpResponse Response;
-  const bool Ready = this->State.canServe() && !this->Stopping;
+  const bool Ready =
+      this->State.canServe() && !this->Stopping && !this->Isolated;
   Response.Status = Ready ? 200 : 503;
   if (Request.Target != this->Settings.ReadinessPath)
     Response.Status = 404;
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "failover/domainisolation.h"
 #include "http/httpserver.h"
 #include "objectstore.h"
 #include "promotioncoordinator.h"
@@ -66,6 +67,7 @@
   boost::asio::awaitable<HttpResponse> answerReadiness(HttpRequest Request);
   boost::asio::awaitable<HttpResponse> answerInternal(HttpRequest Request);
   boost::asio::awaitable<void> supervise();
+  void checkIsolation(TimePoint Now);
   boost::asio::awaitable<void> waitForSessions(TimePoint Until);
 
   boost::asio::any_io_executor Executor;
@@ -79,6 +81,8 @@
   std::shared_ptr<PromotionCoordinator> Promotions;
   HttpServer ReadinessServer;
   HttpServer InternalServer;
+  DomainIsolation Isolation;
+  bool Isolated = false; ///< As last logged.
   bool Stopping = false;
   bool Stopped = false; ///< Nothing is served any more.
 };
--- a/src/libs/sessionproxy/sessionserver.cpp
+++ b/src/libs/sessionproxy/sessionserver.cpp
@@ -78,6 +78,10 @@
   this->Stopped = true;
   error_code Ignored;
   this->Acceptor.close(Ignored);
+  this->moveSessions();
+}
+
+void SessionServer::moveSessions() {
   for (const std::shared_ptr<CallerSession> &Each : this->Sessions)
     Each->closeWhenIdle();
 }
--- a/src/libs/sessionproxy/sessionserver.h
+++ b/src/libs/sessionproxy/sessionserver.h
@@ -30,6 +30,9 @@
   /// Closes the listener and every session without a statement or transaction.
   /// The other sessions close when theirs have ended.
   void closeIdle();
+  /// Closes the open sessions as closeIdle() does, but goes on accepting new
+  /// ones.
+  void moveSessions();
   /// Rolls back open transactions and closes all sessions. Statements that are
   /// running are still answered.
   void endTransactions();
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -111,6 +111,10 @@
   /// \p Since.
   std::vector<std::string> silentHosts(const std::string &FailureDomain,
                                        TimePoint Since) const;
+  /// Whether no host of another failure domain answers.
+  bool otherDomainsSilent(TimePoint Now) const {
+    return this->Holders.otherDomainsSkipped(Now);
+  }
   /// Records that \p Name does not answer. It is skipped until it does.
   void hostFailed(const std::string &Name);
 
--- a/tests/auto/placement/tst_holderselector.cpp
+++ b/tests/auto/placement/tst_holderselector.cpp
@@ -218,3 +218,27 @@
     CHECK(Chosen.size() == 1);
   }
 }
+
+// Guards against a host of a cut-off domain that does not notice it, and
+// against one that takes the loss of one domain for that of all others.
+TEST_CASE("a host knows when no other domain answers", "[answers]") {
+  HolderSelector Choice("b1");
+  Choice.setHosts({{"a1", "a"},
+                   {"a2", "a"},
+                   {"b1", "b"},
+                   {"b2", "b"},
+                   {"c1", "c"},
+                   {"c2", "c"}});
+  for (const char *Failed : {"a1", "a2"})
+    Choice.hostFailed(Failed, Start);
+  CHECK_FALSE(Choice.otherDomainsSkipped(Start + 1ms));
+  for (const char *Failed : {"c1", "c2"})
+    Choice.hostFailed(Failed, Start);
+  CHECK(Choice.otherDomainsSkipped(Start + 1ms));
+  Choice.hostAnswered("c2", Start + 100ms);
+  CHECK_FALSE(Choice.otherDomainsSkipped(Start + 101ms));
+  HolderSelector Alone("a1");
+  Alone.setHosts({{"a1", "a"}, {"a2", "a"}});
+  Alone.hostFailed("a2", Start);
+  CHECK_FALSE(Alone.otherDomainsSkipped(Start + 1ms));
+}
