Keep promotion orders without copies of the hosts

Cause: a promotion order held names and domains of all hosts for each group, so that an insertion moved strings, a loss compared the names of all hosts once for each lost host, and the own rank was found with a set of domain names. Change: an order holds weights and pointers to the hosts (16 bytes for each host and group). Hosts that leave together cost one pass, those that join together one merge, and failure domains are numbered. Equal to promotionOrder() in tests with joins, losses of domains and hosts that change their domain. Considered: keeping only the first few hosts; the own rank needs the others.

--- a/src/libs/placement/promotionranking.h
+++ b/src/libs/placement/promotionranking.h
@@ -13,17 +13,21 @@
 
 namespace lavenderdale {
 
-/// Keeps the promotionOrder() of many groups while hosts join and leave. A
-/// joining or leaving host costs one hash for each group, instead of one for
-/// each host and group.
+/// Keeps the promotionOrder() of many groups while hosts join and leave. Hosts
+/// that join cost one hash for each group and host, and those that leave
+/// together one pass over each order.
 ///
 /// Load pattern: hundreds of hosts start at the same moment, and each host
-/// hears of all others one by one.
+/// hears of all others one by one; or a failure domain with a third of the
+/// hosts is lost at once.
 class PromotionRanking {
 public:
   /// \param Self name of this host.
   explicit PromotionRanking(std::string Self) : Self(std::move(Self)) {}
 
+  PromotionRanking(const PromotionRanking &) = delete;
+  PromotionRanking &operator=(const PromotionRanking &) = delete;
+
   /// Replaces the hosts.
   /// \param Hosts sorted by name, without duplicates.
   void setHosts(std::span<const PlacementHost> Hosts);
@@ -37,9 +41,16 @@
   std::vector<std::string> first(const std::string &Group, std::size_t Count);
 
 private:
+  struct Host {
+    std::string Name;
+    std::string FailureDomain;
+    std::size_t Domain = 0; ///< Number of the failure domain.
+    bool Left = false;
+  };
+  /// Small, because there is one for each group and host.
   struct Entry {
     std::uint64_t Weight = 0;
-    PlacementHost Host;
+    const Host *Ranked = nullptr; ///< One of Hosts.
 
     /// Whether this host is preferred to \p Other.
     bool operator<(const Entry &Other) const;
@@ -49,12 +60,17 @@
     std::optional<std::size_t> OwnRank; ///< Unset after a change of the hosts.
   };
 
-  static Entry entryOf(const std::string &Group, const PlacementHost &Host);
+  bool removeAllBut(std::span<const PlacementHost> Hosts);
+  std::vector<const Host *> addMissing(std::span<const PlacementHost> Hosts);
+  void numberDomains();
+  static void addTo(GroupOrder &Order, const std::string &Group,
+                    std::span<const Host *const> Joined);
   GroupOrder &orderOf(const std::string &Group);
   std::size_t findOwnRank(const GroupOrder &Order) const;
 
   const std::string Self;
-  std::vector<PlacementHost> Hosts; ///< By name.
+  std::map<std::string, Host> Hosts; ///< By name.
+  std::size_t DomainCount = 0;
   std::map<std::string, GroupOrder> Groups;
 };
 
--- a/tests/auto/placement/tst_promotionranking.cpp
+++ b/tests/auto/placement/tst_promotionranking.cpp
@@ -42,3 +42,32 @@
                   static_cast<std::ptrdiff_t>(std::min(Count, Order.size()))));
   }
 }
+
+// Guards against an order that keeps hosts of a lost failure domain, or lacks
+// some of those that come back at once, also in another domain.
+TEST_CASE("the ranking stays the promotion order when domains are lost") {
+  constexpr unsigned Seed = 815;
+  std::mt19937 Random(Seed);
+  const std::string Self = "h10";
+  PromotionRanking Ranking(Self);
+  for (int Step = 0; Step < 100; ++Step) {
+    const unsigned LostDomain = Random() % 4; // 3 is the domain of no host.
+    const unsigned MovedHost = Random() % 30;
+    std::vector<PlacementHost> Hosts;
+    for (unsigned Index = 0; Index < 30; ++Index) {
+      const unsigned Domain = (Index + (Index == MovedHost ? 1 : 0)) % 3;
+      if (Domain != LostDomain && Random() % 8 != 0)
+        Hosts.push_back(
+            {"h" + std::to_string(10 + Index), "d" + std::to_string(Domain)});
+    }
+    Ranking.setHosts(Hosts);
+    for (const char *Group : {"a", "b", "c"}) {
+      const std::vector<std::string> Order = promotionOrder(Group, Hosts);
+      INFO("seed " << Seed << " step " << Step << " group " << Group);
+      CHECK(Ranking.ownRank(Group) ==
+            static_cast<std::size_t>(std::ranges::find(Order, Self) -
+                                     Order.begin()));
+      CHECK(Ranking.first(Group, Hosts.size()) == Order);
+    }
+  }
+}
