Let two hosts of each failure domain watch the store for the others

Cause: calls of the store are the largest running cost of large fleets, and most of them are watches of each host in which nothing changes.

Change: SharedStore implements ObjectStore. In fleets beyond SmallFleet, the hosts that WatcherChoice selects list and watch the catalogue and the upstreams; the others of their domain receive both over the internal HTTP endpoint (/shared-store/), as requests that are held until something changes. SharedCollection keeps the objects and the last changes, and leaves out what is older than what a host already knows. The time at which the store answered the watcher travels with the state and confirms the catalogue of the follower. Watchers wait as hosts of a small fleet do. Registrations in large fleets carry the internal address, so that hosts that start can ask before the first report.

--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -17,6 +17,7 @@
       Each.KnownSince = Now;
     Each.Registered = true;
     Each.Address = Entry.Address;
+    Each.Internal = Entry.Internal;
     if (!Entry.FailureDomain.empty())
       Each.FailureDomain = Entry.FailureDomain;
     // A report is newer than the registration.
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -25,12 +25,14 @@
     Endpoint Address;
     std::string FailureDomain; ///< Empty if an older version registered it.
     double Capacity = 0;       ///< In cores; 0 if not declared.
+    std::string Internal = {}; ///< HTTP address for other hosts; may be empty.
   };
 
   struct Host {
     Endpoint Address;
     std::string FailureDomain;
     double Capacity = 0;            ///< In cores; 0 if not declared.
+    std::string Internal;           ///< As registered; may be empty.
     bool Registered = false;        ///< In the object store.
     std::optional<HostReport> Last; ///< The latest report.
     BootTime HeardAt{};             ///< When the latest report arrived.
--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,11 @@
 struct StoredObjects {
   std::vector<StoredObject> Objects;
   std::uint64_t AtRevision = 0;
+  /// Set if another host passed on what it had received: when the store
+  /// answered it, or earlier.
+  std::optional<TimePoint> AnsweredAt;
+  /// When the store last failed to answer that host; unset if it never did.
+  std::optional<TimePoint> FailedAt;
 };
 
 /// Whether a list may be served from a stale copy of the store.
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -25,6 +25,17 @@
       RelaysFailed(this->Registry.counter(
           "lavenderdale_relays_failed_total",
           "Requests that the other host did not answer")),
+      StoreCalls(this->Registry.counter("lavenderdale_store_calls_total",
+                                        "Calls of the object store")),
+      SharedReceived(this->Registry.counter(
+          "lavenderdale_shared_received_total",
+          "States of the store received from a host that watches it")),
+      SharedAnswered(this->Registry.counter(
+          "lavenderdale_shared_answered_total",
+          "States of the store sent to hosts that follow this one")),
+      WatchesStore(this->Registry.gauge(
+          "lavenderdale_watches_store",
+          "1 if this host watches the store itself, otherwise 0")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -57,4 +68,12 @@
       .add();
 }
 
+void ProxyMetrics::countWatcherFailure(const char *Reason) {
+  this->Registry
+      .counter("lavenderdale_watcher_failures_total",
+               "Requests to a watcher of the store that failed, by reason",
+               {{"reason", Reason}})
+      .add();
+}
+
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -16,6 +16,9 @@
   void countRefusal(ErrorKind Kind);
   /// Counts a failed attempt at an upstream.
   void countAttempt(const char *Outcome);
+  /// Counts a request to a host that watches the store, which was not answered
+  /// with a usable state.
+  void countWatcherFailure(const char *Reason);
 
   /// Returns all metrics in the text format of Prometheus.
   std::string exposition() const { return this->Registry.exposition(); }
@@ -30,9 +33,13 @@
   Counter &Reads;        ///< Reads served outside of transactions.
   Counter &ReplicaReads; ///< Those of Reads that a replica served.
   Counter &Promotions;
-  Counter &Relayed;      ///< Requests relayed to the host with connections.
-  Counter &CarriedOut;   ///< Relayed requests served for other hosts.
-  Counter &RelaysFailed; ///< Relayed requests without an answer.
+  Counter &Relayed;        ///< Requests relayed to the host with connections.
+  Counter &CarriedOut;     ///< Relayed requests served for other hosts.
+  Counter &RelaysFailed;   ///< Relayed requests without an answer.
+  Counter &StoreCalls;     ///< Calls that this host sent to the store.
+  Counter &SharedReceived; ///< States of the store that another host sent.
+  Counter &SharedAnswered; ///< States of the store sent to other hosts.
+  Gauge &WatchesStore;     ///< 1 if this host watches the store itself.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -16,6 +16,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -71,8 +72,10 @@
   /// \param Source where it came from, for the log.
   void offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
                       const std::string &Source);
-  /// Records that the catalogue in force was the latest one at \p Now.
-  void confirmCatalogue(TimePoint Now) { this->ConfirmedAt = Now; }
+  /// Records that the catalogue in force was the latest one at \p At.
+  void confirmCatalogue(TimePoint At) {
+    this->ConfirmedAt = std::max(this->ConfirmedAt.value_or(At), At);
+  }
 
   /// Updates the groups after a change of the directory.
   void applyUpstreams();
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <random>
 #include <utility>
 
 namespace lavenderdale {
@@ -24,16 +25,20 @@
       Statements(this->State.access(), this->State.metrics()),
       Server(std::make_shared<SessionServer>(
           this->Executor, this->State, this->Statements, Dependencies.Callers)),
+      Store(this->Executor, Dependencies.Store, this->State.fleet(),
+            {this->Settings.Identity.Host,
+             this->Settings.Identity.FailureDomain,
+             this->Settings.Identity.Capacity},
+            std::random_device{}(), this->State.metrics()),
       Follower(std::make_shared<StoreFollower>(
-          this->Executor, Dependencies.Store, this->State, Dependencies.Records,
-          toString(this->Settings.Reports))),
+          this->Executor, this->Store, this->State, Dependencies.Records,
+          this->Settings.Reports, this->Settings.Internal)),
       Fleet(std::make_shared<ReportExchange>(
           this->Executor, this->State, Dependencies.Records,
           this->Settings.Reports, this->Settings.Internal, CataloguePath)),
       Relays(std::make_shared<RelayServer>(this->Executor, this->State)),
       Promotions(std::make_shared<PromotionCoordinator>(
-          this->Executor, Dependencies.Store, Dependencies.Authority,
-          this->State)),
+          this->Executor, this->Store, Dependencies.Authority, this->State)),
       ReadinessServer(Workers, HttpServerLimits(),
                       [this](HttpRequest Request) {
                         return this->answerReadiness(std::move(Request));
@@ -71,6 +76,7 @@
           std::to_string(this->Server->sessions()));
   this->Promotions->stop();
   this->Follower->stop();
+  this->Store.stop();
   this->Fleet->leave();
   asio::co_spawn(this->Executor, this->Follower->unregister(), asio::detached);
   co_await sleepUntil(Start + ReadinessDrainTime);
@@ -123,6 +129,8 @@
     Response.Body = writeCompactJson(this->State.catalogue()->Document);
     co_return Response;
   }
+  if (Request.Target.starts_with(SharedStorePath))
+    co_return co_await this->Store.answer(std::move(Request.Target));
   Response.Status = 404;
   co_return Response;
 }
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -8,6 +8,7 @@
 #include "relayserver.h"
 #include "reportexchange.h"
 #include "sessionserver.h"
+#include "sharedstore.h"
 #include "storefollower.h"
 
 #include <chrono>
@@ -73,6 +74,7 @@
   ProxyState State;
   StatementExecutor Statements;
   std::shared_ptr<SessionServer> Server;
+  SharedStore Store;
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<ReportExchange> Fleet;
   std::shared_ptr<RelayServer> Relays;
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -18,6 +18,7 @@
 constexpr const char *AddressField = "reportAddress";
 constexpr const char *DomainField = "failureDomain";
 constexpr const char *CapacityField = "capacity";
+constexpr const char *InternalField = "internalAddress";
 
 std::string stringField(const Json::Value &Spec, const char *Field) {
   return Spec.isObject() && Spec[Field].isString() ? Spec[Field].asString()
@@ -32,12 +33,12 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(asio::any_io_executor Executor, ObjectStore &Store,
+StoreFollower::StoreFollower(asio::any_io_executor Executor, SharedStore &Store,
                              ProxyState &State, const RecordDecoder &Decoder,
-                             std::string ReportAddress)
+                             Endpoint Reports, Endpoint Internal)
     : Executor(std::move(Executor)), Store(Store), State(State),
-      Decoder(Decoder), ReportAddress(std::move(ReportAddress)),
-      Random(std::random_device{}()) {}
+      Decoder(Decoder), Reports(std::move(Reports)),
+      Internal(std::move(Internal)), Random(std::random_device{}()) {}
 
 void StoreFollower::start() {
   const FollowedCollection Catalogue{Collection::Catalogue,
@@ -54,7 +55,7 @@
                                      true,
                                      &StoreFollower::replaceUpstreams,
                                      &StoreFollower::updateUpstreams,
-                                     &StoreFollower::doNothing,
+                                     &StoreFollower::recordOutageOfWatcher,
                                      &StoreFollower::recordStoreOutage};
   asio::co_spawn(this->Executor, this->follow(Catalogue), asio::detached);
   asio::co_spawn(this->Executor, this->follow(Upstreams), asio::detached);
@@ -71,10 +72,9 @@
 }
 
 // One host of each failure domain confirms the catalogue.
-StoreCallIntervals StoreFollower::callIntervals() const {
+StoreCallIntervals StoreFollower::callIntervals() {
   constexpr const char *ConfirmationKey = "catalogue";
-  StoreCallIntervals Intervals =
-      storeCallIntervals(this->State.fleet().size(BootClock::now()));
+  StoreCallIntervals Intervals = storeCallIntervals(this->Store.callingHosts());
   if (this->State.access().promotionRank(ConfirmationKey) <
       UpstreamAccess::PromoterCount)
     Intervals.CatalogueWait = Intervals.ConfirmingWait;
@@ -99,7 +99,7 @@
     if (std::exchange(Lost, false))
       logInfo(std::string("event=store_regained collection=") + Followed.Name);
     Backoff = MinBackoff;
-    (this->*Followed.OnAnswered)();
+    (this->*Followed.OnAnswered)(Listed.value());
     (this->*Followed.OnListed)(Listed.value());
     // Lists again only when the store no longer keeps the changes since.
     while (!this->Stopped &&
@@ -126,11 +126,12 @@
       }
       Backoff = MinBackoff;
       Revision = std::max(Revision, Changes.value().AtRevision);
-      (this->*Followed.OnAnswered)();
+      (this->*Followed.OnAnswered)(Changes.value());
       if (Changes.value().Objects.empty())
         continue;
       (this->*Followed.OnChanged)(Changes.value());
-      if (Followed.PausesAfterChange)
+      // The watcher has paused, so that it sends several changes at once.
+      if (Followed.PausesAfterChange && !Changes.value().AnsweredAt)
         co_await sleepUntil(steadyNow() + this->callIntervals().ChangePause);
       continue;
     }
@@ -168,8 +169,8 @@
   }
 }
 
-void StoreFollower::confirmCatalogue() {
-  this->State.confirmCatalogue(steadyNow());
+void StoreFollower::confirmCatalogue(const StoredObjects &Objects) {
+  this->State.confirmCatalogue(Objects.AnsweredAt.value_or(steadyNow()));
 }
 
 void StoreFollower::replaceUpstreams(const StoredObjects &Objects) {
@@ -217,11 +218,18 @@
   this->State.directory().recordStoreFailure(steadyNow());
 }
 
+// Entries that lapsed while the store was away lapse for its watchers first.
+void StoreFollower::recordOutageOfWatcher(const StoredObjects &Objects) {
+  if (Objects.FailedAt)
+    this->State.directory().recordStoreFailure(*Objects.FailedAt);
+}
+
 StoreFollower::Task<void> StoreFollower::keepRegistered() {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   std::chrono::milliseconds Backoff = MinBackoff;
   // After a restart of all hosts, the list tells at once who else there is.
   co_await this->listHosts(ListFreshness::MayBeStale);
+  this->Store.hostsListed();
   while (!this->Stopped && !co_await this->registerHost())
     co_await this->backOff(Backoff);
   ListFreshness Freshness = ListFreshness::Current;
@@ -229,17 +237,23 @@
     co_await this->listHosts(Freshness);
     Freshness = ListFreshness::MayBeStale;
     co_await this->unregisterGoneHosts();
-    co_await sleepUntil(steadyNow() + this->callIntervals().HostInterval);
+    co_await sleepUntil(
+        steadyNow() +
+        storeCallIntervals(this->State.fleet().size(BootClock::now()))
+            .HostInterval);
   }
 }
 
 StoreFollower::Task<bool> StoreFollower::registerHost() {
   StoredObject Own;
   Own.Name = this->State.identity().Host;
-  Own.Spec[AddressField] = this->ReportAddress;
+  Own.Spec[AddressField] = toString(this->Reports);
   Own.Spec[DomainField] = this->State.identity().FailureDomain;
   if (this->State.identity().Capacity > 0)
     Own.Spec[CapacityField] = this->State.identity().Capacity;
+  // Hosts that start need it before the first report arrives.
+  if (this->Store.shares())
+    Own.Spec[InternalField] = toString(this->Internal);
   const Result<StoredObject> Created = co_await this->Store.create(
       Collection::Hosts, Own, steadyNow() + CallTimeout);
   if (Created)
@@ -273,7 +287,8 @@
         parseEndpoint(stringField(Each.Spec, AddressField));
     if (Where)
       Hosts[Each.Name] = {Where.value(), stringField(Each.Spec, DomainField),
-                          capacityOf(Each.Spec)};
+                          capacityOf(Each.Spec),
+                          stringField(Each.Spec, InternalField)};
     else
       logInfo("event=host_unreadable name=" + Each.Name);
   }
--- a/src/libs/sessionproxy/storefollower.h
+++ b/src/libs/sessionproxy/storefollower.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "http/endpoint.h"
 #include "objectstore.h"
 #include "proxystate.h"
 #include "recorddecoder.h"
+#include "sharedstore.h"
 #include "storecallintervals.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -25,9 +27,10 @@
   static constexpr std::chrono::milliseconds MinBackoff{100};
   static constexpr std::chrono::milliseconds MaxBackoff{1200};
 
-  StoreFollower(boost::asio::any_io_executor Executor, ObjectStore &Store,
+  /// \param Reports, Internal where other hosts reach this one.
+  StoreFollower(boost::asio::any_io_executor Executor, SharedStore &Store,
                 ProxyState &State, const RecordDecoder &Decoder,
-                std::string ReportAddress);
+                Endpoint Reports, Endpoint Internal);
 
   void start();
   void stop() { this->Stopped = true; }
@@ -49,7 +52,7 @@
     void (StoreFollower::*OnListed)(const StoredObjects &) = nullptr;
     void (StoreFollower::*OnChanged)(const StoredObjects &) = nullptr;
     /// Called after each successful call.
-    void (StoreFollower::*OnAnswered)() = nullptr;
+    void (StoreFollower::*OnAnswered)(const StoredObjects &) = nullptr;
     /// Called when a call failed, and when calls succeed again.
     void (StoreFollower::*OnUnavailable)() = nullptr;
   };
@@ -59,13 +62,14 @@
                           std::uint64_t Revision);
   /// Waits for about \p Length, and doubles it up to MaxBackoff.
   Task<void> backOff(std::chrono::milliseconds &Length);
-  StoreCallIntervals callIntervals() const;
+  StoreCallIntervals callIntervals();
 
   void applyCatalogue(const StoredObjects &Objects);
-  void confirmCatalogue();
+  void confirmCatalogue(const StoredObjects &Objects);
   void replaceUpstreams(const StoredObjects &Objects);
   void updateUpstreams(const StoredObjects &Objects);
   void recordStoreOutage();
+  void recordOutageOfWatcher(const StoredObjects &Objects);
   void doNothing() {}
 
   Task<void> keepRegistered();
@@ -74,10 +78,11 @@
   Task<void> unregisterGoneHosts();
 
   boost::asio::any_io_executor Executor;
-  ObjectStore &Store;
+  SharedStore &Store;
   ProxyState &State;
   const RecordDecoder &Decoder;
-  const std::string ReportAddress;
+  const Endpoint Reports;
+  const Endpoint Internal;
   std::mt19937_64 Random;
   bool Stopped = false;
 };
