--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -9,6 +9,7 @@
 #include "relayserver.h"
 #include "reportexchange.h"
 #include "sessionserver.h"
+#include "sharedstore.h"
 #include "storefollower.h"
 
 #include <chrono>
@@ -75,6 +76,7 @@
   ProxyState State;
   StatementExecutor Statements;
   std::shared_ptr<SessionServer> Server;
+  SharedStore Store;
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<ReportExchange> Fleet;
   std::shared_ptr<RelayServer> Relays;
