Keep the set of evacuated failure domains and report it to other hosts

Cause: an operator can ask that nothing more is sent to the databases of a failure domain. Hosts that the store refuses must hear of it from others.

Host reports carry the set in their extension map. Nothing uses it yet.

Considered: one object of the set for each order (a withdrawal would need a record of its own), and the age of an order in the report (hosts hear of it within a report interval, and the transactions end after half of the bound).

--- a/src/libs/sessionproxy/hostreport.cpp
+++ b/src/libs/sessionproxy/hostreport.cpp
@@ -51,14 +51,34 @@
 
 // Members that hosts of other versions do not know are in a map at the end.
 constexpr const char *CapacityKey = "weight";
+constexpr const char *EvacuatedKey = "evac";
 
 Json encodeExtensions(const HostReport &Report) {
   Json Extensions = Json::object();
   if (Report.Capacity > 0)
     Extensions[CapacityKey] = Report.Capacity;
+  if (Report.Evacuated && Report.Evacuated->canBeTold())
+    Extensions[EvacuatedKey] =
+        Json::array({Report.Evacuated->Revision, Report.Evacuated->Domains});
   return Extensions;
 }
 
+std::optional<EvacuationSet> decodeEvacuated(const Json &Value) {
+  constexpr std::size_t MinSize = 2; // The revision and the domains.
+  if (!Value.is_array() || Value.size() < MinSize ||
+      !Value[0].is_number_unsigned() || !Value[1].is_array() ||
+      Value[1].size() > EvacuationSet::MaxToldDomains)
+    return std::nullopt;
+  EvacuationSet Set;
+  Set.Revision = Value[0].get<std::uint64_t>();
+  for (const Json &Each : Value[1]) {
+    if (!Each.is_string() || Each.get_ref<const std::string &>().empty())
+      return std::nullopt;
+    Set.Domains.insert(Each.get<std::string>());
+  }
+  return Set.canBeTold() ? std::optional(std::move(Set)) : std::nullopt;
+}
+
 // A missing or malformed member leaves its default.
 void decodeExtensions(const Json &Extensions, HostReport &Report) {
   if (!Extensions.is_object())
@@ -66,6 +86,9 @@
   const auto Capacity = Extensions.find(CapacityKey);
   if (Capacity != Extensions.end() && Capacity->is_number())
     Report.Capacity = usableCapacity(Capacity->get<double>());
+  const auto Evacuated = Extensions.find(EvacuatedKey);
+  if (Evacuated != Extensions.end())
+    Report.Evacuated = decodeEvacuated(*Evacuated);
 }
 
 } // namespace
--- a/src/libs/sessionproxy/hostreport.h
+++ b/src/libs/sessionproxy/hostreport.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/result.h"
+#include "placement/evacuations.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +53,9 @@
   std::vector<GroupReport> Groups;
   /// Processor capacity of the sender in cores; 0 if it is not declared.
   double Capacity = 0;
+  /// The evacuated failure domains as the sender knows them; nothing if it has
+  /// not read them, or they do not fit into a message.
+  std::optional<EvacuationSet> Evacuated;
   /// In a small fleet, the demand at the sender; in a large one, the use of the
   /// workspaces of which the sender owns the rate.
   std::vector<DemandReport> Demands;
