Send nothing to the databases of an evacuated failure domain

Cause: operators evacuate a failure domain by an object of kind evacuations. Nothing read it, and statements went on to the databases there.

Change: hosts whose settings have evacuation-ms list and watch the collection, and take over sets that other hosts report. UpstreamClient, which all paths to an upstream pass, opens and leases no connection while its domain is evacuated; connections of open transactions are closed after half of the bound, and replies to what was sent are awaited up to 90 % of it. Readers, primaries, probes, STATUS queries and relayed work of other hosts leave such upstreams out, and a primary there is replaced like one that leaves. While all members of a group are evacuated, statements are refused at once as not run. A starting host reads the orders before the upstreams. The last set stays in force while the store does not answer.

Considered: a check in each caller of UpstreamAccess (relayed work of a host that has not heard of the order would pass), and delaying the promotion until the transactions at the evacuated primary have ended (no writes for half of the bound).

Metrics: evacuated domains, revision, connections left there, refused work; the internal port describes them at /evacuated-domains.

--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -19,6 +19,8 @@
   Upstreams,  ///< Written by the upstreams themselves.
   Hosts,      ///< Registrations of the hosts, one object for each host.
   Promotions, ///< Claims of the right to promote, one object for each group.
+  /// Orders of operators, one object for each evacuated failure domain.
+  Evacuations,
 };
 
 /// An object of the store, or a change to one.
--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -82,7 +82,8 @@
   FleetView &Fleet = this->State.fleet();
   const BootTime BootNow = BootClock::now();
   const PromotionLimits Limits;
-  if (Group.tracker().orderedWithin(PromotionCooldown, Now))
+  if (Group.tracker().orderedWithin(PromotionCooldown, Now) ||
+      Group.isEvacuated())
     return false;
   const std::optional<std::string> Primary = Group.tracker().primary(Now);
   const bool Leaving = Primary && Group.tracker().isLeaving(*Primary);
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -47,15 +47,18 @@
   std::vector<PrimaryTracker::Member> Members;
   for (const UpstreamEntry &Each : Entries) {
     Present.insert(Each.Id);
-    Members.push_back({Each.Id, Each.ClaimsPrimary, Each.Leaving});
+    // An evacuated primary is replaced like one that leaves.
+    Members.push_back({Each.Id, Each.ClaimsPrimary,
+                       Each.Leaving || this->Access.isEvacuated(Each)});
     this->Departed.present(Each.Id, Each.StartedAt, Now);
     std::shared_ptr<UpstreamClient> &Client = this->Clients[Each.Id];
-    if (Client) {
+    if (Client)
       Client->update(Each);
-      continue;
-    }
-    Client =
-        std::make_shared<UpstreamClient>(this->Executor, this->Protocol, Each);
+    else
+      Client = std::make_shared<UpstreamClient>(this->Executor, this->Protocol,
+                                                Each);
+    Client->applyEvacuation(
+        this->Access.evacuations().find(Each.FailureDomain));
   }
   std::erase_if(this->Clients, [&](const auto &Each) {
     if (Present.count(Each.first))
@@ -92,7 +95,21 @@
   if (!Id)
     return nullptr;
   const auto Found = this->Clients.find(*Id);
-  return Found == this->Clients.end() ? nullptr : Found->second;
+  if (Found == this->Clients.end() || Found->second->isEvacuated())
+    return nullptr;
+  return Found->second;
+}
+
+bool ProxyGroup::isEvacuated() const {
+  return !this->Clients.empty() &&
+         std::ranges::all_of(this->Clients, [](const auto &Each) {
+           return Each.second->isEvacuated();
+         });
+}
+
+bool ProxyGroup::isEvacuated(const std::string &Id) const {
+  const auto Found = this->Clients.find(Id);
+  return Found != this->Clients.end() && Found->second->isEvacuated();
 }
 
 asio::awaitable<std::shared_ptr<UpstreamClient>>
@@ -106,7 +123,7 @@
   while (!Cancelled && !this->Stopped) {
     const TimePoint Now = steadyNow();
     Client = this->primary(Now);
-    if (Client || Now >= Until)
+    if (Client || Now >= Until || this->isEvacuated())
       break;
     co_await sleepUntil(std::min<TimePoint>(Until, Now + PollInterval));
   }
@@ -131,9 +148,11 @@
   const std::optional<std::string> Primary = this->Tracker.primary(Now);
   bool OthersStay = false;
   for (const auto &[Id, Client] : this->Clients)
-    OthersStay = OthersStay || !Client->entry().Leaving;
+    OthersStay =
+        OthersStay || (!Client->entry().Leaving && !Client->isEvacuated());
   for (const auto &[Id, Client] : this->Clients) {
-    if (Excluded.count(Id) || (Client->entry().Leaving && OthersStay))
+    if (Excluded.count(Id) || Client->isEvacuated() ||
+        (Client->entry().Leaving && OthersStay))
       continue;
     const UpstreamPool &Pool = Client->pool();
     ReadMember Each;
@@ -241,6 +260,10 @@
 bool ProxyGroup::isProbeDue(TimePoint Now) {
   if (!this->inUse(Now))
     return false;
+  // The primary may have been replaced without this host hearing of it.
+  if (this->isEvacuated(this->Tracker.primary(Now).value_or("")))
+    return Now - this->LastUse < ProofInterval &&
+           Now - this->LastProbeAt >= ProofInterval;
   const std::optional<Duration> Age = this->Tracker.provenAge(Now);
   if (this->inTrouble()) {
     // The other hosts learn from the promoters and from the entries of the
@@ -272,6 +295,21 @@
   co_await this->probe(std::max(MaxAge, std::chrono::milliseconds(0)));
 }
 
+// Members in evacuated failure domains are not probed. While the likely primary
+// is one of them, the others are probed in turn.
+std::optional<std::string> ProxyGroup::probeTarget(TimePoint Now) {
+  std::optional<std::string> Target = this->Tracker.probeTarget(Now);
+  if (!Target || !this->isEvacuated(*Target))
+    return Target;
+  std::vector<std::string> Others;
+  for (const auto &[Id, Client] : this->Clients)
+    if (!Client->isEvacuated())
+      Others.push_back(Id);
+  if (Others.empty())
+    return std::nullopt;
+  return Others[this->ProbeTurn++ % Others.size()];
+}
+
 asio::awaitable<void> ProxyGroup::probe(std::chrono::milliseconds MaxProofAge) {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   this->Probing = true;
@@ -279,8 +317,7 @@
   // Waiting reads are resumed when the probe has ended; the timer itself only
   // limits their wait.
   this->ProbeEnded.expires_at(steadyNow() + ProbeTimeout + ProbeInterval);
-  const std::optional<std::string> Target =
-      this->Tracker.probeTarget(steadyNow());
+  const std::optional<std::string> Target = this->probeTarget(steadyNow());
   const auto Found = Target ? this->Clients.find(*Target) : this->Clients.end();
   if (Found != this->Clients.end())
     co_await this->runProbe(Found->second, MaxProofAge);
@@ -328,9 +365,10 @@
   const std::string &Target = Client.entry().Id;
   const TimePoint Now = steadyNow();
   // A relaying host that does not answer, or a lack of free connections, says
-  // nothing about the member itself.
+  // nothing about the member itself, nor does an order to evacuate it.
   if (Result.RelayFailed || (!Result.Connected && !Result.Unreachable)) {
-    if (!Result.Connected && Client.pool().connections() == 0 && !Remote)
+    if (!Client.isEvacuated() && !Result.Connected &&
+        Client.pool().connections() == 0 && !Remote)
       this->Tracker.recordUnreachable(Target, Now);
     return;
   }
@@ -367,7 +405,7 @@
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   const std::optional<std::string> Last = this->Tracker.lastPrimary();
   const auto Found = Last ? this->Clients.find(*Last) : this->Clients.end();
-  if (Found == this->Clients.end())
+  if (Found == this->Clients.end() || Found->second->isEvacuated())
     co_return;
   const std::shared_ptr<UpstreamClient> Client = Found->second;
   // A holder that does not answer is skipped by the next probe.
@@ -401,6 +439,8 @@
       this->Clients;
   if (this->SuspectedSince)
     Queried.erase(this->Tracker.lastPrimary().value_or(""));
+  std::erase_if(Queried,
+                [](const auto &Each) { return Each.second->isEvacuated(); });
   Query->Missing = Queried.size();
   for (const auto &[Id, Client] : Queried)
     asio::co_spawn(
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -72,12 +72,16 @@
   /// Records that a statement of \p Workspace uses the group.
   void recordUse(const std::string &Workspace, TimePoint Now);
 
-  /// Returns the member to send writes to, or nullptr.
+  /// Whether the group has members, and all are in evacuated failure domains.
+  bool isEvacuated() const;
+
+  /// Returns the member to send writes to, or nullptr if none is known or it is
+  /// evacuated.
   std::shared_ptr<UpstreamClient> primary(TimePoint Now);
 
   /// Waits for a primary.
   /// \returns nullptr if none was found until \p Until, or if \p Wait was
-  ///          cancelled.
+  ///          cancelled; at once if all members are evacuated.
   boost::asio::awaitable<std::shared_ptr<UpstreamClient>>
   waitForPrimary(TimePoint Until, WaitHandle &Wait);
 
@@ -172,6 +176,8 @@
 private:
   bool knownBehind(const UpstreamClient &Client, const Position &After,
                    TimePoint Now) const;
+  bool isEvacuated(const std::string &Id) const;
+  std::optional<std::string> probeTarget(TimePoint Now);
   bool isProbeDue(TimePoint Now);
   boost::asio::awaitable<void> probe(std::chrono::milliseconds MaxProofAge);
   boost::asio::awaitable<void> runProbe(std::shared_ptr<UpstreamClient> Client,
@@ -202,6 +208,7 @@
   std::optional<TimePoint> TroubleAt;
   bool Probing = false;
   TimePoint LastProbeAt{};
+  std::size_t ProbeTurn = 0; ///< While the likely primary is evacuated.
   boost::asio::steady_timer ProbeEnded; ///< Cancelled when a probe ends.
   std::size_t ConnectionLimit = 1;
   std::size_t SynchronousReplicas = 0;
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -25,6 +25,9 @@
       RelaysFailed(this->Registry.counter(
           "lavenderdale_relays_failed_total",
           "Requests that the other host did not answer")),
+      EvacuationRefusals(this->Registry.counter(
+          "lavenderdale_evacuation_refusals_total",
+          "Work that was not sent to an upstream in an evacuated domain")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -34,6 +37,15 @@
       UpstreamConnections(
           this->Registry.gauge("lavenderdale_upstream_connections",
                                "Connections of this host to upstreams")),
+      EvacuatedDomains(
+          this->Registry.gauge("lavenderdale_evacuated_domains",
+                               "Failure domains that are evacuated")),
+      EvacuationRevision(this->Registry.gauge(
+          "lavenderdale_evacuation_revision",
+          "Revision of the store at which the evacuated domains were read")),
+      EvacuatedConnections(this->Registry.gauge(
+          "lavenderdale_evacuated_connections",
+          "Connections of this host to upstreams in evacuated domains")),
       StatementTime(
           this->Registry.histogram("lavenderdale_statement_seconds",
                                    "From a caller's statement to its reply")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -33,10 +33,14 @@
   Counter &Relayed;      ///< Requests relayed to the host with connections.
   Counter &CarriedOut;   ///< Relayed requests served for other hosts.
   Counter &RelaysFailed; ///< Relayed requests without an answer.
+  Counter &EvacuationRefusals; ///< Work not sent to evacuated upstreams.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
   Gauge &UpstreamConnections;
+  Gauge &EvacuatedDomains;
+  Gauge &EvacuationRevision;       ///< Of the store, at which they were read.
+  Gauge &EvacuatedConnections;     ///< Of this host to upstreams there.
   LatencyHistogram &StatementTime; ///< From the caller's message to the reply.
   LatencyHistogram &WaitTime;      ///< Wait for an upstream connection.
   LatencyHistogram &UpstreamTime;  ///< Time spent at upstreams.
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -22,13 +22,14 @@
 
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
                        const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-                       RateTolerance Tolerance)
+                       RateTolerance Tolerance,
+                       std::chrono::milliseconds EvacuationBound)
     : Executor(std::move(Executor)), Protocol(Protocol),
       Identity(std::move(Identity)), Tolerance(Tolerance),
       Access(this->Executor,
              {this->Identity.Host, this->Identity.FailureDomain,
               this->Identity.Capacity},
-             this->Metrics),
+             EvacuationBound, this->Metrics),
       Fleet(this->Identity.Host) {}
 
 void ProxyState::offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
@@ -61,6 +62,56 @@
       (Rate.limit() * this->Tolerance.Fraction + this->Tolerance.Operations));
 }
 
+void ProxyState::offerEvacuations(const EvacuationSet &Read,
+                                  const std::string &Source) {
+  const Evacuations::Change Change =
+      this->Access.evacuations().offer(Read, steadyNow());
+  if (Change.empty())
+    return;
+  const std::string Origin =
+      " revision=" + std::to_string(Read.Revision) + " source=" + Source;
+  for (const std::string &Each : Change.Withdrawn)
+    logInfo(std::string("event=evacuation_withdrawn domain=")
+                .append(Each)
+                .append(Origin));
+  this->applyUpstreams();
+  for (const EvacuationProgress &Each : this->evacuationProgress()) {
+    if (std::ranges::find(Change.Ordered, Each.Domain) == Change.Ordered.end())
+      continue;
+    logInfo("event=evacuation_ordered domain=" + Each.Domain +
+            " upstreams=" + std::to_string(Each.Upstreams) +
+            " connections=" + std::to_string(Each.Connections) + Origin);
+    // A host that starts reads the orders before the upstreams.
+    if (Each.Upstreams == 0 && this->Directory.size() > 0)
+      logWarn("event=evacuation_without_upstreams domain=" + Each.Domain);
+  }
+  if (!Read.canBeTold())
+    logWarn("event=evacuations_not_told domains=" +
+            std::to_string(Read.Domains.size()) +
+            " max=" + std::to_string(EvacuationSet::MaxToldDomains));
+}
+
+std::vector<ProxyState::EvacuationProgress> ProxyState::evacuationProgress() {
+  std::vector<EvacuationProgress> All;
+  const Evacuations &Orders = this->Access.evacuations();
+  if (!Orders.current())
+    return All;
+  for (const std::string &Domain : Orders.current()->Domains) {
+    EvacuationProgress Each;
+    Each.Domain = Domain;
+    Each.Revision = Orders.find(Domain)->Revision;
+    for (const auto &[Name, Group] : this->Groups)
+      for (const auto &[Id, Client] : Group->gates()) {
+        if (Client->entry().FailureDomain != Domain)
+          continue;
+        ++Each.Upstreams;
+        Each.Connections += Client->pool().connections();
+      }
+    All.push_back(std::move(Each));
+  }
+  return All;
+}
+
 void ProxyState::applyUpstreams() {
   const auto ByGroup = this->Directory.byGroup();
   std::set<std::string> Wanted;
@@ -120,6 +171,8 @@
   if (!this->Fleet.recordReport(Report, Now))
     return;
   this->confirmFrom(Report, Now);
+  if (Report.Evacuated)
+    this->offerEvacuations(*Report.Evacuated, Report.Host);
   if (this->Fleet.size(Now) <= SmallFleet)
     this->applyDemands(Report, Now);
   else
@@ -359,6 +412,7 @@
   Report.FailureDomain = this->Identity.FailureDomain;
   Report.StartedAt = this->Identity.StartedAt;
   Report.Capacity = this->Identity.Capacity;
+  Report.Evacuated = this->Access.evacuations().current();
   Report.Sequence = ++this->Sequence;
   Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
   if (this->ConfirmedAt)
@@ -422,6 +476,16 @@
     for (const auto &[Id, Client] : Group->gates())
       Connections += Client->pool().connections();
   this->Metrics.UpstreamConnections.set(static_cast<std::int64_t>(Connections));
+  const std::optional<EvacuationSet> &Evacuated =
+      this->Access.evacuations().current();
+  std::size_t Remaining = 0;
+  for (const EvacuationProgress &Each : this->evacuationProgress())
+    Remaining += Each.Connections;
+  this->Metrics.EvacuatedDomains.set(
+      static_cast<std::int64_t>(Evacuated ? Evacuated->Domains.size() : 0));
+  this->Metrics.EvacuationRevision.set(
+      static_cast<std::int64_t>(Evacuated ? Evacuated->Revision : 0));
+  this->Metrics.EvacuatedConnections.set(static_cast<std::int64_t>(Remaining));
 }
 
 void ProxyState::stop() {
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lavenderdale {
 
@@ -63,9 +64,11 @@
   /// hosts, the owner that they turn to knows what was admitted already.
   static constexpr double ReportedUseShare = 0.5;
 
+  /// \param EvacuationBound see UpstreamAccess.
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-             RateTolerance Tolerance);
+             RateTolerance Tolerance,
+             std::chrono::milliseconds EvacuationBound);
 
   /// Applies a catalogue if it is newer than the current one.
   /// \param Source where it came from, for the log.
@@ -74,6 +77,20 @@
   /// Records that the catalogue in force was the latest one at \p Now.
   void confirmCatalogue(TimePoint Now) { this->ConfirmedAt = Now; }
 
+  /// Applies a set of evacuated failure domains if it was read after the
+  /// current one.
+  /// \param Source where it came from, for the log.
+  void offerEvacuations(const EvacuationSet &Read, const std::string &Source);
+
+  /// What still runs in one evacuated failure domain.
+  struct EvacuationProgress {
+    std::string Domain;
+    std::uint64_t Revision = 0;  ///< Of the store, from which it is evacuated.
+    std::size_t Upstreams = 0;   ///< Known ones in the domain.
+    std::size_t Connections = 0; ///< Of this host, all of them in use.
+  };
+  std::vector<EvacuationProgress> evacuationProgress();
+
   /// Updates the groups after a change of the directory.
   void applyUpstreams();
   /// Updates connection limits and rates after a change of the fleet's hosts.
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -222,6 +222,8 @@
     }
   } else if (Client && !Client->unreachable()) {
     Lease = co_await this->lease(Request, Client);
+    if (!Lease && Client->isEvacuated())
+      Server->State.metrics().EvacuationRefusals.add();
   }
   Answer.Result.Waited = steadyNow() - Arrived;
   // After a pause of this host, requests can still be unread that the other
@@ -248,7 +250,10 @@
     Answer.Held = this->hold(std::move(Lease));
   else
     Lease.reset();
-  Answer.Result.Unreachable = !Client || Client->unreachable();
+  // The other host must not try its own connections if the upstream is
+  // evacuated, even if it has not heard of the order.
+  Answer.Result.Unreachable =
+      !Client || (Client->unreachable() && !Client->isEvacuated());
   if (Client)
     Answer.Load = Client->pool().assigned() + Client->pool().waiting();
   --Server->Active;
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -14,13 +14,33 @@
 
 namespace asio = boost::asio;
 
+Json::Value describeEvacuation(ProxyState &State) {
+  Json::Value Description;
+  const std::optional<EvacuationSet> &Set =
+      State.access().evacuations().current();
+  Description["enabled"] = State.access().evacuations().enabled();
+  if (Set)
+    Description["revision"] = Json::UInt64(Set->Revision);
+  Description["domains"] = Json::Value(Json::arrayValue);
+  for (const ProxyState::EvacuationProgress &Each :
+       State.evacuationProgress()) {
+    Json::Value Domain;
+    Domain["name"] = Each.Domain;
+    Domain["since-revision"] = Json::UInt64(Each.Revision);
+    Domain["upstreams"] = Json::UInt64(Each.Upstreams);
+    Domain["connections"] = Json::UInt64(Each.Connections);
+    Description["domains"].append(std::move(Domain));
+  }
+  return Description;
+}
+
 } // namespace
 
 SessionProxy::SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
                            SessionProxyDependencies Dependencies)
     : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
       State(this->Executor, Dependencies.Upstreams, this->Settings.Identity,
-            this->Settings.Tolerance),
+            this->Settings.Tolerance, this->Settings.EvacuationBound),
       Statements(this->State.access(), this->State.metrics()),
       Server(std::make_shared<SessionServer>(
           this->Executor, this->State, this->Statements, Dependencies.Callers)),
@@ -119,6 +139,10 @@
     Response.Body = this->State.metrics().exposition();
     co_return Response;
   }
+  if (Request.Target == EvacuationPath) {
+    Response.Body = writeCompactJson(describeEvacuation(this->State));
+    co_return Response;
+  }
   if (Request.Target == CataloguePath && this->State.catalogue()) {
     Response.Body = writeCompactJson(this->State.catalogue()->Document);
     co_return Response;
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -26,6 +26,9 @@
   Endpoint Internal; ///< HTTP: metrics, catalogue for other hosts.
   std::chrono::milliseconds StopGrace{}; ///< From SIGTERM to the exit.
   RateTolerance Tolerance;
+  /// Time from the order to evacuate a failure domain until nothing more is
+  /// sent to its upstreams; 0 if the deployment has no such orders.
+  std::chrono::milliseconds EvacuationBound{};
 };
 
 /// External systems and codecs that a session proxy uses.
@@ -50,6 +53,7 @@
   static constexpr std::chrono::milliseconds RunningStatementsReserve{800};
   static constexpr const char *CataloguePath = "/catalogue";
   static constexpr const char *MetricsPath = "/metrics";
+  static constexpr const char *EvacuationPath = "/evacuated-domains";
 
   SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
                SessionProxyDependencies Dependencies);
--- a/src/libs/sessionproxy/storecallintervals.cpp
+++ b/src/libs/sessionproxy/storecallintervals.cpp
@@ -18,13 +18,18 @@
   constexpr milliseconds MaxPause{1000};
   constexpr milliseconds MinHostInterval{5000};
   constexpr milliseconds MaxHostInterval{15000};
+  constexpr milliseconds MinEvacuationWait{2000};
+  constexpr milliseconds MaxEvacuationWait{20000};
   const auto Scaled = [Hosts](milliseconds Min, milliseconds Max) {
     return std::min<milliseconds>(
         Min * std::max(Hosts, SmallFleet) / SmallFleet, Max);
   };
-  return {Scaled(MinCatalogueWait, MaxCatalogueWait), MinCatalogueWait,
-          Scaled(MinUpstreamWait, MaxUpstreamWait), Scaled(MinPause, MaxPause),
-          Scaled(MinHostInterval, MaxHostInterval)};
+  return {Scaled(MinCatalogueWait, MaxCatalogueWait),
+          MinCatalogueWait,
+          Scaled(MinUpstreamWait, MaxUpstreamWait),
+          Scaled(MinPause, MaxPause),
+          Scaled(MinHostInterval, MaxHostInterval),
+          Scaled(MinEvacuationWait, MaxEvacuationWait)};
 }
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/storecallintervals.h
+++ b/src/libs/sessionproxy/storecallintervals.h
@@ -27,6 +27,10 @@
   /// Interval at which the registered hosts are listed. Hosts also become known
   /// through their reports.
   std::chrono::milliseconds HostInterval{};
+  /// Duration of a watch of the evacuated failure domains. Hosts also learn of
+  /// an order from reports of others, within a report interval. In a small
+  /// fleet, shorter than the time in which an order must take effect.
+  std::chrono::milliseconds EvacuationWait{};
 };
 
 /// Returns the intervals for a fleet of \p Hosts hosts.
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -57,7 +57,18 @@
                                      &StoreFollower::doNothing,
                                      &StoreFollower::recordStoreOutage};
   asio::co_spawn(this->Executor, this->follow(Catalogue), asio::detached);
-  asio::co_spawn(this->Executor, this->follow(Upstreams), asio::detached);
+  const FollowedCollection Evacuated{Collection::Evacuations,
+                                     "evacuations",
+                                     &StoreCallIntervals::EvacuationWait,
+                                     false,
+                                     &StoreFollower::replaceEvacuations,
+                                     &StoreFollower::updateEvacuations,
+                                     &StoreFollower::doNothing,
+                                     &StoreFollower::doNothing};
+  if (this->State.access().evacuations().enabled())
+    asio::co_spawn(this->Executor, this->follow(Evacuated), asio::detached);
+  asio::co_spawn(this->Executor, this->followAfterEvacuations(Upstreams),
+                 asio::detached);
   asio::co_spawn(this->Executor, this->keepRegistered(), asio::detached);
 }
 
@@ -81,6 +92,23 @@
   return Intervals;
 }
 
+// A host that starts after an order must not use the upstreams that the order
+// concerns. If the orders cannot be read although the upstreams can, it serves
+// after half of the bound, and learns of the orders from other hosts.
+StoreFollower::Task<void>
+StoreFollower::followAfterEvacuations(FollowedCollection Followed) {
+  constexpr std::chrono::milliseconds PollInterval{10};
+  const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
+  const Evacuations &Orders = this->State.access().evacuations();
+  const TimePoint Until = steadyNow() + Orders.bound() / 2;
+  while (Orders.enabled() && !Orders.current() && !this->Stopped &&
+         steadyNow() < Until)
+    co_await sleepUntil(steadyNow() + PollInterval);
+  if (Orders.enabled() && !Orders.current())
+    logWarn("event=evacuations_unknown next=use_all_upstreams");
+  co_await this->follow(Followed);
+}
+
 StoreFollower::Task<void> StoreFollower::follow(FollowedCollection Followed) {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   std::chrono::milliseconds Backoff = MinBackoff;
@@ -213,6 +241,24 @@
   this->State.applyUpstreams();
 }
 
+// Only the names of the objects count: an object whose contents cannot be read
+// is an order as well.
+void StoreFollower::replaceEvacuations(const StoredObjects &Objects) {
+  this->EvacuatedDomains.clear();
+  this->updateEvacuations(Objects);
+}
+
+void StoreFollower::updateEvacuations(const StoredObjects &Objects) {
+  for (const StoredObject &Each : Objects.Objects) {
+    if (Each.Removed)
+      this->EvacuatedDomains.erase(Each.Name);
+    else
+      this->EvacuatedDomains.insert(Each.Name);
+  }
+  this->State.offerEvacuations({Objects.AtRevision, this->EvacuatedDomains},
+                               "store");
+}
+
 void StoreFollower::recordStoreOutage() {
   this->State.directory().recordStoreFailure(steadyNow());
 }
--- a/src/libs/sessionproxy/storefollower.h
+++ b/src/libs/sessionproxy/storefollower.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace lavenderdale {
@@ -55,6 +56,8 @@
   };
 
   Task<void> follow(FollowedCollection Followed);
+  /// Follows \p Followed once the evacuated failure domains are known.
+  Task<void> followAfterEvacuations(FollowedCollection Followed);
   Task<bool> watchChanges(const FollowedCollection &Followed,
                           std::uint64_t Revision);
   /// Waits for about \p Length, and doubles it up to MaxBackoff.
@@ -65,6 +68,8 @@
   void confirmCatalogue();
   void replaceUpstreams(const StoredObjects &Objects);
   void updateUpstreams(const StoredObjects &Objects);
+  void replaceEvacuations(const StoredObjects &Objects);
+  void updateEvacuations(const StoredObjects &Objects);
   void recordStoreOutage();
   void doNothing() {}
 
@@ -79,6 +84,8 @@
   const RecordDecoder &Decoder;
   const std::string ReportAddress;
   std::mt19937_64 Random;
+  /// As read from the store, also while a later set is known from a report.
+  std::set<std::string> EvacuatedDomains;
   bool Stopped = false;
 };
 
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -51,9 +51,12 @@
 }
 
 UpstreamAccess::UpstreamAccess(asio::any_io_executor Executor,
-                               PlacementHost Self, ProxyMetrics &Metrics)
-    : Executor(std::move(Executor)), Self(std::move(Self)), Metrics(Metrics),
-      Holders(this->Self.Name), Promoters(this->Self.Name) {}
+                               PlacementHost Self,
+                               std::chrono::milliseconds EvacuationBound,
+                               ProxyMetrics &Metrics)
+    : Executor(std::move(Executor)), Self(std::move(Self)),
+      Evacuated(EvacuationBound), Metrics(Metrics), Holders(this->Self.Name),
+      Promoters(this->Self.Name) {}
 
 void UpstreamAccess::setHosts(const FleetView &Fleet, BootTime Now) {
   const std::uint64_t Revision = Fleet.presentRevision(Now);
@@ -258,9 +261,17 @@
   return StandsIn ? HolderCount - 1 : Rank;
 }
 
+// Nothing was sent, and the path to the upstream has not failed.
+WorkResult UpstreamAccess::refuseEvacuated() {
+  this->Metrics.EvacuationRefusals.add();
+  return {};
+}
+
 asio::awaitable<WorkResult>
 UpstreamAccess::run(std::shared_ptr<UpstreamClient> Client, PoolWaiter Waiter,
                     UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold) {
+  if (this->isEvacuated(Client->entry()))
+    co_return this->refuseEvacuated();
   std::string Name = this->chooseHolder(Client->entry(), steadyNow());
   // The outcome of a write is unknown if the holder fails, and a probe that is
   // lost with its holder delays the next proof that the primary is still the
@@ -269,6 +280,8 @@
     const bool Alive = co_await this->isAlive(Name);
     if (!Alive)
       Name = this->chooseHolder(Client->entry(), steadyNow());
+    if (this->isEvacuated(Client->entry()))
+      co_return this->refuseEvacuated();
   }
   const std::shared_ptr<UpstreamClient> Target = Client;
   const UsageCounter Use(*Target);
@@ -415,6 +428,15 @@
 asio::awaitable<WorkResult> UpstreamAccess::runHeld(HeldConnection &Held,
                                                     UpstreamWork Work) {
   const std::shared_ptr<UpstreamClient> Client = Held.Client;
+  const Evacuations::Order *Order =
+      this->Evacuated.find(Client->entry().FailureDomain);
+  if (Order && steadyNow() >= Order->TransactionsEndAt) {
+    // Without an answer and without bytes sent, the transaction counts as
+    // rolled back.
+    WorkResult Ended = this->refuseEvacuated();
+    Ended.Lost = true;
+    co_return Ended;
+  }
   if (!Held.Relay) {
     WorkResult Result =
         co_await executeWork(Held.Local, std::move(Work), this->Names);
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleetview.h"
+#include "placement/evacuations.h"
 #include "placement/holderselector.h"
 #include "placement/promotionranking.h"
 #include "proxymetrics.h"
@@ -72,16 +73,27 @@
   static constexpr std::chrono::milliseconds RateCheckTimeout{80};
 
   /// \param Self this host, with its capacity if its settings declare one.
+  /// \param EvacuationBound time from the order to evacuate a failure domain
+  ///        until nothing more is sent there; 0 if there are no such orders.
   UpstreamAccess(boost::asio::any_io_executor Executor, PlacementHost Self,
+                 std::chrono::milliseconds EvacuationBound,
                  ProxyMetrics &Metrics);
 
+  /// Decides which upstreams may be used; see isEvacuated().
+  Evacuations &evacuations() { return this->Evacuated; }
+  /// Whether nothing new may be sent to the upstream of \p Entry.
+  bool isEvacuated(const UpstreamEntry &Entry) const {
+    return this->Evacuated.covers(Entry.FailureDomain);
+  }
+
   /// Replaces the hosts that work can be relayed to by those present in
   /// \p Fleet.
   void setHosts(const FleetView &Fleet, BootTime Now);
   /// Records that a report of host \p Name arrived at \p Now.
   void recordReport(const std::string &Name, TimePoint Now);
 
-  /// Runs \p Work on any connection for the waiter's workspace.
+  /// Runs \p Work on any connection for the waiter's workspace. Work for an
+  /// evacuated upstream is not run, and its result is not connected.
   /// \param Wait lets the caller cancel the wait for a connection.
   /// \param [out] Hold receives the connection if a transaction is open on it
   ///        afterwards; nullptr if no connection is to be held.
@@ -174,6 +186,7 @@
   boost::asio::awaitable<void> recheck(std::string Name);
   void recordPathResult(const std::string &Host, const std::string &Upstream,
                         const WorkResult &Result, bool Statement);
+  WorkResult refuseEvacuated();
   boost::asio::awaitable<WorkResult>
   runLocally(std::shared_ptr<UpstreamClient> Client, PoolWaiter Waiter,
              UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold);
@@ -184,6 +197,7 @@
 
   boost::asio::any_io_executor Executor;
   const PlacementHost Self;
+  Evacuations Evacuated;
   ProxyMetrics &Metrics;
   HolderSelector Holders;
   std::map<std::string, Host> Hosts;
--- a/src/libs/sessionproxy/upstreamclient.cpp
+++ b/src/libs/sessionproxy/upstreamclient.cpp
@@ -68,7 +68,7 @@
                                const UpstreamProtocol &Protocol,
                                UpstreamEntry Entry)
     : Executor(Executor), Protocol(Protocol), Entry(std::move(Entry)),
-      Timer(Executor) {}
+      Timer(Executor), EvacuationTimer(Executor) {}
 
 void UpstreamClient::update(const UpstreamEntry &NewEntry) {
   const bool Restarted = NewEntry.StartedAt != this->Entry.StartedAt ||
@@ -83,13 +83,84 @@
 
 void UpstreamClient::retire() {
   this->Retired = true;
-  while (ConnectionLease Idle = this->tryAcquireIdle())
-    Idle.reset();
+  this->closeIdle();
+}
+
+void UpstreamClient::closeIdle() {
+  while (const std::optional<ConnectionId> Id = this->Pool.borrowIdle()) {
+    const auto Found = this->Connections.find(*Id);
+    if (Found != this->Connections.end())
+      Found->second->close();
+    this->Connections.erase(*Id);
+    this->IdleSince.erase(*Id);
+    this->Pool.closed(*Id);
+  }
+}
+
+void UpstreamClient::applyEvacuation(const Evacuations::Order *Given) {
+  const bool Before = this->isEvacuated();
+  if (!Given) {
+    this->Evacuation.reset();
+    this->EvacuationTimer.cancel();
+    return;
+  }
+  this->Evacuation = *Given;
+  if (!Before) {
+    for (const auto &[Id, Slot] : this->Waiters)
+      if (!Slot->Done && this->Pool.cancel(Id)) {
+        Slot->Done = true;
+        Slot->Signal.cancel();
+      }
+    this->closeIdle();
+    logInfo("event=upstream_evacuated upstream=" + this->Entry.Id +
+            " domain=" + this->Entry.FailureDomain +
+            " in_use=" + std::to_string(this->Connections.size()));
+  }
+  this->endEvacuatedWork(steadyNow());
+}
+
+// Connections that an open transaction holds are closed first, so that the
+// upstream rolls it back. Statements and commits that were sent get the rest of
+// the time for their replies.
+void UpstreamClient::endEvacuatedWork(TimePoint Now) {
+  if (!this->Evacuation)
+    return;
+  std::size_t Closed = 0;
+  for (const auto &[Id, Connection] : this->Connections) {
+    const TimePoint EndsAt = Connection->awaitsReplies()
+                                 ? this->Evacuation->AnswersEndAt
+                                 : this->Evacuation->TransactionsEndAt;
+    if (Now < EndsAt || !Connection->isOpen())
+      continue;
+    Connection->close();
+    ++Closed;
+  }
+  if (Closed > 0)
+    logInfo("event=evacuation_ends_work upstream=" + this->Entry.Id +
+            " domain=" + this->Entry.FailureDomain +
+            " connections=" + std::to_string(Closed));
+  this->armEvacuationTimer(Now);
+}
+
+void UpstreamClient::armEvacuationTimer(TimePoint Now) {
+  if (Now >= this->Evacuation->AnswersEndAt)
+    return;
+  this->EvacuationTimer.expires_at(Now < this->Evacuation->TransactionsEndAt
+                                       ? this->Evacuation->TransactionsEndAt
+                                       : this->Evacuation->AnswersEndAt);
+  this->EvacuationTimer.async_wait(
+      [Weak = this->weak_from_this()](error_code Failure) {
+        const std::shared_ptr<UpstreamClient> Self = Weak.lock();
+        if (Self && !Failure)
+          Self->endEvacuatedWork(steadyNow());
+      });
 }
 
 asio::awaitable<ConnectionLease> UpstreamClient::acquire(PoolWaiter Waiter,
                                                          WaitHandle &Wait) {
   const std::shared_ptr<UpstreamClient> Self = this->shared_from_this();
+  if (this->isEvacuated())
+    co_return ConnectionLease();
   PendingWait Slot(this->Executor);
   Waiter.Id = this->NextWaiter++;
   const WaiterId Id = Waiter.Id;
@@ -119,10 +190,17 @@
   const auto Found = this->Connections.find(Slot.Assigned);
   if (Slot.Assigned == 0 || Found == this->Connections.end())
     co_return ConnectionLease();
-  co_return ConnectionLease(Self, Slot.Assigned, Found->second);
+  ConnectionLease Lease(Self, Slot.Assigned, Found->second);
+  // The order may have arrived since the connection was assigned. A lease that
+  // is not marked as reusable closes its connection.
+  if (this->isEvacuated())
+    Lease.reset();
+  co_return Lease;
 }
 
 ConnectionLease UpstreamClient::tryAcquireIdle() {
+  if (this->isEvacuated())
+    return {};
   while (const std::optional<ConnectionId> Id = this->Pool.borrowIdle())
     if (!this->dropIfClosed(*Id))
       return {this->shared_from_this(), *Id, this->Connections[*Id]};
@@ -163,10 +241,13 @@
 
 void UpstreamClient::returnConnection(ConnectionId Id, bool Reusable) {
   const TimePoint Now = steadyNow();
-  if (Reusable && !this->Retired) {
+  if (Reusable && !this->Retired && !this->isEvacuated()) {
     this->IdleSince[Id] = Now;
     this->Pool.released(Id, Now);
   } else {
+    const auto Found = this->Connections.find(Id);
+    if (Found != this->Connections.end())
+      Found->second->close();
     this->Connections.erase(Id);
     this->IdleSince.erase(Id);
     this->Pool.closed(Id);
@@ -243,6 +324,12 @@
 
 asio::awaitable<void> UpstreamClient::open(std::string Workspace) {
   const std::shared_ptr<UpstreamClient> Self = this->shared_from_this();
+  if (this->isEvacuated()) {
+    // Unlike another failure, a reached limit does not count as unreachable.
+    constexpr bool AtLimit = true;
+    this->Pool.openFailed(Workspace, AtLimit, steadyNow());
+    co_return;
+  }
   const auto Connection =
       std::make_shared<UpstreamConnection>(this->Executor, this->Protocol);
   UpstreamGreeting Greeting{this->Entry.Group, Workspace, this->Entry.Id};
@@ -260,6 +347,8 @@
     this->Connections[Id] = Connection;
     this->IdleSince[Id] = Now;
     this->Pool.opened(Id, Workspace, Now);
+    if (this->isEvacuated())
+      this->closeIdle();
   }
   this->runPoolActions();
 }
--- a/src/libs/sessionproxy/upstreamclient.h
+++ b/src/libs/sessionproxy/upstreamclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placement/evacuations.h"
 #include "pooling/upstreampool.h"
 #include "upstreamconnection.h"
 #include "upstreamentry.h"
@@ -89,6 +90,19 @@
   /// closed when their leases end.
   void retire();
 
+  /// Applies the order to evacuate the upstream's failure domain, or its
+  /// withdrawal. While there is one, no connection is opened or leased, waiters
+  /// are refused and idle connections are closed. Leased ones are closed when
+  /// the deadlines of the order pass.
+  /// \param Given the order, or nullptr.
+  void applyEvacuation(const Evacuations::Order *Given);
+  /// Whether nothing new may be sent to the upstream.
+  bool isEvacuated() const { return this->Evacuation.has_value(); }
+  /// Whether a leased connection may still be used at \p Now.
+  bool maySend(TimePoint Now) const {
+    return !this->Evacuation || Now < this->Evacuation->TransactionsEndAt;
+  }
+
   /// Waits for a connection until the waiter gives up or \p Wait cancels.
   /// \returns an empty lease if no connection was assigned.
   boost::asio::awaitable<ConnectionLease> acquire(PoolWaiter Waiter,
@@ -144,6 +158,9 @@
   bool dropIfClosed(ConnectionId Id);
   boost::asio::awaitable<void> open(std::string Workspace);
   void armTimer();
+  void closeIdle();
+  void armEvacuationTimer(TimePoint Now);
+  void endEvacuatedWork(TimePoint Now);
 
   boost::asio::any_io_executor Executor;
   const UpstreamProtocol &Protocol;
@@ -156,6 +173,8 @@
   WaiterId NextWaiter = 1;
   boost::asio::steady_timer Timer;
   std::optional<TimePoint> TimerAt;
+  boost::asio::steady_timer EvacuationTimer;
+  std::optional<Evacuations::Order> Evacuation;
   std::chrono::microseconds ResponseTime{InitialResponseTime};
   TimePoint ResponseTimeAt{};
   std::optional<Position> LastSeenPosition;
--- a/src/libs/sessionproxy/upstreamconnection.h
+++ b/src/libs/sessionproxy/upstreamconnection.h
@@ -63,6 +63,8 @@
 
   void close();
   bool isOpen() const { return this->Open; }
+  /// Whether commands were sent whose replies are awaited.
+  bool awaitsReplies() const { return this->Open && this->Deadline; }
 
   /// Session state that is set up on this connection.
   UpstreamConnectionState Image;
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -68,6 +68,11 @@
 executeWork(ConnectionLease &Lease, UpstreamWork Work, StatementNames &Names) {
   WorkResult Result;
   Result.Connected = true;
+  if (!Lease.client()->maySend(steadyNow())) {
+    Lease->close();
+    Result.Lost = true;
+    co_return Result;
+  }
   const std::string *Definition = Work.Definition ? &*Work.Definition : nullptr;
   std::vector<Command> Batch =
       Lease->Image.switchTo(Work.Values, Definition, Names, Work.InTransaction);
@@ -94,7 +99,10 @@
                               Result.Guard && Result.Guard->ok() && Count > 0;
     Exchange.Replies.clear();
     Exchange.Sent = false;
-    if (SendCommands) {
+    if (SendCommands && !Lease.client()->maySend(steadyNow())) {
+      Lease->close();
+      Result.Lost = true;
+    } else if (SendCommands) {
       Start = steadyNow();
       Exchange =
           co_await Lease->exchange(std::move(Work.Commands), Work.Deadline);
@@ -121,7 +129,9 @@
 
 void rollBackAndRelease(const asio::any_io_executor &Executor,
                         ConnectionLease Lease) {
-  if (!Lease || !Lease->isOpen())
+  // The lease closes a connection that must not be used, so that the upstream
+  // rolls back.
+  if (!Lease || !Lease->isOpen() || !Lease.client()->maySend(steadyNow()))
     return;
   asio::co_spawn(
       Executor,
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import tempfile
+import time
 from pathlib import Path
 
 from cluster import PATIENCE_S, program, wait_until
@@ -53,7 +54,7 @@
 class Host:
     """One daemon."""
 
-    def __init__(self, name, store_port, directory):
+    def __init__(self, name, store_port, directory, zone="z1", bounds=""):
         self.name = name
         self.front, self.readiness = fixed_port(), fixed_port()
         first = fixed_port()
@@ -63,7 +64,7 @@
         settings.write_text(f"""
 node-name = "{name}"
 ip-address = "127.0.0.1"
-zone = "z1"
+zone = "{zone}"
 a-field-of-tomorrow = true
 internal-port-range = [{first},{second}]
 [listen]
@@ -71,6 +72,7 @@
 readiness = "127.0.0.1:{self.readiness}"
 [bounds]
 grace-period-s = 6
+{bounds}
 [platform]
 address = "127.0.0.1:{store_port}"
 [cloud]
@@ -111,19 +113,43 @@
 
 
 class SessionFleet:
-    """Store, one group of three databases, and hosts."""
+    """Store, one group of three databases, and hosts.
 
-    def __init__(self, hosts=1):
+    zones are those of the databases, the first one of which is the primary, and
+    bounds further lines of the settings of the hosts. Each host has a port of
+    the store of its own, so that the store can refuse single hosts."""
+
+    def __init__(self, hosts=1, zones=("z1", "z1", "z1"), bounds="", orders=()):
         self.directory = tempfile.TemporaryDirectory()
         self.callers = []
         self.loop = Loop()
         self.store = Store(self.loop)
-        self.databases = [Database(self.loop, self.store, "orders", f"i-{n}", n == 1) for n in (1, 2, 3)]
+        self.databases = [Database(self.loop, self.store, "orders", f"i-{n}", n == 1, zone)
+                          for n, zone in enumerate(zones, 1)]
         self.configure(1)
-        self.hosts = [Host(f"host-{n}", self.store.port, self.directory.name) for n in range(hosts)]
+        self.bounds = bounds
+        for each in orders:
+            self.loop.call(self.store.put, "evacuations", each, {})
+        self.hosts = []
+        for _ in range(hosts):
+            self.start_host()
         for each in self.hosts:
             wait_until(f"{each.name} is ready", lambda: self.ready(each))
 
+    def start_host(self, zone="z1"):
+        port = self.loop.run(self.store.listen()) if self.hosts else self.store.port
+        self.hosts.append(Host(f"host-{len(self.hosts)}", port, self.directory.name, zone, self.bounds))
+        self.hosts[-1].store_port = port
+        return self.hosts[-1]
+
+    def order(self, zone, spec=None):
+        """Orders the evacuation of a failure domain; returns when."""
+        self.loop.call(self.store.put, "evacuations", zone, {} if spec is None else spec)
+        return time.monotonic()
+
+    def withdraw(self, zone):
+        self.loop.call(self.store.remove, "evacuations", zone)
+
     def configure(self, version, **changes):
         self.loop.call(self.store.put, "config", "main", configuration(version, **changes))
 
@@ -149,5 +175,7 @@
             each.close()
         for each in self.databases + [self.store]:
             self.loop.call(each.server.close)
+        for each in self.store.servers:
+            self.loop.call(each.close)
         self.loop.stop()
         self.directory.cleanup()
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -7,6 +7,8 @@
 import asyncio
 import json
 import threading
+import time
+from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
@@ -58,6 +60,21 @@
         self.connections = set()
         self.server = loop.run(asyncio.start_server(self._serve, "127.0.0.1", 0))
         self.port = self.server.sockets[0].getsockname()[1]
+        self.servers = []  # Further ones.
+        self.refused_ports = set()  # Calls to them are refused.
+        self.calls = Counter()  # Kinds that were listed or watched.
+
+    async def listen(self):
+        """Opens another port; returns its number."""
+        self.servers.append(await asyncio.start_server(self._serve, "127.0.0.1", 0))
+        return self.servers[-1].sockets[0].getsockname()[1]
+
+    def refuse(self, port):
+        """Refuses calls to a port from now on, and cuts its connections."""
+        self.refused_ports.add(port)
+        for writer in list(self.connections):
+            if writer.get_extra_info("sockname")[1] == port:
+                writer.transport.abort()
 
     def put(self, kind, name, spec):
         """Creates or replaces an object. Called on the loop."""
@@ -101,7 +118,10 @@
                 method, target, _ = lines[0].split(" ")
                 headers = {k.lower(): v.strip() for k, _, v in (x.partition(":") for x in lines[1:] if x)}
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                status, answer = await self._answer(method, target, headers, json.loads(body) if body else None)
+                if writer.get_extra_info("sockname")[1] in self.refused_ports:
+                    status, answer = 503, {}
+                else:
+                    status, answer = await self._answer(method, target, headers, json.loads(body) if body else None)
                 data = json.dumps(answer).encode()
                 for placeholder, raw in self.raw.items():
                     data = data.replace(json.dumps(placeholder).encode(), raw)
@@ -124,6 +144,7 @@
         path = parts.path.removeprefix("/-/objects/").split("/")
         kind = self.objects.setdefault(path[0], {})
         if method == "GET" and len(path) == 1:
+            self.calls[path[0]] += 1
             if "watch" in query:
                 return await self._watch(path[0], int(query["watch"]), int(query["wait-ms"]) / 1000)
             return 200, {"items": list(kind.values()), "more": False, "at-revision": self.revision}
@@ -181,7 +202,7 @@
 class Database:
     """A database of a group. Replicas get each commit after a lag."""
 
-    def __init__(self, loop: Loop, store: Store, group: str, name: str, primary: bool):
+    def __init__(self, loop: Loop, store: Store, group: str, name: str, primary: bool, zone: str = "z1"):
         self.loop, self.store, self.group, self.name = loop, store, group, name
         self.primary = primary
         self.running = True
@@ -191,7 +212,10 @@
         self.lose_answers = False
         self.hold = 0.0
         self.status_delay = 0.0
+        self.zone = zone
+        self.cold_ms = 0
         self.runs = []
+        self.received = []  # (time, line) of all connections.
         self.greetings = []
         self.connections = set()
         self.sessions = []
@@ -203,8 +227,8 @@
 
     def announce(self, state="ready"):
         self.store.put("servers", self.name, {
-            "service": self.group, "address": f"127.0.0.1:{self.port}", "zone": "z1", "version": "v1",
-            "slots": 2, "state": state, "cold-remaining-ms": 0,
+            "service": self.group, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
+            "slots": 2, "state": state, "cold-remaining-ms": self.cold_ms,
             "database-role": "primary" if self.primary else "replica", "sequence": 1, "born": 1})
 
     def members(self):
@@ -291,7 +315,9 @@
             await self._query(statement, text)
 
     async def _line(self):
-        return (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
+        line = (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
+        self.database.received.append((time.monotonic(), line))
+        return line
 
     def _send(self, *lines):
         self.writer.write("".join(line + "\r\n" for line in lines).encode())
