--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -36,6 +36,9 @@
       WatchesStore(this->Registry.gauge(
           "lavenderdale_watches_store",
           "1 if this host watches the store itself, otherwise 0")),
+      EvacuationRefusals(this->Registry.counter(
+          "lavenderdale_evacuation_refusals_total",
+          "Work that was not sent to an upstream in an evacuated domain")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -48,6 +51,15 @@
       Isolated(this->Registry.gauge(
           "lavenderdale_domain_isolated",
           "1 while no host of another failure domain answers")),
+      EvacuatedDomains(
+          this->Registry.gauge("lavenderdale_evacuated_domains",
+                               "Failure domains that are evacuated")),
+      EvacuationRevision(this->Registry.gauge(
+          "lavenderdale_evacuation_revision",
+          "Revision of the store at which the evacuated domains were read")),
+      EvacuatedConnections(this->Registry.gauge(
+          "lavenderdale_evacuated_connections",
+          "Connections of this host to upstreams in evacuated domains")),
       StatementTime(
           this->Registry.histogram("lavenderdale_statement_seconds",
                                    "From a caller's statement to its reply")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -40,11 +40,15 @@
   Counter &SharedReceived; ///< States of the store that another host sent.
   Counter &SharedAnswered; ///< States of the store sent to other hosts.
   Gauge &WatchesStore;     ///< 1 if this host watches the store itself.
+  Counter &EvacuationRefusals; ///< Work not sent to evacuated upstreams.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
   Gauge &UpstreamConnections;
   Gauge &Isolated; ///< 1 while no host of another failure domain answers.
+  Gauge &EvacuatedDomains;
+  Gauge &EvacuationRevision;       ///< Of the store, at which they were read.
+  Gauge &EvacuatedConnections;     ///< Of this host to upstreams there.
   LatencyHistogram &StatementTime; ///< From the caller's message to the reply.
   LatencyHistogram &WaitTime;      ///< Wait for an upstream connection.
   LatencyHistogram &UpstreamTime;  ///< Time spent at upstreams.
--- a/src/libs/sessionproxy/storefollower.h
+++ b/src/libs/sessionproxy/storefollower.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace lavenderdale {
@@ -58,6 +59,8 @@
   };
 
   Task<void> follow(FollowedCollection Followed);
+  /// Follows \p Followed once the evacuated failure domains are known.
+  Task<void> followAfterEvacuations(FollowedCollection Followed);
   Task<bool> watchChanges(const FollowedCollection &Followed,
                           std::uint64_t Revision);
   /// Waits for about \p Length, and doubles it up to MaxBackoff.
@@ -68,6 +71,8 @@
   void confirmCatalogue(const StoredObjects &Objects);
   void replaceUpstreams(const StoredObjects &Objects);
   void updateUpstreams(const StoredObjects &Objects);
+  void replaceEvacuations(const StoredObjects &Objects);
+  void updateEvacuations(const StoredObjects &Objects);
   void recordStoreOutage();
   void recordOutageOfWatcher(const StoredObjects &Objects);
   void doNothing() {}
@@ -84,6 +89,8 @@
   const Endpoint Reports;
   const Endpoint Internal;
   std::mt19937_64 Random;
+  /// As read from the store, also while a later set is known from a report.
+  std::set<std::string> EvacuatedDomains;
   bool Stopped = false;
 };
 
