Keep callers and peers of the session proxy within a memory budget

Cause: callers with messages that never end, many large messages, much session state or many idle connections, and peers that announce large requests, could use any amount of memory and descriptors.

Change: MessageBuffer reserves memory before it reads further and moves large messages out of the buffer. CallerSession reserves for work, session state and answers, and refuses as not run what does not fit. Messages and answers that are slower than 10 s plus a second for each 16 kB end their session. SessionServer and RelayServer limit connections; an idle one of the owner with the most gives way. Requests of other hosts above 4 kB are counted, and at most 1,024 of a connection run at once. Refusals are summarised once a second (event=connections_limited) and counted in metrics.

Ordinary messages need no timer, clock or count: slow transfers are found by the check of all sessions that already ran every 250 ms, and up to 4 kB of a use are covered by the limit of connections.

--- a/src/libs/limits/memorybudget.cpp
+++ b/src/libs/limits/memorybudget.cpp
@@ -9,7 +9,7 @@
 /// Percentages of the shared memory, by use. Receiving has the most, since a
 /// message is held several times while it is worked on.
 constexpr std::array<std::size_t, MemoryBudget::UseCount> Percentages = {
-    40, 20, 25, 15};
+    38, 18, 22, 22};
 
 } // namespace
 
@@ -20,28 +20,36 @@
                          MinDescriptors);
   const std::size_t ForConnections = Descriptors - FileDescriptors;
   Limits Result;
-  // At most half of the callers' memory goes to the own parts of connections.
-  Result.Connections = std::min(ForConnections - ForConnections / 4,
-                                Memory / 4 / ConnectionBytes);
-  const std::size_t Shared = Memory / 2 - Result.Connections * ConnectionBytes;
+  // At most five eighths of the callers' memory go to the own parts of
+  // connections.
+  Result.Connections = {
+      std::min(ForConnections - ForConnections / 4,
+               Memory / 4 / ConnectionBytes),
+      std::min(ForConnections / 8, Memory / 16 / ConnectionBytes)};
+  const std::size_t Shared =
+      Memory / 2 -
+      (Result.Connections[0] + Result.Connections[1]) * ConnectionBytes;
   for (std::size_t Each = 0; Each < UseCount; ++Each)
     Result.Bytes[Each] = Shared / 100 * Percentages[Each];
   return Result;
 }
 
-MemoryBudget::Account::Account(MemoryBudget &Budget, std::string Owner,
-                               std::function<void()> Close)
-    : Budget(Budget), Owner(std::move(Owner)), Close(std::move(Close)),
-      ProgressAt(Budget.Now),
+MemoryBudget::Account::Account(MemoryBudget &Budget, Role Kind,
+                               std::string Owner, std::function<void()> Close)
+    : Keep(Budget.shared_from_this()), Budget(Budget), Kind(Kind),
+      Owner(std::move(Owner)), Close(std::move(Close)), ProgressAt(Budget.Now),
       Place(Budget.Accounts.insert(Budget.Accounts.end(), this)) {
   ++Budget.Owners[this->Owner].Connections;
+  ++Budget.Connections[static_cast<std::size_t>(Kind)];
 }
 
 MemoryBudget::Account::~Account() {
   for (std::size_t Each = 0; Each < UseCount; ++Each)
     this->Budget.set(*this, Each, 0);
+  const auto RoleIndex = static_cast<std::size_t>(this->Kind);
+  --this->Budget.Connections[RoleIndex];
   if (this->Closing)
-    --this->Budget.ClosingConnections;
+    --this->Budget.ClosingConnections[RoleIndex];
   this->Budget.leave(*this);
   this->Budget.Accounts.erase(this->Place);
 }
@@ -143,23 +151,26 @@
 
 void MemoryBudget::close(Account &Victim) {
   Victim.Closing = true;
-  ++this->ClosingConnections;
+  ++this->ClosingConnections[static_cast<std::size_t>(Victim.Kind)];
   for (std::size_t Each = 0; Each < UseCount; ++Each)
     this->ComingFree[Each] += Victim.Held[Each];
   this->countFor(Victim.Owner);
   Victim.Close();
 }
 
-MemoryBudget::Grant MemoryBudget::admitConnection(const std::string &Owner) {
-  const std::size_t Staying = this->Accounts.size() - this->ClosingConnections;
-  if (Staying < this->Allowed.Connections)
-    return this->Accounts.size() < this->Allowed.Connections
-               ? Grant::Given
-               : Grant::AfterClosing;
+MemoryBudget::Grant MemoryBudget::admitConnection(Role Kind,
+                                                  const std::string &Owner) {
+  const auto Index = static_cast<std::size_t>(Kind);
+  const std::size_t Open = this->Connections[Index];
+  const std::size_t Limit = this->Allowed.Connections[Index];
+  if (Open < Limit)
+    return Grant::Given;
+  if (Open - this->ClosingConnections[Index] < Limit)
+    return Grant::AfterClosing;
   Account *Best = nullptr;
   std::size_t BestOfOwner = 0;
   for (Account *Each : this->Accounts) {
-    if (Each->Closing || Each->Busy ||
+    if (Each->Kind != Kind || Each->Closing || Each->Busy ||
         this->Now - Each->ProgressAt < StalledAfter)
       continue;
     const std::size_t OfOwner = this->Owners.at(Each->Owner).Connections;
@@ -184,6 +195,11 @@
   this->countFor(For.Owner);
 }
 
+void MemoryBudget::countTooSlow(const Account &For) {
+  ++this->Events.TooSlow;
+  this->countFor(For.Owner);
+}
+
 void MemoryBudget::countFor(const std::string &Owner) {
   if (this->EventsOf.size() < CountedOwners || this->EventsOf.count(Owner))
     ++this->EventsOf[Owner];
--- a/src/libs/sessionproxy/callersession.cpp
+++ b/src/libs/sessionproxy/callersession.cpp
@@ -1,13 +1,14 @@
 #include "callersession.h"
 
 #include "http/resumewith.h"
-#include "messagereader.h"
+#include "memoryreservation.h"
 #include "socketoptions.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <sys/socket.h>
 #include <utility>
@@ -17,14 +18,29 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using Use = MemoryBudget::Use;
+
+/// Returns whether a transfer of \p Bytes that began at \p Since is too slow.
+bool exceedsTime(TimePoint Since, std::size_t Bytes, TimePoint Now) {
+  return Now - Since >
+         CallerSession::TransferGrace +
+             std::chrono::seconds(Bytes / CallerSession::SlowestBytesPerSecond);
+}
+
+Error outOfMemory() {
+  return failure(ErrorKind::QueueFull,
+                 "no memory for large messages; retry-after-ms=1000");
+}
 
 } // namespace
 
-CallerSession::CallerSession(asio::ip::tcp::socket Socket, ProxyState &State,
+CallerSession::CallerSession(asio::ip::tcp::socket Socket,
+                             const std::string &From, ProxyState &State,
                              StatementExecutor &Executor,
                              const CallerProtocol &Protocol)
     : Socket(std::move(Socket)), State(State), Executor(Executor),
-      Protocol(Protocol) {
+      Protocol(Protocol), Memory(State.memory(), MemoryBudget::Role::Caller,
+                                 From, [this] { this->closeNow(); }) {
   setLivenessOptions(this->Socket, UnacknowledgedLimit);
 }
 
@@ -67,6 +83,9 @@
   }
   this->Start = Decoded.value();
   this->Workspace = Admitted.value();
+  if (!this->Workspace.empty())
+    this->Memory.setOwner("workspace " + this->Workspace);
+  this->Memory.reserve(Use::Receiving, this->Incoming.bytes());
   this->State.metrics().Sessions.add();
   this->Protocol.encodeReady(TransactionPhase::None, std::nullopt, Out);
   co_return co_await this->write(std::move(Out));
@@ -76,7 +95,7 @@
   if (this->ClosingAfterStatement ||
       (this->ClosingWhenIdle && !this->Session.inTransaction()))
     co_return false;
-  const std::optional<std::string> Line = co_await this->readLine();
+  std::optional<std::string> Line = co_await this->readLine();
   this->Deadline.reset();
   // A statement that arrives while the session is being closed is not run,
   // because its reply could no longer be sent.
@@ -92,8 +111,20 @@
   }
   if (!Decoded.value())
     co_return false;
+  const std::size_t Size = Line->size();
+  Line.reset(); // A large message is not kept once more while it runs.
   this->Serving = true;
-  co_await this->handle(*Decoded.value(), Out);
+  this->Memory.setBusy(true);
+  Result<void> Reserved = success();
+  if (Size > MemoryBudget::OrdinaryBytes)
+    Reserved = co_await this->reserveForWork(Size);
+  if (Reserved)
+    co_await this->handle(*Decoded.value(), Out);
+  else
+    this->encodeRefusal(Reserved.error(), Out);
+  Decoded = std::optional<Statement>();
+  this->Memory.reserve(Use::Receiving, this->Incoming.bytes());
+  this->Memory.setBusy(this->Session.inTransaction());
   this->Serving = false;
   if (this->Disconnected)
     co_return false;
@@ -103,15 +134,61 @@
   co_return co_await this->write(std::move(Out));
 }
 
+// The times of transfers are taken here, so that ordinary messages need no
+// clock.
+bool CallerSession::isTooSlow(TimePoint Now) {
+  if (this->Writing > 0) {
+    if (!this->WritingSince)
+      this->WritingSince = Now;
+    return exceedsTime(*this->WritingSince, this->Writing, Now);
+  }
+  if (this->Serving || this->Incoming.pending() == 0)
+    return false;
+  if (!this->ReceivingSince)
+    this->ReceivingSince = Now;
+  return exceedsTime(*this->ReceivingSince, this->Incoming.pending(), Now);
+}
+
 void CallerSession::checkLimits(TimePoint Now) {
+  if (this->Memory.isClosing())
+    return;
   if (this->Deadline && *this->Deadline <= Now) {
     logInfo("event=session_limit workspace=" + this->Workspace +
             (this->Session.inTransaction() ? " reason=transaction_idle"
                                            : " reason=no_start"));
     this->closeNow();
+    return;
+  }
+  if (this->isTooSlow(Now)) {
+    this->State.memory().countTooSlow(this->Memory);
+    this->closeNow();
   }
 }
 
+// Memory for a large message while it is worked on. What is refused has not
+// run.
+asio::awaitable<Result<void>> CallerSession::reserveForWork(std::size_t Size) {
+  const std::size_t Bytes = WorkingCopies * Size + this->Incoming.bytes();
+  if (this->Memory.reserve(Use::Receiving, Bytes) ==
+          MemoryBudget::Grant::Given ||
+      co_await awaitMemory(this->Memory, Use::Receiving, Bytes))
+    co_return success();
+  co_return outOfMemory();
+}
+
+// Memory for a value or prepared statement that is about to be kept.
+asio::awaitable<Result<void>>
+CallerSession::reserveForChange(const Statement &Request) {
+  const std::size_t Bytes = this->Session.bytes() + Request.Name.size() +
+                            Request.Argument.size() + SessionState::EntryBytes;
+  if (this->Memory.reserve(Use::SessionState, Bytes) ==
+          MemoryBudget::Grant::Given ||
+      co_await awaitMemory(this->Memory, Use::SessionState, Bytes))
+    co_return success();
+  co_return failure(ErrorKind::QueueFull,
+                    "no memory for session state; retry-after-ms=1000");
+}
+
 // Cancels only the pending read: a statement that has already arrived is still
 // answered.
 void CallerSession::closeWhenIdle() {
@@ -146,28 +223,45 @@
   std::string Line;
   bool Arrived = true;
   while (Arrived) {
-    Failure =
-        co_await readMessage(this->Socket, this->Buffer, MaxLineBytes, Line);
+    Failure = co_await this->Incoming.read(this->Socket, MaxLineBytes,
+                                           this->Memory, Line);
     error_code Ignored;
     Arrived = Failure == asio::error::operation_aborted &&
               this->ClosingWhenIdle && !this->ClosingAfterStatement &&
               this->Socket.available(Ignored) > 0;
   }
-  if (Failure == asio::error::not_found) {
-    std::string Out;
+  this->ReceivingSince.reset();
+  std::string Out;
+  if (Failure == asio::error::not_found)
     this->Protocol.encodeError(
         failure(ErrorKind::PayloadTooLarge, "the message is too long"), Out);
+  if (Failure == asio::error::no_buffer_space && !this->Memory.isClosing())
+    this->Protocol.encodeError(outOfMemory(), Out);
+  if (!Out.empty())
     co_await this->write(std::move(Out));
-  }
   if (Failure)
     co_return std::nullopt;
   co_return Line;
 }
 
 asio::awaitable<bool> CallerSession::write(std::string Out) {
+  // A very large answer is counted as half of all, so that it is delivered when
+  // few others are.
+  const std::size_t Counted =
+      std::min(Out.capacity(), this->State.memory().limit(Use::Answers) / 2);
+  if (this->Memory.reserve(Use::Answers, Counted) !=
+          MemoryBudget::Grant::Given &&
+      !co_await awaitMemory(this->Memory, Use::Answers, Counted))
+    co_return false;
   error_code Failure;
+  this->Memory.touch();
+  this->Writing = Out.size();
   co_await asio::async_write(this->Socket, asio::buffer(Out),
                              resumeWith(Failure));
+  this->Writing = 0;
+  this->WritingSince.reset();
+  std::string().swap(Out);
+  this->Memory.reserve(Use::Answers, 0);
   co_return !Failure;
 }
 
@@ -397,7 +491,11 @@
 
 asio::awaitable<void> CallerSession::changeSession(const Statement &Request,
                                                    std::string &Out) {
-  Result<void> Changed = success();
+  Result<void> Changed = co_await this->reserveForChange(Request);
+  if (!Changed) {
+    this->encodeRefusal(Changed.error(), Out);
+    co_return;
+  }
   if (Request.Kind == StatementKind::SetValue)
     Changed = this->Session.setValue(Request.Name, Request.Argument);
   else if (Request.Kind == StatementKind::Prepare)
@@ -405,11 +503,11 @@
         Request.Name, {Request.Argument, Request.DefinitionWrites});
   else
     Changed = this->Session.deallocate(Request.Name);
+  this->Memory.reserve(Use::SessionState, this->Session.bytes());
   if (!Changed)
     this->answerError(Changed.error(), Request, Out);
   else
     this->answerLocally(Out);
-  co_return;
 }
 
 asio::awaitable<void> CallerSession::reject(const Statement &Request,
@@ -421,11 +519,16 @@
 
 void CallerSession::answerError(const Error &Failure, const Statement &Request,
                                 std::string &Out) {
-  this->State.metrics().countRefusal(Failure.Kind);
   logInfo("event=refused id=" + Request.Id + " database=" +
           this->Start.Database + " workspace=" + this->Workspace +
           " kind=" + std::string(errorAnswer(Failure.Kind).Name) +
           " detail=\"" + Failure.Detail + "\"");
+  this->encodeRefusal(Failure, Out);
+}
+
+// Without a log line: refusals for want of memory are summarised.
+void CallerSession::encodeRefusal(const Error &Failure, std::string &Out) {
+  this->State.metrics().countRefusal(Failure.Kind);
   this->Protocol.encodeError(Failure, Out);
   this->Protocol.encodeReady(this->Session.phase(), std::nullopt, Out);
 }
--- a/src/libs/sessionproxy/callersession.h
+++ b/src/libs/sessionproxy/callersession.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "limits/memorybudget.h"
+#include "messagebuffer.h"
 #include "proxystate.h"
 #include "statementexecutor.h"
 
@@ -22,14 +24,27 @@
   /// A connection whose peer does not acknowledge data for this long is closed.
   static constexpr std::chrono::milliseconds UnacknowledgedLimit{8000};
 
-  CallerSession(boost::asio::ip::tcp::socket Socket, ProxyState &State,
-                StatementExecutor &Executor, const CallerProtocol &Protocol);
+  /// A message or an answer may take this long, and in addition a second for
+  /// each SlowestBytesPerSecond. A caller that is slower is disconnected.
+  static constexpr std::chrono::seconds TransferGrace{10};
+  /// A message of the largest size takes 64 s at this pace, which is a
+  /// hundredth of the slowest link.
+  static constexpr std::size_t SlowestBytesPerSecond = 16384;
+  /// How often a large message is held while it is worked on: decoded, as a
+  /// command, encoded, and as what is sent.
+  static constexpr std::size_t WorkingCopies = 4;
+
+  /// \param From address of the caller, until its workspace is known.
+  CallerSession(boost::asio::ip::tcp::socket Socket, const std::string &From,
+                ProxyState &State, StatementExecutor &Executor,
+                const CallerProtocol &Protocol);
 
   /// Serves the session until it ends.
   boost::asio::awaitable<void> run();
 
   /// Closes the session if the caller has missed the deadline for its start
-  /// message, or for the next statement of an open transaction.
+  /// message, or for the next statement of an open transaction, or sends a
+  /// message or takes an answer too slowly.
   void checkLimits(TimePoint Now);
 
   /// Closes the session as soon as neither a statement nor a transaction is
@@ -75,15 +90,21 @@
   Result<void> checkAccess();
   void answerError(const Error &Failure, const Statement &Request,
                    std::string &Out);
+  void encodeRefusal(const Error &Failure, std::string &Out);
   void answerLocally(std::string &Out);
   void logIfSlow(const StatementCall &Call) const;
   void watchDisconnect();
+  boost::asio::awaitable<Result<void>> reserveForWork(std::size_t Size);
+  boost::asio::awaitable<Result<void>>
+  reserveForChange(const Statement &Request);
+  bool isTooSlow(TimePoint Now);
 
   boost::asio::ip::tcp::socket Socket;
   ProxyState &State;
   StatementExecutor &Executor;
   const CallerProtocol &Protocol;
-  std::string Buffer;
+  MessageBuffer Incoming;
+  MemoryBudget::Account Memory;
   SessionStart Start;
   std::string Workspace;
   SessionState Session;
@@ -99,6 +120,12 @@
   bool ClosingAfterStatement = false;
   /// For the start message, or the next statement of a transaction.
   std::optional<TimePoint> Deadline;
+  /// Bytes of the answer that is being written; 0 if none is.
+  std::size_t Writing = 0;
+  /// When checkLimits() first saw the present message unfinished, or the
+  /// present answer not taken.
+  std::optional<TimePoint> ReceivingSince;
+  std::optional<TimePoint> WritingSince;
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -1,5 +1,7 @@
 #include "proxymetrics.h"
 
+#include <array>
+
 namespace lavenderdale {
 
 ProxyMetrics::ProxyMetrics()
@@ -57,4 +59,50 @@
       .add();
 }
 
+void ProxyMetrics::countLimited(const MemoryBudget::Counts &Counts) {
+  const auto Count = [this](const char *What, std::uint64_t Events) {
+    this->Registry
+        .counter("lavenderdale_connections_limited_total",
+                 "Refusals and closed connections because of the limits of "
+                 "memory and connections",
+                 {{"what", What}})
+        .add(Events);
+  };
+  Count("memory_refused", Counts.Refused);
+  Count("closed_for_memory", Counts.Closed);
+  Count("connection_refused", Counts.ConnectionsRefused);
+  Count("idle_closed", Counts.ConnectionsClosed);
+  Count("too_slow", Counts.TooSlow);
+}
+
+void ProxyMetrics::setUse(const MemoryBudget &Memory) {
+  struct Row {
+    const char *Name;
+    MemoryBudget::Use Use;
+  };
+  static constexpr std::array<Row, MemoryBudget::UseCount> Table = {{
+      {"receiving", MemoryBudget::Use::Receiving},
+      {"session_state", MemoryBudget::Use::SessionState},
+      {"answers", MemoryBudget::Use::Answers},
+      {"relayed", MemoryBudget::Use::Relayed},
+  }};
+  const auto Set = [this](const char *Name, const char *Help, const Row &Each,
+                          std::size_t Bytes) {
+    this->Registry.gauge(Name, Help, {{"use", Each.Name}})
+        .set(static_cast<std::int64_t>(Bytes));
+  };
+  for (const Row &Each : Table) {
+    Set("lavenderdale_limited_memory_bytes",
+        "Memory counted for callers and other hosts, by use", Each,
+        Memory.used(Each.Use));
+    Set("lavenderdale_limited_memory_limit_bytes", "Limit of the memory by use",
+        Each, Memory.limit(Each.Use));
+  }
+  this->Registry
+      .gauge("lavenderdale_open_sessions_limit", "Sessions that may be open")
+      .set(static_cast<std::int64_t>(
+          Memory.limits().Connections[static_cast<std::size_t>(
+              MemoryBudget::Role::Caller)]));
+}
+
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/errorkind.h"
+#include "limits/memorybudget.h"
 #include "telemetry/metricsregistry.h"
 
 #include <string>
@@ -17,6 +18,11 @@
   /// Counts a failed attempt at an upstream.
   void countAttempt(const char *Outcome);
 
+  /// Counts what the memory budget refused or closed.
+  void countLimited(const MemoryBudget::Counts &Counts);
+  /// Sets the gauges of the memory budget.
+  void setUse(const MemoryBudget &Memory);
+
   /// Returns all metrics in the text format of Prometheus.
   std::string exposition() const { return this->Registry.exposition(); }
 
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -22,9 +22,10 @@
 
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
                        const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-                       RateTolerance Tolerance)
+                       RateTolerance Tolerance, MemoryBudget::Limits Allowed)
     : Executor(std::move(Executor)), Protocol(Protocol),
       Identity(std::move(Identity)), Tolerance(Tolerance),
+      Memory(std::make_shared<MemoryBudget>(Allowed, steadyNow())),
       Access(this->Executor,
              {this->Identity.Host, this->Identity.FailureDomain,
               this->Identity.Capacity},
@@ -412,6 +413,7 @@
 }
 
 void ProxyState::updateGauges() {
+  this->Metrics.setUse(*this->Memory);
   this->Metrics.CatalogueVersion.set(
       this->Catalogue ? static_cast<std::int64_t>(this->Catalogue->Version)
                       : 0);
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -4,6 +4,7 @@
 #include "failover/troublenotices.h"
 #include "fleetview.h"
 #include "limits/contactfraction.h"
+#include "limits/memorybudget.h"
 #include "limits/ownedrate.h"
 #include "limits/sharedrate.h"
 #include "protocols.h"
@@ -65,7 +66,8 @@
 
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-             RateTolerance Tolerance);
+             RateTolerance Tolerance,
+             MemoryBudget::Limits Allowed = MemoryBudget::limitsFor(0, 0));
 
   /// Applies a catalogue if it is newer than the current one.
   /// \param Source where it came from, for the log.
@@ -135,6 +137,7 @@
   FleetView &fleet() { return this->Fleet; }
   UpstreamAccess &access() { return this->Access; }
   ProxyMetrics &metrics() { return this->Metrics; }
+  MemoryBudget &memory() { return *this->Memory; }
   /// Sets the gauges to the current state.
   void updateGauges();
   const ProxyIdentity &identity() const { return this->Identity; }
@@ -178,6 +181,7 @@
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
   ProxyMetrics Metrics;
+  const std::shared_ptr<MemoryBudget> Memory;
   UpstreamAccess Access;
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
   std::map<std::string, std::shared_ptr<ProxyGroup>> GroupsByUpstream;
--- a/src/libs/sessionproxy/relaymessages.cpp
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -213,24 +213,35 @@
   return Length;
 }
 
-asio::awaitable<Result<void>> readRelay(asio::ip::tcp::socket &From,
-                                        std::string &Bytes) {
+asio::awaitable<Result<std::size_t>>
+readRelayLength(asio::ip::tcp::socket &From) {
   std::array<char, RelayHeaderBytes> Header{};
   boost::system::error_code Failure;
   co_await asio::async_read(From, asio::buffer(Header), resumeWith(Failure));
   if (Failure)
     co_return failure(ErrorKind::Unavailable, Failure.message());
-  const Result<std::size_t> Length =
-      relayLength({Header.data(), Header.size()});
-  if (!Length)
-    co_return Length.error();
-  Bytes.resize(Length.value());
+  co_return relayLength({Header.data(), Header.size()});
+}
+
+asio::awaitable<Result<void>> readRelayBody(asio::ip::tcp::socket &From,
+                                            std::size_t Length,
+                                            std::string &Bytes) {
+  boost::system::error_code Failure;
+  Bytes.resize(Length);
   co_await asio::async_read(From, asio::buffer(Bytes), resumeWith(Failure));
   if (Failure)
     co_return failure(ErrorKind::Unavailable, Failure.message());
   co_return success();
 }
 
+asio::awaitable<Result<void>> readRelay(asio::ip::tcp::socket &From,
+                                        std::string &Bytes) {
+  const Result<std::size_t> Length = co_await readRelayLength(From);
+  if (!Length)
+    co_return Length.error();
+  co_return co_await readRelayBody(From, Length.value(), Bytes);
+}
+
 Result<RelayRequest> decodeRelayRequest(std::string_view Bytes) {
   return decode<RelayRequest>(Bytes, [](const Json &Value) {
     RelayRequest Request;
--- a/src/libs/sessionproxy/relaymessages.h
+++ b/src/libs/sessionproxy/relaymessages.h
@@ -84,6 +84,17 @@
 /// more than MaxRelayBytes.
 Result<std::size_t> relayLength(std::string_view Header);
 
+/// Reads the header of a message and returns the length of its body. Errors: as
+/// those of readRelay().
+boost::asio::awaitable<Result<std::size_t>>
+readRelayLength(boost::asio::ip::tcp::socket &From);
+
+/// Reads the body of a message into \p Bytes. Errors: Unavailable if the
+/// connection fails or is closed.
+boost::asio::awaitable<Result<void>>
+readRelayBody(boost::asio::ip::tcp::socket &From, std::size_t Length,
+              std::string &Bytes);
+
 /// Reads one message from \p From and stores its body in \p Bytes. Errors:
 /// Unavailable if the connection fails or is closed, BadRequest as from
 /// relayLength().
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -3,6 +3,7 @@
 #include "http/listenon.h"
 #include "http/resumewith.h"
 #include "http/sleepuntil.h"
+#include "memoryreservation.h"
 #include "socketoptions.h"
 #include "telemetry/logging.h"
 
@@ -39,15 +40,32 @@
 /// One connection from another host, with the transactions held for it.
 class RelayServer::Peer : public std::enable_shared_from_this<Peer> {
 public:
-  Peer(tcp::socket Socket, RelayServer &Owner)
-      : Socket(std::move(Socket)), Owner(Owner) {}
+  Peer(tcp::socket Socket, const std::string &From, RelayServer &Owner)
+      : Socket(std::move(Socket)), Owner(Owner),
+        Memory(Owner.State.memory(), MemoryBudget::Role::Peer, From,
+               [this] { this->close(); }) {}
 
   asio::awaitable<void> run();
   void close();
 
 private:
-  void handleRequest(RelayRequest Request);
-  asio::awaitable<void> runWork(RelayRequest Request);
+  /// Counts a request while it is in progress.
+  class InProgress {
+  public:
+    InProgress(Peer &Of, std::size_t Bytes);
+    ~InProgress();
+    InProgress(const InProgress &) = delete;
+    InProgress &operator=(const InProgress &) = delete;
+
+  private:
+    Peer &Of;
+    const std::size_t Bytes;
+  };
+
+  asio::awaitable<Result<void>> read(std::string &Bytes);
+  void updateBusy();
+  void handleRequest(RelayRequest Request, std::size_t Bytes);
+  asio::awaitable<void> runWork(RelayRequest Request, std::size_t Bytes);
   asio::awaitable<ConnectionLease>
   lease(const RelayRequest &Request,
         const std::shared_ptr<UpstreamClient> &Client);
@@ -58,6 +76,9 @@
 
   tcp::socket Socket;
   RelayServer &Owner;
+  MemoryBudget::Account Memory;
+  std::size_t Running = 0;     ///< Requests in progress.
+  std::size_t LargeInWork = 0; ///< Bytes of the large ones of them.
   std::map<std::uint64_t, ConnectionLease> Held;
   std::map<std::uint64_t, WaitHandle *> Waits; ///< By request id.
   std::string Outgoing;
@@ -66,12 +87,54 @@
   bool Closed = false;
 };
 
+// Small requests are not counted, but their number is limited.
+RelayServer::Peer::InProgress::InProgress(Peer &Of, std::size_t Bytes)
+    : Of(Of), Bytes(Bytes > MemoryBudget::OrdinaryBytes ? Bytes : 0) {
+  ++Of.Running;
+  Of.LargeInWork += this->Bytes;
+  Of.updateBusy();
+}
+
+RelayServer::Peer::InProgress::~InProgress() {
+  --this->Of.Running;
+  this->Of.LargeInWork -= this->Bytes;
+  this->Of.updateBusy();
+}
+
+void RelayServer::Peer::updateBusy() {
+  this->Memory.setBusy(this->Running > 0 || !this->Held.empty());
+}
+
+// Reads a message after there is memory for it. A peer that sends more than is
+// carried out is not read for that time.
+asio::awaitable<Result<void>> RelayServer::Peer::read(std::string &Bytes) {
+  while (this->Running >= MaxRequestsInProgress && !this->Closed)
+    co_await sleepUntil(steadyNow() + MemoryRetryInterval);
+  const Result<std::size_t> Length = co_await readRelayLength(this->Socket);
+  if (!Length)
+    co_return Length.error();
+  const std::size_t Large =
+      Length.value() > MemoryBudget::OrdinaryBytes ? Length.value() : 0;
+  // The message is held twice while it is decoded.
+  const std::size_t Wanted = this->LargeInWork + 2 * Large;
+  constexpr auto Use = MemoryBudget::Use::Relayed;
+  if (Large > 0 &&
+      this->Memory.reserve(Use, Wanted) != MemoryBudget::Grant::Given &&
+      !co_await awaitMemory(this->Memory, Use, Wanted))
+    co_return failure(ErrorKind::Unavailable, "no memory for the request");
+  const Result<void> Read =
+      co_await readRelayBody(this->Socket, Length.value(), Bytes);
+  if (Read)
+    this->Memory.touch();
+  co_return Read;
+}
+
 asio::awaitable<void> RelayServer::Peer::run() {
   const std::shared_ptr<Peer> Self = this->shared_from_this();
   setLivenessOptions(this->Socket, UnacknowledgedTimeout);
   std::string Bytes;
   while (!this->Closed) {
-    const Result<void> Read = co_await readRelay(this->Socket, Bytes);
+    const Result<void> Read = co_await this->read(Bytes);
     if (!Read && Read.error().Kind != ErrorKind::Unavailable)
       logWarn("event=relay_request_unreadable error=\"" + Read.error().Detail +
               "\"");
@@ -83,7 +146,11 @@
               Request.error().Detail + "\"");
       break;
     }
-    this->handleRequest(std::move(Request.value()));
+    const std::size_t Size = Bytes.size();
+    if (Size > MemoryBudget::OrdinaryBytes)
+      std::string().swap(Bytes);
+    this->handleRequest(std::move(Request.value()), Size);
+    this->Memory.reserve(MemoryBudget::Use::Relayed, this->LargeInWork);
   }
   this->close();
 }
@@ -101,7 +168,7 @@
   this->Held.clear();
 }
 
-void RelayServer::Peer::handleRequest(RelayRequest Request) {
+void RelayServer::Peer::handleRequest(RelayRequest Request, std::size_t Bytes) {
   switch (Request.Type) {
   case RelayRequest::Kind::Run:
     if (!deductTransitTime(
@@ -113,8 +180,8 @@
       this->enqueue(encodeRelay(NotRun));
       return;
     }
-    asio::co_spawn(this->Owner.Executor, this->runWork(std::move(Request)),
-                   asio::detached);
+    asio::co_spawn(this->Owner.Executor,
+                   this->runWork(std::move(Request), Bytes), asio::detached);
     return;
   case RelayRequest::Kind::Cancel: {
     const auto Found = this->Waits.find(Request.Id);
@@ -151,6 +218,7 @@
   const std::uint64_t Number = this->Owner.NextHeldNumber++;
   this->Held[Number] = std::move(Lease);
   ++this->Owner.Active;
+  this->updateBusy();
   return Number;
 }
 
@@ -160,6 +228,7 @@
     return;
   ConnectionLease Lease = std::move(Found->second);
   this->Held.erase(Found);
+  this->updateBusy();
   --this->Owner.Active;
   rollBackAndRelease(this->Owner.Executor, std::move(Lease));
 }
@@ -187,8 +256,10 @@
   co_return Lease;
 }
 
-asio::awaitable<void> RelayServer::Peer::runWork(RelayRequest Request) {
+asio::awaitable<void> RelayServer::Peer::runWork(RelayRequest Request,
+                                                 std::size_t Bytes) {
   const std::shared_ptr<Peer> Self = this->shared_from_this();
+  const InProgress Counted(*this, Bytes);
   const std::shared_ptr<RelayServer> Server = this->Owner.shared_from_this();
   const TimePoint Arrived = steadyNow();
   ++Server->Active;
@@ -301,8 +372,9 @@
   constexpr std::chrono::milliseconds PauseAfterFailure{20};
   while (!this->Stopped) {
     error_code Failure;
-    tcp::socket Socket =
-        co_await this->Acceptor.async_accept(resumeWith(Failure));
+    tcp::socket Socket(this->Executor);
+    tcp::endpoint Address;
+    co_await this->Acceptor.async_accept(Socket, Address, resumeWith(Failure));
     if (this->Stopped)
       co_return;
     if (Failure) {
@@ -310,7 +382,11 @@
       co_await sleepUntil(steadyNow() + PauseAfterFailure);
       continue;
     }
-    auto From = std::make_shared<Peer>(std::move(Socket), *this);
+    const std::string Host = Address.address().to_string();
+    if (this->State.memory().admitConnection(MemoryBudget::Role::Peer, Host) ==
+        MemoryBudget::Grant::Refused)
+      continue; // Closes the connection.
+    auto From = std::make_shared<Peer>(std::move(Socket), Host, *this);
     asio::co_spawn(this->Executor, this->serve(std::move(From)),
                    asio::detached);
   }
--- a/src/libs/sessionproxy/relayserver.h
+++ b/src/libs/sessionproxy/relayserver.h
@@ -25,6 +25,10 @@
   /// Listen backlog. Many hosts connect at once after a power failure.
   static constexpr int Backlog = 1024;
 
+  /// A connection with this many requests in progress is not read until some
+  /// have ended.
+  static constexpr std::size_t MaxRequestsInProgress = 1024;
+
   RelayServer(const boost::asio::any_io_executor &Executor, ProxyState &State);
 
   /// Errors: Unavailable if the port cannot be bound.
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -26,6 +26,8 @@
   Endpoint Internal; ///< HTTP: metrics, catalogue for other hosts.
   std::chrono::milliseconds StopGrace{}; ///< From SIGTERM to the exit.
   RateTolerance Tolerance;
+  std::size_t MemoryBytes = 0; ///< Of the host; 0 if not declared.
+  std::size_t Descriptors = 0; ///< Of the host; 0 if not declared.
 };
 
 /// External systems and codecs that a session proxy uses.
--- a/src/libs/sessionproxy/sessionserver.h
+++ b/src/libs/sessionproxy/sessionserver.h
@@ -16,6 +16,8 @@
 public:
   /// How often the deadlines of sessions are checked. They are seconds long.
   static constexpr std::chrono::milliseconds CheckInterval{250};
+  /// Time between summaries of refusals in the log.
+  static constexpr std::chrono::milliseconds SummaryInterval{1000};
   /// Large enough for many callers that reconnect at once, as after a loss of
   /// power.
   static constexpr int Backlog = 1024;
@@ -43,6 +45,7 @@
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(std::shared_ptr<CallerSession> Session);
   boost::asio::awaitable<void> checkLimits();
+  void summarise();
 
   boost::asio::any_io_executor Executor;
   ProxyState &State;
--- a/src/libs/statements/sessionstate.cpp
+++ b/src/libs/statements/sessionstate.cpp
@@ -10,7 +10,11 @@
                                     const std::string &Value) {
   if (this->Values.size() >= MaxValues && !this->Values.count(Name))
     return failure(ErrorKind::BadRequest, "the session has too many values");
-  this->Values[Name] = Value;
+  const auto [Entry, Added] = this->Values.try_emplace(Name);
+  if (Added)
+    this->Bytes += Name.size() + EntryBytes;
+  this->Bytes += Value.size() - Entry->second.size();
+  Entry->second = Value;
   return success();
 }
 
@@ -19,13 +23,20 @@
   if (this->Prepared.size() >= MaxPrepared && !this->Prepared.count(Name))
     return failure(ErrorKind::BadRequest,
                    "the session has too many prepared statements");
-  this->Prepared[Name] = std::move(Prepared);
+  const auto [Entry, Added] = this->Prepared.try_emplace(Name);
+  if (Added)
+    this->Bytes += Name.size() + EntryBytes;
+  this->Bytes += Prepared.Definition.size() - Entry->second.Definition.size();
+  Entry->second = std::move(Prepared);
   return success();
 }
 
 Result<void> SessionState::deallocate(const std::string &Name) {
-  if (this->Prepared.erase(Name) == 0)
+  const auto Found = this->Prepared.find(Name);
+  if (Found == this->Prepared.end())
     return failure(ErrorKind::UnknownStatement, "no statement " + Name);
+  this->Bytes -= Name.size() + EntryBytes + Found->second.Definition.size();
+  this->Prepared.erase(Found);
   return success();
 }
 
--- a/src/libs/statements/sessionstate.h
+++ b/src/libs/statements/sessionstate.h
@@ -37,6 +37,9 @@
   static constexpr std::size_t MaxValues = 256;
   static constexpr std::size_t MaxPrepared = 256;
 
+  /// Memory of an entry besides its name and contents, in bytes.
+  static constexpr std::size_t EntryBytes = 128;
+
   /// Sets a session value. Errors: BadRequest if there are too many values.
   Result<void> setValue(const std::string &Name, const std::string &Value);
   /// Adds or replaces a prepared statement. Errors: BadRequest if there are too
@@ -65,6 +68,9 @@
   /// commit are ignored.
   void recordCommit(const Position &At);
 
+  /// Returns the memory of values and prepared statements, in bytes.
+  std::size_t bytes() const { return this->Bytes; }
+
   const SessionValues &values() const { return this->Values; }
   TransactionPhase phase() const { return this->Phase; }
   bool isReadOnly() const { return this->ReadOnly; }
@@ -75,6 +81,7 @@
 private:
   SessionValues Values;
   std::map<std::string, PreparedStatement> Prepared;
+  std::size_t Bytes = 0;
   TransactionPhase Phase = TransactionPhase::None;
   bool ReadOnly = false;
   bool Written = false;
--- a/tests/auto/limits/tst_memorybudget.cpp
+++ b/tests/auto/limits/tst_memorybudget.cpp
@@ -15,6 +15,7 @@
 
 using Use = MemoryBudget::Use;
 using Grant = MemoryBudget::Grant;
+using Role = MemoryBudget::Role;
 
 constexpr std::size_t MegaByte = std::size_t{1} << 20;
 constexpr TimePoint Start{1000s};
@@ -32,7 +33,7 @@
     auto &Added = this->All.emplace_back(std::make_unique<Connection>());
     Connection *Place = Added.get();
     Added->Account = std::make_unique<MemoryBudget::Account>(
-        this->Budget, Owner, [Place] { Place->Closed = true; });
+        this->Budget, Role::Caller, Owner, [Place] { Place->Closed = true; });
     return *Added->Account;
   }
 
@@ -63,16 +64,18 @@
                  MemoryBudget::MinMemory);
     const MemoryBudget::Limits Limits =
         MemoryBudget::limitsFor(Each.Megabytes * MegaByte, Each.Descriptors);
-    std::size_t Sum = Limits.Connections * MemoryBudget::ConnectionBytes;
+    std::size_t Sum = (Limits.Connections[0] + Limits.Connections[1]) *
+                      MemoryBudget::ConnectionBytes;
     for (const std::size_t Part : Limits.Bytes)
       Sum += Part;
     CHECK(Sum <= Memory / 2);
-    CHECK(Limits.Connections >= 75);
+    CHECK(Limits.Connections[0] >= 75);
     // A message of the largest size is held four times while it is run.
     CHECK(Limits.Bytes[static_cast<std::size_t>(Use::Receiving)] >=
           4 * MegaByte);
     if (Each.Descriptors > 300)
-      CHECK(Limits.Connections + MemoryBudget::FileDescriptors <
+      CHECK(Limits.Connections[0] + Limits.Connections[1] +
+                MemoryBudget::FileDescriptors <
             Each.Descriptors);
   }
 }
@@ -89,16 +92,20 @@
       return std::uniform_int_distribution<std::size_t>(0, End - 1)(Random);
     };
     TimePoint Now = Start;
-    MemoryBudget Budget({50, {8 * MegaByte, 4 * MegaByte, MegaByte, MegaByte}},
-                        Now);
+    const auto Shared = std::make_shared<MemoryBudget>(
+        MemoryBudget::Limits{{50, 1},
+                             {8 * MegaByte, 4 * MegaByte, MegaByte, MegaByte}},
+        Now);
+    MemoryBudget &Budget = *Shared;
     Connections Crowd(Budget);
-    MemoryBudget::Account Ordinary(Budget, "ordinary",
+    MemoryBudget::Account Ordinary(Budget, Role::Caller, "ordinary",
                                    [] { FAIL("an ordinary one is closed"); });
     for (unsigned Step = 0; Step < 2000; ++Step) {
       Now += std::chrono::milliseconds(Below(400));
       Budget.advance(Now);
       const std::string Owner = "owner-" + std::to_string(Below(4));
-      if (Below(4) == 0 && Budget.admitConnection(Owner) == Grant::Given)
+      if (Below(4) == 0 &&
+          Budget.admitConnection(Role::Caller, Owner) == Grant::Given)
         Crowd.open(Owner);
       if (!Crowd.All.empty()) {
         auto &Any = *Crowd.All[Below(Crowd.All.size())];
@@ -130,7 +137,8 @@
         REQUIRE(Sum == Budget.used(static_cast<Use>(Each)));
         REQUIRE(Sum <= Budget.limits().Bytes[Each]);
       }
-      REQUIRE(Budget.connections() <= Budget.limits().Connections);
+      REQUIRE(Budget.connections(Role::Caller) <=
+              Budget.limits().Connections[0]);
       if (Below(2))
         Crowd.endClosed();
     }
@@ -144,7 +152,9 @@
 // Guards against refusals of others while a stalled connection holds memory,
 // and against the loss of work in progress.
 TEST_CASE("the largest stalled connection gives way", "[memory]") {
-  MemoryBudget Budget({10, {4 * MegaByte, 0, 0, 0}}, Start);
+  const auto Shared = std::make_shared<MemoryBudget>(
+      MemoryBudget::Limits{{10, 1}, {4 * MegaByte, 0, 0, 0}}, Start);
+  MemoryBudget &Budget = *Shared;
   Connections Crowd(Budget);
   MemoryBudget::Account &Small = Crowd.open("a");
   MemoryBudget::Account &Large = Crowd.open("a");
@@ -170,7 +180,9 @@
 // Guards against their displacing the first large message of another one.
 TEST_CASE("an owner that uses little displaces one that uses much",
           "[memory]") {
-  MemoryBudget Budget({10, {4 * MegaByte, 0, 0, 0}}, Start);
+  const auto Shared = std::make_shared<MemoryBudget>(
+      MemoryBudget::Limits{{10, 1}, {4 * MegaByte, 0, 0, 0}}, Start);
+  MemoryBudget &Budget = *Shared;
   Connections Crowd(Budget);
   for (unsigned Each = 0; Each < 4; ++Each)
     REQUIRE(Crowd.open("much").reserve(Use::Receiving, MegaByte) ==
@@ -186,17 +198,19 @@
 // Guards against a host that accepts nobody else, and against the close of
 // another workspace's only session.
 TEST_CASE("an idle connection gives way to a new one", "[memory]") {
-  MemoryBudget Budget({4, {}}, Start);
+  const auto Shared =
+      std::make_shared<MemoryBudget>(MemoryBudget::Limits{{4, 1}, {}}, Start);
+  MemoryBudget &Budget = *Shared;
   Connections Crowd(Budget);
   MemoryBudget::Account &Single = Crowd.open("single");
   for (unsigned Each = 0; Each < 3; ++Each)
     Crowd.open("many");
-  CHECK(Budget.admitConnection("new") == Grant::Refused);
+  CHECK(Budget.admitConnection(Role::Caller, "new") == Grant::Refused);
   Budget.advance(Start + 2s);
-  CHECK(Budget.admitConnection("new") == Grant::AfterClosing);
+  CHECK(Budget.admitConnection(Role::Caller, "new") == Grant::AfterClosing);
   CHECK_FALSE(Single.isClosing());
   Crowd.endClosed();
-  CHECK(Budget.admitConnection("new") == Grant::Given);
+  CHECK(Budget.admitConnection(Role::Caller, "new") == Grant::Given);
   const MemoryBudget::Counts Counts = Budget.takeCounts();
   CHECK(Counts.ConnectionsRefused == 1);
   CHECK(Counts.ConnectionsClosed == 1);
--- a/tests/auto/statements/tst_sessionstate.cpp
+++ b/tests/auto/statements/tst_sessionstate.cpp
@@ -45,3 +45,20 @@
   CHECK_FALSE(Session.deallocate("p0"));
   CHECK(Session.findPrepared("p0") == nullptr);
 }
+
+// Guards against a count that drifts when entries are replaced or removed, so
+// that a session is refused memory that it does not use.
+TEST_CASE("the memory of a session's state is counted") {
+  constexpr std::size_t Entry = SessionState::EntryBytes;
+  SessionState Session;
+  CHECK(Session.bytes() == 0);
+  REQUIRE(Session.setValue("name", std::string(1000, 'x')));
+  CHECK(Session.bytes() == Entry + 4 + 1000);
+  REQUIRE(Session.setValue("name", "short"));
+  CHECK(Session.bytes() == Entry + 4 + 5);
+  REQUIRE(Session.prepare("p", {std::string(500, 'x'), false}));
+  REQUIRE(Session.prepare("p", {std::string(600, 'x'), true}));
+  CHECK(Session.bytes() == 2 * Entry + 4 + 5 + 1 + 600);
+  REQUIRE(Session.deallocate("p"));
+  CHECK(Session.bytes() == Entry + 4 + 5);
+}
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -53,7 +53,7 @@
 class Host:
     """One daemon."""
 
-    def __init__(self, name, store_port, directory):
+    def __init__(self, name, store_port, directory, more_settings=""):
         self.name = name
         self.front, self.readiness = fixed_port(), fixed_port()
         first = fixed_port()
@@ -75,7 +75,7 @@
 address = "127.0.0.1:{store_port}"
 [cloud]
 address = "127.0.0.1:{store_port}"
-""")
+{more_settings}""")
         self.reports, self.internal = first, second
         self.log = open(Path(directory) / f"{name}.log", "wb+")
         self.process = subprocess.Popen([program("platform/lavenderdaled-platform"), "-s", str(settings)],
@@ -113,14 +113,14 @@
 class SessionFleet:
     """Store, one group of three databases, and hosts."""
 
-    def __init__(self, hosts=1):
+    def __init__(self, hosts=1, host_type=Host):
         self.directory = tempfile.TemporaryDirectory()
         self.callers = []
         self.loop = Loop()
         self.store = Store(self.loop)
         self.databases = [Database(self.loop, self.store, "orders", f"i-{n}", n == 1) for n in (1, 2, 3)]
         self.configure(1)
-        self.hosts = [Host(f"host-{n}", self.store.port, self.directory.name) for n in range(hosts)]
+        self.hosts = [host_type(f"host-{n}", self.store.port, self.directory.name) for n in range(hosts)]
         for each in self.hosts:
             wait_until(f"{each.name} is ready", lambda: self.ready(each))
 
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
+MAX_MESSAGE_BYTES = (1 << 20) + 4096  # A caller's largest message, and what the proxy adds to it.
 CLOSED = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
 
 
@@ -196,7 +197,7 @@
         self.connections = set()
         self.sessions = []
         self.transactions = 0
-        self.server = loop.run(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.server = loop.run(asyncio.start_server(self._serve, "127.0.0.1", 0, limit=MAX_MESSAGE_BYTES))
         self.port = self.server.sockets[0].getsockname()[1]
         store.databases[name] = self
         loop.call(self.announce)
