--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/errorkind.h"
+#include "limits/memorybudget.h"
 #include "telemetry/metricsregistry.h"
 
 #include <string>
@@ -20,6 +21,11 @@
   /// with a usable state.
   void countWatcherFailure(const char *Reason);
 
+  /// Counts what the memory budget refused or closed.
+  void countLimited(const MemoryBudget::Counts &Counts);
+  /// Sets the gauges of the memory budget.
+  void setUse(const MemoryBudget &Memory);
+
   /// Returns all metrics in the text format of Prometheus.
   std::string exposition() const { return this->Registry.exposition(); }
 
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -31,6 +31,8 @@
   /// Time from the order to evacuate a failure domain until nothing more is
   /// sent to its upstreams; 0 if the deployment has no such orders.
   std::chrono::milliseconds EvacuationBound{};
+  std::size_t MemoryBytes = 0; ///< Of the host; 0 if not declared.
+  std::size_t Descriptors = 0; ///< Of the host; 0 if not declared.
 };
 
 /// External systems and codecs that a session proxy uses.
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -64,7 +64,7 @@
                                      false,
                                      &StoreFollower::replaceEvacuations,
                                      &StoreFollower::updateEvacuations,
-                                     &StoreFollower::doNothing,
+                                     &StoreFollower::ignoreAnswer,
                                      &StoreFollower::doNothing};
   if (this->State.access().evacuations().enabled())
     asio::co_spawn(this->Executor, this->follow(Evacuated), asio::detached);
--- a/src/libs/sessionproxy/storefollower.h
+++ b/src/libs/sessionproxy/storefollower.h
@@ -76,6 +76,7 @@
   void recordStoreOutage();
   void recordOutageOfWatcher(const StoredObjects &Objects);
   void doNothing() {}
+  void ignoreAnswer(const StoredObjects &) {}
 
   Task<void> keepRegistered();
   Task<bool> registerHost();
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -54,7 +54,7 @@
 class Host:
     """One daemon."""
 
-    def __init__(self, name, store_port, directory, zone="z1", bounds=""):
+    def __init__(self, name, store_port, directory, zone="z1", bounds="", more_settings=""):
         self.name = name
         self.front, self.readiness = fixed_port(), fixed_port()
         first = fixed_port()
@@ -77,7 +77,7 @@
 address = "127.0.0.1:{store_port}"
 [cloud]
 address = "127.0.0.1:{store_port}"
-""")
+{more_settings}""")
         self.reports, self.internal = first, second
         self.log = open(Path(directory) / f"{name}.log", "wb+")
         self.process = subprocess.Popen([program("platform/lavenderdaled-platform"), "-s", str(settings)],
@@ -119,7 +119,7 @@
     bounds further lines of the settings of the hosts. Each host has a port of
     the store of its own, so that the store can refuse single hosts."""
 
-    def __init__(self, hosts=1, zones=("z1", "z1", "z1"), bounds="", orders=()):
+    def __init__(self, hosts=1, zones=("z1", "z1", "z1"), bounds="", orders=(), host_type=Host):
         self.directory = tempfile.TemporaryDirectory()
         self.callers = []
         self.loop = Loop()
@@ -128,6 +128,7 @@
                           for n, zone in enumerate(zones, 1)]
         self.configure(1)
         self.bounds = bounds
+        self.host_type = host_type
         for each in orders:
             self.loop.call(self.store.put, "evacuations", each, {})
         self.hosts = []
@@ -138,7 +139,7 @@
 
     def start_host(self, zone="z1"):
         port = self.loop.run(self.store.listen()) if self.hosts else self.store.port
-        self.hosts.append(Host(f"host-{len(self.hosts)}", port, self.directory.name, zone, self.bounds))
+        self.hosts.append(self.host_type(f"host-{len(self.hosts)}", port, self.directory.name, zone, self.bounds))
         self.hosts[-1].store_port = port
         return self.hosts[-1]
 
