Count the hosts heard since a time without a walk over all

Cause: while an owner of a rate takes over from another one (up to 9 s at 300 hosts), each operation of the workspace walked all hosts. Change: FleetView keeps the times of the latest reports in order. A report moves one of them. A test compares with the former walk. Considered: one count for each owner that takes over, which every report would have to update.

--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -26,6 +26,25 @@
   std::erase_if(this->Hosts, [&](const auto &Each) {
     return !Each.second.Registered && !this->isRecentlyHeard(Each.second, Now);
   });
+  this->updateHeardTimes();
+}
+
+void FleetView::updateHeardTimes() {
+  this->HeardTimes.clear();
+  for (const auto &[Name, Each] : this->Hosts)
+    if (Each.Last)
+      this->HeardTimes.push_back(Each.HeardAt);
+  std::ranges::sort(this->HeardTimes);
+}
+
+void FleetView::recordHeard(Host &Each, BootTime Now) {
+  if (Each.Last) {
+    const auto Before =
+        std::ranges::lower_bound(this->HeardTimes, Each.HeardAt);
+    this->HeardTimes.erase(Before);
+  }
+  Each.HeardAt = Now;
+  this->HeardTimes.insert(std::ranges::upper_bound(this->HeardTimes, Now), Now);
 }
 
 bool FleetView::recordReport(const HostReport &Report, BootTime Now) {
@@ -48,8 +67,8 @@
                      Each.Capacity != Report.Capacity;
   Each.FailureDomain = Report.FailureDomain;
   Each.Capacity = Report.Capacity;
+  this->recordHeard(Each, Now);
   Each.Last = Report;
-  Each.HeardAt = Now;
   if (!CountedBefore || Moved || Report.Leaving)
     this->Cached.reset();
   return true;
@@ -68,11 +87,8 @@
 }
 
 std::size_t FleetView::heardSince(BootTime Since) const {
-  const auto Others =
-      std::ranges::count_if(this->Hosts, [Since](const auto &Each) {
-        return Each.second.Last && Each.second.HeardAt >= Since;
-      });
-  return static_cast<std::size_t>(Others) + 1;
+  const auto First = std::ranges::lower_bound(this->HeardTimes, Since);
+  return static_cast<std::size_t>(this->HeardTimes.end() - First) + 1;
 }
 
 std::size_t FleetView::rank(BootTime Now) const {
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -114,8 +114,15 @@
   bool isRecentlyHeard(const Host &Each, BootTime Now) const;
   bool isPresent(const Host &Each, BootTime Now) const;
 
+  /// Moves \p Each to the end of HeardTimes.
+  void recordHeard(Host &Each, BootTime Now);
+  void updateHeardTimes();
+
   const std::string OwnName;
   std::map<std::string, Host> Hosts; ///< Without this host.
+  /// Host::HeardAt of the hosts that have reported, in ascending order. An
+  /// operation may need heardSince().
+  std::vector<BootTime> HeardTimes;
   /// Cached, because each operation and each report needs the counts.
   mutable std::optional<Counts> Cached;
   mutable std::uint64_t Revision = 0;
--- a/tests/auto/sessionproxy/tst_fleetview.cpp
+++ b/tests/auto/sessionproxy/tst_fleetview.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <random>
@@ -221,3 +222,39 @@
   CHECK(AfterMove != Joined);
   CHECK(View.presentRevision(Start + 60s) != AfterMove);
 }
+
+// Guards against an owner of a rate that counts hosts as heard that were lost
+// or removed since, or counts one twice. The reference is the former walk.
+TEST_CASE("the hosts heard since a time equal those of a walk over all") {
+  const unsigned Seed = GENERATE(1U, 2U, 3U);
+  INFO("seed " << Seed);
+  std::mt19937 Random(Seed);
+  FleetView View("h0");
+  std::vector<BootTime> Asked = {Start};
+  BootTime Now = Start;
+  std::uint64_t Sequence = 0;
+  for (int Step = 0; Step < 500; ++Step) {
+    Now += std::chrono::milliseconds(Random() % 3 == 0 ? Random() % 700 : 0);
+    if (Random() % 10 == 0) {
+      std::map<std::string, FleetView::Registration> Registered;
+      for (int Host = 0; Host < 12; ++Host)
+        if (Random() % 2 == 0)
+          Registered["h" + std::to_string(Host)] = {{"10.0.0.1", 7000}, "d1"};
+      View.setRegistered(Registered, Now);
+    } else {
+      View.recordReport(
+          makeReport("h" + std::to_string(Random() % 12), ++Sequence), Now);
+    }
+    Asked.push_back(Now);
+    for (int Question = 0; Question < 3; ++Question) {
+      const BootTime Since =
+          Asked[Random() % Asked.size()] +
+          std::chrono::milliseconds(static_cast<int>(Random() % 3) - 1);
+      const auto Others =
+          std::ranges::count_if(View.hosts(), [Since](const auto &Each) {
+            return Each.second.Last && Each.second.HeardAt >= Since;
+          });
+      CHECK(View.heardSince(Since) == static_cast<std::size_t>(Others) + 1);
+    }
+  }
+}
