Do not count hosts anew for a silence limit that does not apply

Cause: from 960 hosts on, hosts report less often than FleetView::SilenceLimit (20 s). The cached counts took each host's silence limit for a change, so that each report led to a walk over all hosts. Change: the limit counts only for hosts without a recent report, as in mayBeServing(). The test of the cached counts against a fresh view covers it.

--- a/src/libs/sessionproxy/fleetview.cpp
+++ b/src/libs/sessionproxy/fleetview.cpp
@@ -128,8 +128,11 @@
     for (const BootTime Since : {Each.HeardAt, Each.KnownSince}) {
       ChangesAt(Since + Contact);
       ChangesAt(Since + Report);
-      ChangesAt(Since + SilenceLimit);
     }
+    // Before, the report alone decides. In fleets whose report interval exceeds
+    // the limit, each host would otherwise change the counts with each report.
+    if (!this->isRecentlyHeard(Each, Now))
+      ChangesAt(std::max(Each.HeardAt, Each.KnownSince) + SilenceLimit);
   }
   return Sum;
 }
