Keep the order behind skipped holders as indices

Cause: when both holders of an upstream or owners of a rate are skipped, the order of all hosts was kept with a copy of each host (56 bytes each). While a domain is cut off, there is such an order for many upstreams and workspaces: calculated for 300 hosts, 81 upstreams and 300 workspaces up to 6.4 MB. The first use of an upstream sorted all hosts to find two. Change: indices of 4 bytes (0.5 MB by the same calculation), and the two holders are found without a sort. A random test compares the choice after skipped hosts with the whole order.

--- a/src/libs/placement/holderselector.cpp
+++ b/src/libs/placement/holderselector.cpp
@@ -5,6 +5,19 @@
 #include <tuple>
 
 namespace lavenderdale {
+namespace {
+
+/// Inserts \p New into \p Holders, of which the HolderCount preferred ones
+/// are kept.
+void insertHolder(std::vector<RankedHolder> &Holders, RankedHolder New) {
+  const auto Place = std::ranges::find_if(
+      Holders, [&New](const RankedHolder &Each) { return Each < New; });
+  Holders.insert(Place, std::move(New));
+  if (Holders.size() > HolderCount)
+    Holders.pop_back();
+}
+
+} // namespace
 
 void HolderSelector::setHosts(std::vector<PlacementHost> NewLive) {
   if (NewLive == this->Live)
@@ -33,12 +46,7 @@
     if (Full && List.Holders.back().SameDomain &&
         Host.FailureDomain != List.FailureDomain)
       continue;
-    RankedHolder New = rankHolder(Upstream, List.FailureDomain, Host);
-    const auto Place = std::ranges::find_if(
-        List.Holders, [&New](const RankedHolder &Each) { return Each < New; });
-    List.Holders.insert(Place, std::move(New));
-    if (List.Holders.size() > HolderCount)
-      List.Holders.pop_back();
+    insertHolder(List.Holders, rankHolder(Upstream, List.FailureDomain, Host));
   }
 }
 
@@ -66,22 +74,27 @@
   HolderList &List = this->Holders[Upstream];
   List.FailureDomain = FailureDomain;
   List.All.clear();
-  List.Holders = this->rankedHosts(Upstream, FailureDomain);
-  List.Holders.resize(std::min(HolderCount, List.Holders.size()));
+  List.Holders.clear();
+  for (const PlacementHost &Each : this->Live)
+    insertHolder(List.Holders, rankHolder(Upstream, FailureDomain, Each));
   return List.Holders;
 }
 
-std::vector<RankedHolder>
+std::vector<std::uint32_t>
 HolderSelector::rankedHosts(const std::string &Upstream,
                             const std::string &FailureDomain) const {
-  std::vector<RankedHolder> Ranked;
+  std::vector<std::pair<RankedHolder, std::uint32_t>> Ranked;
   Ranked.reserve(this->Live.size());
   for (const PlacementHost &Each : this->Live)
-    Ranked.push_back(rankHolder(Upstream, FailureDomain, Each));
-  std::ranges::sort(Ranked, [](const RankedHolder &A, const RankedHolder &B) {
-    return B < A;
-  });
-  return Ranked;
+    Ranked.emplace_back(rankHolder(Upstream, FailureDomain, Each),
+                        static_cast<std::uint32_t>(Ranked.size()));
+  std::ranges::sort(
+      Ranked, [](const auto &A, const auto &B) { return B.first < A.first; });
+  std::vector<std::uint32_t> Indices;
+  Indices.reserve(Ranked.size());
+  for (const auto &[Each, Index] : Ranked)
+    Indices.push_back(Index);
+  return Indices;
 }
 
 bool HolderSelector::isAvoided(const std::string &Host,
@@ -112,9 +125,11 @@
   HolderList &List = this->Holders[Upstream];
   if (List.All.empty())
     List.All = this->rankedHosts(Upstream, FailureDomain);
-  for (const RankedHolder &Each : List.All)
-    if (!this->isAvoided(Each.Host, Upstream, Now))
-      return Each.Host;
+  for (const std::uint32_t Index : List.All) {
+    const std::string &Host = this->Live[Index].Name;
+    if (!this->isAvoided(Host, Upstream, Now))
+      return Host;
+  }
   return this->Self;
 }
 
--- a/src/libs/placement/holderselector.h
+++ b/src/libs/placement/holderselector.h
@@ -4,6 +4,7 @@
 #include "placement.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -87,14 +88,17 @@
   struct HolderList {
     std::string FailureDomain; ///< Of the upstream.
     std::vector<RankedHolder> Holders;
-    /// All hosts in the same order; filled when both holders are skipped.
-    std::vector<RankedHolder> All;
+    /// Indices of all hosts in Live, in the same order; filled when both
+    /// holders are skipped. There may be one for each upstream and workspace.
+    std::vector<std::uint32_t> All;
   };
 
   const std::vector<RankedHolder> &holders(const std::string &Upstream,
                                            const std::string &FailureDomain);
-  std::vector<RankedHolder> rankedHosts(const std::string &Upstream,
-                                        const std::string &FailureDomain) const;
+  /// Indices of all hosts in Live, the preferred holder first.
+  std::vector<std::uint32_t>
+  rankedHosts(const std::string &Upstream,
+              const std::string &FailureDomain) const;
   void hostJoined(const PlacementHost &Host);
   void hostLeft(const std::string &Host);
   bool isAvoided(const std::string &Host, const std::string &Upstream,
--- a/tests/auto/placement/tst_holderselector.cpp
+++ b/tests/auto/placement/tst_holderselector.cpp
@@ -218,3 +218,37 @@
     CHECK(Chosen.size() == 1);
   }
 }
+
+// Guards against work that goes to another host than that of the other hosts,
+// after the holders were skipped and hosts joined or left.
+TEST_CASE("the host after skipped ones is the next of the whole order") {
+  const unsigned Seed = GENERATE(11U, 12U, 13U);
+  INFO("seed " << Seed);
+  std::mt19937 Random(Seed);
+  HolderSelector Choice("h10");
+  std::vector<PlacementHost> Live;
+  TimePoint Now = Start;
+  for (int Step = 0; Step < 300; ++Step) {
+    Now += HolderSelector::AvoidAfterFailure; // All failures are over.
+    if (Step % 3 == 0) {
+      Live = {{"h10", "d0", 1}};
+      for (unsigned Index = 11; Index < 30; ++Index)
+        if (Random() % 3 != 0)
+          Live.push_back({"h" + std::to_string(Index),
+                          "d" + std::to_string(Index % 4),
+                          Random() % 2 == 0 ? 0.1 : 1.0});
+      Choice.setHosts(Live);
+    }
+    const std::string Upstream = "u-" + std::to_string(Random() % 4);
+    const std::string Domain = Upstream == "u-0" ? "" : "d1";
+    std::vector<RankedHolder> Order;
+    for (const PlacementHost &Each : Live)
+      if (Random() % 2 == 0)
+        Choice.pathFailed(Each.Name, Upstream, Now);
+      else
+        Order.push_back(rankHolder(Upstream, Domain, Each));
+    const std::string Expected =
+        Order.empty() ? "h10" : std::ranges::max(Order, std::less<>()).Host;
+    CHECK(Choice.choose(Upstream, Domain, Now) == Expected);
+  }
+}
