Limit the requests to cold upstreams

Cause: at the end of an evacuation all hosts send a database its usual load at once, although its caches are cold.

Change: limits/coldrate counts the requests of the last second at the holder of an upstream whose entry has cold-remaining-ms above 0, up to cold-per-s of its service. Hosts that stand in for the holder have a quarter of the tolerance (cold-overage, cold-slack) each. Reads of other hosts avoid a cold member while a warm one can serve; the holder's own reads warm it up. Applies only with evacuation-ms. Values that cannot be used are logged and count as cold for an hour, and as 5 requests a second.

Considered: a token bucket (twice the rate in the second in which it is full), and equal parts for all hosts (less than one request a second in a large fleet).

The process test ColdDatabases passes; with the limit taken away it sees 197 requests in a second. One full run of test_evacuation had a failure in test_an_order_stays_in_force_without_the_store: reads did not return to the domain, because a database without recent answers counts as slower (10 ms) than stand-ins that answer at once. The tests now slow the other databases down at that point.

--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -80,6 +80,16 @@
   }
 }
 
+void ProxyGroup::setColdRate(double PerSecond, const ColdTolerance &Tolerance) {
+  const TimePoint Now = steadyNow();
+  for (const auto &[Id, Client] : this->Clients)
+    Client->setColdLimit(
+        PerSecond > 0
+            ? ColdRate::permitted(PerSecond, Tolerance,
+                                  this->Access.rank(Client->entry(), Now) == 0)
+            : std::nullopt);
+}
+
 void ProxyGroup::recordUse(const std::string &Workspace, TimePoint Now) {
   this->LastUse = Now;
   if (this->LastWorkspace != Workspace)
@@ -147,9 +157,14 @@
   std::vector<std::shared_ptr<UpstreamClient>> Members;
   const std::optional<std::string> Primary = this->Tracker.primary(Now);
   bool OthersStay = false;
-  for (const auto &[Id, Client] : this->Clients)
+  bool OthersWarm = false;
+  for (const auto &[Id, Client] : this->Clients) {
+    OthersWarm =
+        OthersWarm || (!Client->isCold(Now) && !Excluded.count(Id) &&
+                       !Client->isEvacuated() && !Client->entry().Leaving);
     OthersStay =
         OthersStay || (!Client->entry().Leaving && !Client->isEvacuated());
+  }
   for (const auto &[Id, Client] : this->Clients) {
     if (Excluded.count(Id) || Client->isEvacuated() ||
         (Client->entry().Leaving && OthersStay))
@@ -157,11 +172,19 @@
     const UpstreamPool &Pool = Client->pool();
     ReadMember Each;
     const bool Remote = this->Access.isRemote(Client->entry(), Now);
+    // A cold member warms up by the reads of its holder, which knows how many
+    // it may still get.
+    if (OthersWarm && Client->isCold(Now) &&
+        (Remote || !Client->admitsCold(Now)))
+      continue;
     Each.Reachable = Remote || !Client->unreachable();
     Each.Primary = Primary == Id;
     Each.SameDomain = Client->entry().FailureDomain == this->OwnDomain;
     Each.KnownBehind = this->knownBehind(*Client, After, Now);
-    Each.IdleConnection = Remote || Pool.hasIdle(Workspace);
+    // After an evacuation no connection is open; a member that must warm up
+    // would never get a read if that counted against it.
+    Each.IdleConnection =
+        Remote || Pool.hasIdle(Workspace) || Client->isCold(Now);
     Each.ServiceTime = Client->responseTime(Now);
     Each.InFlight = Client->load(Now);
     Each.Capacity = std::max<std::size_t>(Pool.capacity(), 1);
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -64,6 +64,9 @@
   void setMembers(const std::vector<UpstreamEntry> &Entries);
   /// \param Limit connections that each member accepts from all hosts together.
   void setConnectionLimit(std::size_t Limit);
+  /// \param PerSecond requests to a cold member from all hosts together; 0 for
+  ///        no limit.
+  void setColdRate(double PerSecond, const ColdTolerance &Tolerance);
   /// \param Count replicas that receive a commit before it is acknowledged.
   void setSynchronousReplicas(std::size_t Count) {
     this->SynchronousReplicas = Count;
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -28,6 +28,9 @@
       EvacuationRefusals(this->Registry.counter(
           "lavenderdale_evacuation_refusals_total",
           "Work that was not sent to an upstream in an evacuated domain")),
+      ColdRefusals(this->Registry.counter(
+          "lavenderdale_cold_refusals_total",
+          "Requests that exceeded the limit of a cold upstream")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -37,6 +40,9 @@
       UpstreamConnections(
           this->Registry.gauge("lavenderdale_upstream_connections",
                                "Connections of this host to upstreams")),
+      ColdUpstreams(
+          this->Registry.gauge("lavenderdale_cold_upstreams",
+                               "Cold upstreams to which requests are limited")),
       EvacuatedDomains(
           this->Registry.gauge("lavenderdale_evacuated_domains",
                                "Failure domains that are evacuated")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -34,10 +34,12 @@
   Counter &CarriedOut;   ///< Relayed requests served for other hosts.
   Counter &RelaysFailed; ///< Relayed requests without an answer.
   Counter &EvacuationRefusals; ///< Work not sent to evacuated upstreams.
+  Counter &ColdRefusals; ///< Requests beyond the limit of a cold upstream.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
   Gauge &UpstreamConnections;
+  Gauge &ColdUpstreams; ///< To which requests are limited.
   Gauge &EvacuatedDomains;
   Gauge &EvacuationRevision;       ///< Of the store, at which they were read.
   Gauge &EvacuatedConnections;     ///< Of this host to upstreams there.
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -23,9 +23,11 @@
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
                        const UpstreamProtocol &Protocol, ProxyIdentity Identity,
                        RateTolerance Tolerance,
-                       std::chrono::milliseconds EvacuationBound)
+                       std::chrono::milliseconds EvacuationBound,
+                       ColdTolerance ColdUpstreams)
     : Executor(std::move(Executor)), Protocol(Protocol),
       Identity(std::move(Identity)), Tolerance(Tolerance),
+      ColdUpstreams(ColdUpstreams),
       Access(this->Executor,
              {this->Identity.Host, this->Identity.FailureDomain,
               this->Identity.Capacity},
@@ -162,6 +164,8 @@
     if (Found != this->Catalogue->Groups.end()) {
       Group->setConnectionLimit(Found->second.ConnectionLimit);
       Group->setSynchronousReplicas(Found->second.SynchronousReplicas);
+      if (this->Access.evacuations().enabled())
+        Group->setColdRate(Found->second.ColdPerSecond, this->ColdUpstreams);
     }
   }
 }
@@ -481,6 +485,12 @@
   std::size_t Remaining = 0;
   for (const EvacuationProgress &Each : this->evacuationProgress())
     Remaining += Each.Connections;
+  std::int64_t Cold = 0;
+  const TimePoint Now = steadyNow();
+  for (const auto &[Name, Group] : this->Groups)
+    for (const auto &[Id, Client] : Group->gates())
+      Cold += Client->isCold(Now) ? 1 : 0;
+  this->Metrics.ColdUpstreams.set(Cold);
   this->Metrics.EvacuatedDomains.set(
       static_cast<std::int64_t>(Evacuated ? Evacuated->Domains.size() : 0));
   this->Metrics.EvacuationRevision.set(
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -3,6 +3,7 @@
 #include "base/boottime.h"
 #include "failover/troublenotices.h"
 #include "fleetview.h"
+#include "limits/coldrate.h"
 #include "limits/contactfraction.h"
 #include "limits/ownedrate.h"
 #include "limits/sharedrate.h"
@@ -65,10 +66,11 @@
   static constexpr double ReportedUseShare = 0.5;
 
   /// \param EvacuationBound see UpstreamAccess.
+  /// \param ColdUpstreams applies only in deployments with evacuations.
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-             RateTolerance Tolerance,
-             std::chrono::milliseconds EvacuationBound);
+             RateTolerance Tolerance, std::chrono::milliseconds EvacuationBound,
+             ColdTolerance ColdUpstreams);
 
   /// Applies a catalogue if it is newer than the current one.
   /// \param Source where it came from, for the log.
@@ -191,6 +193,7 @@
   const UpstreamProtocol &Protocol;
   const ProxyIdentity Identity;
   const RateTolerance Tolerance;
+  const ColdTolerance ColdUpstreams;
   std::shared_ptr<const SessionCatalogue> Catalogue;
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -221,7 +221,11 @@
       --Server->Active;
     }
   } else if (Client && !Client->unreachable()) {
-    Lease = co_await this->lease(Request, Client);
+    const bool Limited = Request.Work.hasStatement() || Request.Hold;
+    if (!Limited || Client->admitsCold(Arrived))
+      Lease = co_await this->lease(Request, Client);
+    else
+      Server->State.metrics().ColdRefusals.add();
     if (!Lease && Client->isEvacuated())
       Server->State.metrics().EvacuationRefusals.add();
   }
--- a/src/libs/sessionproxy/sessioncatalogue.h
+++ b/src/libs/sessionproxy/sessioncatalogue.h
@@ -45,6 +45,9 @@
   std::size_t ConnectionLimit = 1; ///< Per upstream, for all hosts together.
   /// Replicas that have received a commit before it is acknowledged.
   std::size_t SynchronousReplicas = 0;
+  /// Requests per second to an upstream that is cold, from all hosts together;
+  /// 0 for no limit.
+  double ColdPerSecond = 0;
 
   bool operator==(const SessionGroup &) const = default;
 };
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -40,7 +40,8 @@
                            SessionProxyDependencies Dependencies)
     : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
       State(this->Executor, Dependencies.Upstreams, this->Settings.Identity,
-            this->Settings.Tolerance, this->Settings.EvacuationBound),
+            this->Settings.Tolerance, this->Settings.EvacuationBound,
+            this->Settings.ColdUpstreams),
       Statements(this->State.access(), this->State.metrics()),
       Server(std::make_shared<SessionServer>(
           this->Executor, this->State, this->Statements, Dependencies.Callers)),
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -29,6 +29,7 @@
   /// Time from the order to evacuate a failure domain until nothing more is
   /// sent to its upstreams; 0 if the deployment has no such orders.
   std::chrono::milliseconds EvacuationBound{};
+  ColdTolerance ColdUpstreams;
 };
 
 /// External systems and codecs that a session proxy uses.
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -333,6 +333,11 @@
                            WaitHandle &Wait, HeldConnection *Hold) {
   const TimePoint Start = steadyNow();
   ConnectionLease Lease;
+  const bool Limited = Work.hasStatement() || Hold;
+  if (Limited && !Client->admitsCold(Start)) {
+    this->Metrics.ColdRefusals.add();
+    co_return WorkResult();
+  }
   // Commands of the proxy itself can run on a connection of any workspace.
   if (!Work.hasStatement() && !Hold)
     Lease = Client->tryAcquireIdle();
--- a/src/libs/sessionproxy/upstreamclient.cpp
+++ b/src/libs/sessionproxy/upstreamclient.cpp
@@ -68,11 +68,16 @@
                                const UpstreamProtocol &Protocol,
                                UpstreamEntry Entry)
     : Executor(Executor), Protocol(Protocol), Entry(std::move(Entry)),
-      Timer(Executor), EvacuationTimer(Executor) {}
+      Timer(Executor), EvacuationTimer(Executor),
+      ColdUntil(steadyNow() + this->Entry.ColdRemaining) {}
 
 void UpstreamClient::update(const UpstreamEntry &NewEntry) {
   const bool Restarted = NewEntry.StartedAt != this->Entry.StartedAt ||
                          !(NewEntry.Address == this->Entry.Address);
+  // Counted from when this host read the entry, which is later than when it
+  // was written.
+  if (Restarted || NewEntry.ColdRemaining != this->Entry.ColdRemaining)
+    this->ColdUntil = steadyNow() + NewEntry.ColdRemaining;
   this->Entry = NewEntry;
   if (!Restarted)
     return;
--- a/src/libs/sessionproxy/upstreamclient.h
+++ b/src/libs/sessionproxy/upstreamclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limits/coldrate.h"
 #include "placement/evacuations.h"
 #include "pooling/upstreampool.h"
 #include "upstreamconnection.h"
@@ -103,6 +104,25 @@
     return !this->Evacuation || Now < this->Evacuation->TransactionsEndAt;
   }
 
+  /// \param Limit requests in ColdRate::Window that this host may send to the
+  ///        upstream while it is cold; nothing for no limit.
+  void setColdLimit(std::optional<std::size_t> Limit) {
+    this->ColdLimit = Limit;
+  }
+  /// Whether the number of requests is limited at \p Now.
+  bool isCold(TimePoint Now) const {
+    return this->ColdLimit && Now < this->ColdUntil;
+  }
+  /// Whether another request may be sent at \p Now over this host.
+  bool admitsCold(TimePoint Now) {
+    return !this->isCold(Now) || this->Cold.hasRoom(*this->ColdLimit, Now);
+  }
+  /// Counts a request that is sent over this host at \p Now.
+  void countCold(TimePoint Now) {
+    if (this->isCold(Now))
+      this->Cold.count(Now);
+  }
+
   /// Waits for a connection until the waiter gives up or \p Wait cancels.
   /// \returns an empty lease if no connection was assigned.
   boost::asio::awaitable<ConnectionLease> acquire(PoolWaiter Waiter,
@@ -175,6 +195,9 @@
   std::optional<TimePoint> TimerAt;
   boost::asio::steady_timer EvacuationTimer;
   std::optional<Evacuations::Order> Evacuation;
+  std::optional<std::size_t> ColdLimit;
+  TimePoint ColdUntil{};
+  ColdRate Cold;
   std::chrono::microseconds ResponseTime{InitialResponseTime};
   TimePoint ResponseTimeAt{};
   std::optional<Position> LastSeenPosition;
--- a/src/libs/sessionproxy/upstreamentry.h
+++ b/src/libs/sessionproxy/upstreamentry.h
@@ -2,6 +2,7 @@
 
 #include "http/endpoint.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -17,6 +18,9 @@
   bool Leaving = false; ///< Is being drained.
   bool ClaimsPrimary = false;
   std::uint64_t StartedAt = 0; ///< Distinguishes restarts under the same id.
+  /// Time for which the upstream is cold after it wrote the entry; 0 if it is
+  /// not.
+  std::chrono::milliseconds ColdRemaining{};
 
   bool operator==(const UpstreamEntry &) const = default;
 };
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -73,6 +73,8 @@
     Result.Lost = true;
     co_return Result;
   }
+  if (Work.hasStatement())
+    Lease.client()->countCold(steadyNow());
   const std::string *Definition = Work.Definition ? &*Work.Definition : nullptr;
   std::vector<Command> Batch =
       Lease->Image.switchTo(Work.Values, Definition, Names, Work.InTransaction);
--- a/tests/auto/platformadapter/tst_recordcodec.cpp
+++ b/tests/auto/platformadapter/tst_recordcodec.cpp
@@ -92,3 +92,41 @@
   Other.Spec = "text";
   CHECK_FALSE(Codec.decodeUpstream(Other));
 }
+
+// Guards against a value of another writer that lifts the limit on a cold
+// database, and against one that costs the entry or the configuration.
+TEST_CASE("unusable values of cold databases count on the safe side") {
+  const RecordCodec Codec;
+  const std::string Entry =
+      R"({"service": "orders", "address": "127.0.0.1:7", "state": "ready",
+          "database-role": "replica")";
+  const auto ColdOf = [&](const std::string &Member) {
+    const Result<UpstreamEntry> Decoded =
+        Codec.decodeUpstream(upstream(Entry + Member + "}"));
+    REQUIRE(Decoded);
+    return Decoded.value().ColdRemaining;
+  };
+  CHECK(ColdOf("") == 0ms);
+  CHECK(ColdOf(R"(, "cold-remaining-ms": 0)") == 0ms);
+  CHECK(ColdOf(R"(, "cold-remaining-ms": 1200)") == 1200ms);
+  CHECK(ColdOf(R"(, "cold-remaining-ms": 0.5)") == 1ms);
+  for (const char *Each : {"-1", "1e300", "\"soon\"", "[]", "true"}) {
+    INFO(Each);
+    CHECK(ColdOf(std::string(R"(, "cold-remaining-ms": )") + Each) == 1h);
+  }
+  const auto RateOf = [&](const std::string &Member) {
+    std::string Text = Configuration;
+    const std::string Place = R"("connection-limit": 16)";
+    Text.replace(Text.find(Place), Place.size(), Place + Member);
+    const Result<SessionCatalogue> Decoded = Codec.decodeCatalogue(json(Text));
+    REQUIRE(Decoded);
+    return Decoded.value().Groups.at("orders").ColdPerSecond;
+  };
+  CHECK(RateOf("") == 0);
+  CHECK(RateOf(R"(, "cold-per-s": 0)") == 0);
+  CHECK(RateOf(R"(, "cold-per-s": 20)") == 20);
+  for (const char *Each : {"-20", "1e300", "\"20\"", "{}"}) {
+    INFO(Each);
+    CHECK(RateOf(std::string(R"(, "cold-per-s": )") + Each) == 5);
+  }
+}
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -98,7 +98,7 @@
         return Path(self.log.name).read_text(errors="replace")
 
 
-def configuration(version, keys=("k-clerks", "k-second"), synchronous=0):
+def configuration(version, keys=("k-clerks", "k-second"), synchronous=0, service=None):
     def route(name, kind):
         return {"name": name, "host": name, "path-prefix": "/", "kind": kind, "timeout-ms": 3000,
                 "target-latency-ms": 1000, "priority": 1, "service": "orders", "max-attempts": 2,
@@ -106,7 +106,7 @@
     return {"version": version,
             "routes": [route("desk", "primary"), route("stock", "bounded"), route("price", "read_your_writes")],
             "services": [{"name": "orders", "health-path": "/health", "connection-limit": 16, "protocol": "h1",
-                          "tls": False, "sync-replicas": synchronous}],
+                          "tls": False, "sync-replicas": synchronous, **(service or {})}],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "transaction-idle-ms": 3000},
             "tenants": [{"name": "clerks", "api-keys": list(keys), "priority": 1, "requests-per-s": 500,
                          "burst": 500}]}
--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -1,10 +1,13 @@
 """Evacuation of a failure domain: nothing more is sent to its databases."""
 import contextlib
+import subprocess
+import tempfile
 import threading
 import time
 import unittest
+from pathlib import Path
 
-from cluster import wait_until
+from cluster import program, wait_until
 from sessionfleet import SessionFleet
 from test_relays import metric
 
@@ -48,6 +51,13 @@
             each.join(10)
 
 
+def slow_down_others(fleet, zone):
+    """Lets reads choose the database of a zone: one without recent answers
+    counts as slower than the others, which answer at once."""
+    for each in fleet.databases:
+        each.hold = 0.0 if each.zone == zone else 0.05
+
+
 class Evacuations(unittest.TestCase):
     HOSTS = 2
 
@@ -99,6 +109,7 @@
         self.assertEqual(metric(later, "lavenderdale_evacuated_domains"), 1)
         self.assertEqual(metric(later, "lavenderdale_evacuated_connections"), 0)
         self.fleet.withdraw("z1")
+        slow_down_others(self.fleet, "z1")
         wait_until("the domain is used again", lambda: self.received_since("z1", ordered + BOUND_S))
         self.assertEqual(metric(later, "lavenderdale_evacuated_domains"), 0)
 
@@ -125,6 +136,7 @@
         self.await_service(time.monotonic())
         self.fleet.withdraw("z2")
         self.fleet.loop.call(self.fleet.store.set_away, False)
+        slow_down_others(self.fleet, "z2")
         wait_until("the domain is used again", lambda: self.received_since("z2", ordered + BOUND_S))
 
     def test_an_order_that_is_given_while_the_store_is_away_takes_effect_after(self):
@@ -204,6 +216,26 @@
             self.fleet.withdraw(zone)
         wait_until("writes work again", lambda: other.query("WRITE item z")[0].startswith("COMPLETE"))
 
+    def test_a_write_that_does_not_end_in_time_is_in_doubt(self):
+        """Guards against a statement that runs on after the bound, and against
+        one that is called not run although the database may run it."""
+        self.start(bounds="evacuation-ms = 2000")
+        caller = self.fleet.caller("desk")
+        wait_until("a write", lambda: caller.query("WRITE item x")[0].startswith("COMPLETE"))
+        self.fleet.order("z2")
+        self.fleet.order("z3")
+        for each in self.fleet.databases:
+            each.hold = 2.9
+        answers = []
+        writing = threading.Thread(target=lambda: answers.append(caller.query("WRITE item y")))
+        writing.start()
+        time.sleep(0.2)
+        ordered = self.fleet.order("z1")
+        writing.join(20)
+        self.assertLess(time.monotonic() - ordered, 2.5)
+        self.assertTrue(answers[0][0].startswith("ERROR INDOUBT"), answers)
+        self.assertEqual(sum(metric(each, "lavenderdale_evacuated_connections") for each in self.fleet.hosts), 0)
+
     def test_two_of_three_domains(self):
         """Guards against a promotion in the other evacuated domain."""
         self.start_with_traffic()
@@ -226,6 +258,7 @@
         time.sleep(3)
         self.await_service(time.monotonic())
         self.assertLessEqual(len(self.fleet.store.promotions), 1)
+        slow_down_others(self.fleet, "z1")
         wait_until("the domain is used", lambda: self.received_since("z1", ordered + 3))
 
     def test_orders_that_name_no_domain_or_cannot_be_read(self):
@@ -243,6 +276,40 @@
         self.await_service(time.monotonic())
 
 
+class ColdDatabases(unittest.TestCase):
+    PER_S = 10
+
+    def test_a_cold_database_gets_a_limited_rate(self):
+        """Guards against the usual load on a database that is cold after an
+        evacuation, from its holder or over other hosts."""
+        fleet = SessionFleet(hosts=2, zones=ZONES, bounds=BOUNDS)
+        self.addCleanup(fleet.close)
+        fleet.configure(2, service={"cold-per-s": self.PER_S})
+        traffic = Traffic(fleet)
+        self.addCleanup(traffic.stop)
+        for host in range(2):
+            traffic.add(host)
+        for host in range(2):
+            wait_until("reads are served", lambda: traffic.served(host, "READ", 0))
+        fleet.order("z2")
+        wait_until("the domain is left", lambda: not fleet.databases[1].connections)
+        fleet.databases[1].cold_ms = 30000
+        fleet.loop.call(fleet.databases[1].announce)
+        time.sleep(1)
+        slow_down_others(fleet, "z2")
+        fleet.withdraw("z2")
+        begun = time.monotonic()
+        time.sleep(5)
+        sent = [at for at, line in list(fleet.databases[1].received)
+                if at > begun and line.startswith("QUERY q")]
+        most = max((sum(first <= at < first + 1 for at in sent) for first in sent), default=0)
+        self.assertGreater(len(sent), 0)
+        self.assertLessEqual(most, self.PER_S * 1.5 + 5)
+        fleet.databases[1].cold_ms = 0
+        fleet.loop.call(fleet.databases[1].announce)
+        wait_until("it is no longer limited", lambda: metric(fleet.hosts[0], "lavenderdale_cold_upstreams") == 0)
+
+
 class WithoutTheSetting(unittest.TestCase):
     def test_the_collection_is_not_read(self):
         """Guards against store calls, and against an effect of orders, in
@@ -256,5 +323,40 @@
         self.assertTrue(fleet.databases[0].primary)
 
 
+class Settings(unittest.TestCase):
+    def check(self, bounds):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "host.toml"
+            path.write_text(f"""
+node-name = "h"
+ip-address = "127.0.0.1"
+zone = "z1"
+internal-port-range = [7001,7002]
+[listen]
+front = "127.0.0.1:7003"
+readiness = "127.0.0.1:7004"
+[bounds]
+grace-period-s = 6
+{bounds}
+[platform]
+address = "127.0.0.1:7005"
+[cloud]
+address = "127.0.0.1:7005"
+""")
+            checked = subprocess.run([program("platform/lavenderdaled-platform"), "-s", path, "--check"],
+                                     capture_output=True, text=True, timeout=30)
+        self.assertEqual(checked.returncode, 0, checked.stderr)
+        return checked.stdout
+
+    def test_bounds_that_cannot_be_used_are_reported(self):
+        """Guards against a mistake in the settings that silently ignores the
+        orders, or keeps the host from starting."""
+        for name, bad in (("evacuation-ms", ("0", "-5000", '"5000"', "nan", "1e300")),
+                          ("cold-overage", ("0.5", '"1.5"', "inf")), ("cold-slack", ("-1", "[5]"))):
+            for value in bad:
+                self.assertIn(f"warning: bounds.{name}", self.check(f"{name} = {value}"))
+        self.assertNotIn("warning", self.check("evacuation-ms = 5000\ncold-overage = 1.5\ncold-slack = 5"))
+
+
 if __name__ == "__main__":
     unittest.main()
