--- a/tests/auto/placement/tst_evacuations.cpp
+++ b/tests/auto/placement/tst_evacuations.cpp
@@ -37,6 +37,43 @@
   }
 }
 
+// A fleet of which half hears neither the store nor the other half, while
+// orders are given and withdrawn; then each host hears only of one other host
+// in a round. Guards against hosts that stay at an older set after a cut, and
+// against a set that a host without the store brings back.
+TEST_CASE("half of a fleet takes over the last set when a cut ends") {
+  constexpr std::size_t Size = 40;
+  std::mt19937 Random(11);
+  for (int Round = 0; Round < 50; ++Round) {
+    std::vector<Evacuations> Hosts(Size, Evacuations(5s));
+    EvacuationSet Stored{10, {"a"}};
+    const EvacuationSet BeforeCut = Stored;
+    for (Evacuations &Each : Hosts)
+      Each.offer(Stored, Start);
+    const std::size_t WithStore = Size / 2;
+    std::uniform_int_distribution<std::size_t> Connected(0, WithStore - 1);
+    std::uniform_int_distribution<int> Choose(0, 2);
+    for (int Change = 0; Change < 6; ++Change) {
+      ++Stored.Revision;
+      const std::string Domain(1, static_cast<char>('a' + Choose(Random)));
+      if (Stored.Domains.erase(Domain) == 0)
+        Stored.Domains.insert(Domain);
+      // Some hosts of the connected half miss the change.
+      Hosts[Connected(Random)].offer(Stored, Start + 1s);
+    }
+    Hosts[Connected(Random)].offer(Stored, Start + 1s);
+    for (std::size_t Each = WithStore; Each < Size; ++Each)
+      REQUIRE(Hosts[Each].current()->Domains == BeforeCut.Domains);
+    std::uniform_int_distribution<std::size_t> Any(0, Size - 1);
+    for (std::size_t Report = 0; Report < Size * Size; ++Report)
+      Hosts[Any(Random)].offer(*Hosts[Any(Random)].current(), Start + 2s);
+    for (const Evacuations &Each : Hosts) {
+      REQUIRE(Each.current()->Revision == Stored.Revision);
+      REQUIRE(Each.current()->Domains == Stored.Domains);
+    }
+  }
+}
+
 // Guards against transactions that go on for longer, because the same order is
 // read again with each answer of the store.
 TEST_CASE("an order keeps its deadlines while it is read again") {
