--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -44,6 +44,9 @@
       EvacuationRefusals(this->Registry.counter(
           "lavenderdale_evacuation_refusals_total",
           "Work that was not sent to an upstream in an evacuated domain")),
+      ColdRefusals(this->Registry.counter(
+          "lavenderdale_cold_refusals_total",
+          "Requests that exceeded the limit of a cold upstream")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -56,6 +59,9 @@
       Isolated(this->Registry.gauge(
           "lavenderdale_domain_isolated",
           "1 while no host of another failure domain answers")),
+      ColdUpstreams(
+          this->Registry.gauge("lavenderdale_cold_upstreams",
+                               "Cold upstreams to which requests are limited")),
       EvacuatedDomains(
           this->Registry.gauge("lavenderdale_evacuated_domains",
                                "Failure domains that are evacuated")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -48,11 +48,13 @@
   Counter &SharedRefused;  ///< Requests of other hosts beyond the limit.
   Gauge &WatchesStore;     ///< 1 if this host watches the store itself.
   Counter &EvacuationRefusals; ///< Work not sent to evacuated upstreams.
+  Counter &ColdRefusals; ///< Requests beyond the limit of a cold upstream.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
   Gauge &UpstreamConnections;
-  Gauge &Isolated; ///< 1 while no host of another failure domain answers.
+  Gauge &Isolated;      ///< 1 while no host of another failure domain answers.
+  Gauge &ColdUpstreams; ///< To which requests are limited.
   Gauge &EvacuatedDomains;
   Gauge &EvacuationRevision;       ///< Of the store, at which they were read.
   Gauge &EvacuatedConnections;     ///< Of this host to upstreams there.
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -3,6 +3,7 @@
 #include "base/boottime.h"
 #include "failover/troublenotices.h"
 #include "fleetview.h"
+#include "limits/coldrate.h"
 #include "limits/contactfraction.h"
 #include "limits/memorybudget.h"
 #include "limits/ownedrate.h"
@@ -67,10 +68,12 @@
   static constexpr double ReportedUseShare = 0.5;
 
   /// \param EvacuationBound see UpstreamAccess.
+  /// \param ColdUpstreams applies only in deployments with evacuations.
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity,
              RateTolerance Tolerance,
              std::chrono::milliseconds EvacuationBound = {},
+             ColdTolerance ColdUpstreams = {},
              MemoryBudget::Limits Allowed = MemoryBudget::limitsFor(0, 0));
 
   /// Applies a catalogue if it is newer than the current one.
@@ -197,6 +200,7 @@
   const UpstreamProtocol &Protocol;
   const ProxyIdentity Identity;
   const RateTolerance Tolerance;
+  const ColdTolerance ColdUpstreams;
   std::shared_ptr<const SessionCatalogue> Catalogue;
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -33,6 +33,7 @@
   std::chrono::milliseconds EvacuationBound{};
   std::size_t MemoryBytes = 0; ///< Of the host; 0 if not declared.
   std::size_t Descriptors = 0; ///< Of the host; 0 if not declared.
+  ColdTolerance ColdUpstreams;
 };
 
 /// External systems and codecs that a session proxy uses.
