Limit the bodies being received and the idle connections of HTTP servers

Cause: callers of the HTTP program and of its administration could fill any amount of memory with bodies that never end, and idle connections to the readiness and internal listeners of the session proxy took descriptors without a limit that suits them.

Change: HttpServer reads the header first and counts the announced length of bodies above 16 kB, over all connections, until the handler is done; what exceeds MaxReceivingBytes is refused with queue-full (not run). The setting limits.max_receiving_bytes sizes it for callers, twice as much for other hosts; the default is 256 MiB or 16 of the largest requests, and the administration has 4 MiB. Refusals are logged once a second and shown in metrics. The readiness and internal listeners accept 64 and 512 connections and small requests; at the limit the oldest connection without a complete request is closed.

--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <list>
 #include <optional>
+#include <utility>
 
 namespace lavenderdale {
 namespace {
@@ -45,6 +46,29 @@
   bool Busy = false;
   /// Waits for the first byte of a request.
   bool Idle = false;
+  /// Waits for a request, or has not received it completely.
+  bool Replaceable = false;
+};
+
+/// The part of a request in the bytes of all bodies.
+class BodyReservation {
+public:
+  explicit BodyReservation(std::atomic<std::size_t> &Sum) : Sum(Sum) {}
+  ~BodyReservation() { this->release(); }
+  BodyReservation(const BodyReservation &) = delete;
+  BodyReservation &operator=(const BodyReservation &) = delete;
+
+  /// Returns whether the sum stays within \p Limit with \p Wanted bytes more.
+  bool reserve(std::size_t Wanted, std::size_t Limit) {
+    this->Bytes += Wanted;
+    return this->Sum.fetch_add(Wanted) + Wanted <= Limit;
+  }
+
+  void release() { this->Sum.fetch_sub(std::exchange(this->Bytes, 0)); }
+
+private:
+  std::atomic<std::size_t> &Sum;
+  std::size_t Bytes = 0;
 };
 
 /// The connections of one worker; touched by that worker only.
@@ -143,6 +167,8 @@
   std::atomic<std::size_t> Open{0};
   std::atomic<std::size_t> InFlight{0};
   std::atomic<std::uint64_t> Refused{0};
+  std::atomic<std::size_t> ReceivingBytes{0};
+  std::atomic<std::uint64_t> RefusedBodies{0};
 
 private:
   // Leaves time for a request that was sent before the listener closed.
@@ -229,7 +255,7 @@
     const auto Self = State.Connections.begin();
     error_code Ignored;
     Self->Socket.set_option(tcp::no_delay(true), Ignored);
-    if (Admitted)
+    if (Admitted || (this->Limits.ReplaceOldest && closeOldest(State)))
       co_await this->serveRequests(*Self);
     else
       co_await this->refuse(*Self);
@@ -237,6 +263,18 @@
     State.Connections.erase(Self);
   }
 
+  // Returns whether there was one to close. New connections are at the front.
+  static bool closeOldest(WorkerState &State) {
+    for (auto Each = State.Connections.rbegin();
+         Each != State.Connections.rend(); ++Each)
+      if (std::exchange(Each->Replaceable, false)) {
+        error_code Ignored;
+        Each->Socket.close(Ignored);
+        return true;
+      }
+    return false;
+  }
+
   asio::awaitable<void> refuse(Connection &Open) {
     this->Refused.fetch_add(1);
     HttpResponse Response = problemResponse(
@@ -251,6 +289,7 @@
     std::optional<beast::flat_buffer> Buffer;
     bool KeepAlive = true;
     while (KeepAlive) {
+      Open.Replaceable = true;
       if (!Buffer || Buffer->size() == 0) {
         Buffer.reset();
         Open.Busy = false;
@@ -275,23 +314,52 @@
     Parser.header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
     Parser.body_limit(this->Limits.MaxBodyBytes);
     error_code Failure;
-    co_await http::async_read(Open.Socket, Buffer, Parser, resumeWith(Failure));
+    BodyReservation Reserved(this->ReceivingBytes);
+    co_await http::async_read_header(Open.Socket, Buffer, Parser,
+                                     resumeWith(Failure));
+    const bool Fits = Failure || this->reserveBody(Parser, Reserved);
+    if (!Failure && Fits && !Parser.is_done())
+      co_await http::async_read(Open.Socket, Buffer, Parser,
+                                resumeWith(Failure));
     if (Failure && !isProtocolError(Failure))
       co_return false;
+    Open.Replaceable = false;
     Open.Busy = true;
     this->InFlight.fetch_add(1);
     bool KeepAlive = false;
     if (Failure)
       co_await this->write(Open, problemResponse(readError(Failure)), 11,
                            false);
+    else if (!Fits)
+      co_await this->write(
+          Open,
+          problemResponse(failure(ErrorKind::QueueFull,
+                                  "no memory for the body of the request")),
+          11, false);
     else
-      KeepAlive = co_await this->answer(Open, Parser.release());
+      KeepAlive = co_await this->answer(Open, Parser.release(), Reserved);
     this->InFlight.fetch_sub(1);
     co_return KeepAlive;
   }
 
+  // A body of unknown length is counted with the largest one.
+  bool reserveBody(http::request_parser<http::string_body> &Parser,
+                   BodyReservation &Reserved) {
+    if (Parser.is_done())
+      return true;
+    std::size_t Length = this->Limits.MaxBodyBytes;
+    if (const auto Announced = Parser.content_length())
+      Length = static_cast<std::size_t>(*Announced);
+    if (Length <= OrdinaryBodyBytes ||
+        Reserved.reserve(Length, this->Limits.MaxReceivingBytes))
+      return true;
+    this->RefusedBodies.fetch_add(1);
+    return false;
+  }
+
   asio::awaitable<bool> answer(Connection &Open,
-                               http::request<http::string_body> Message) {
+                               http::request<http::string_body> Message,
+                               BodyReservation &Reserved) {
     const unsigned Version = Message.version();
     const bool WantsKeepAlive = Message.keep_alive();
     HttpResponse Response;
@@ -300,6 +368,7 @@
     } catch (const std::exception &Failure) {
       Response = problemResponse(failure(ErrorKind::Internal, Failure.what()));
     }
+    Reserved.release();
     const bool KeepAlive =
         WantsKeepAlive && !Response.Close && !this->CloseAfterResponses;
     co_return co_await this->write(Open, std::move(Response), Version,
@@ -364,6 +433,14 @@
 
 std::size_t HttpServer::requestsInFlight() const { return this->P->InFlight; }
 
+std::size_t HttpServer::receivingBytes() const {
+  return this->P->ReceivingBytes;
+}
+
+std::uint64_t HttpServer::refusedBodies() const {
+  return this->P->RefusedBodies;
+}
+
 std::uint64_t HttpServer::refusedConnections() const {
   return this->P->Refused;
 }
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -20,6 +20,12 @@
   std::size_t MaxConnections = 10000;
   std::size_t MaxHeaderBytes = std::size_t{16} * 1024;
   std::size_t MaxBodyBytes = std::size_t{1024} * 1024;
+  /// Bodies that are received or worked on, of all connections together. Those
+  /// of up to OrdinaryBodyBytes are not counted and never refused.
+  std::size_t MaxReceivingBytes = std::size_t{256} << 20;
+  /// At MaxConnections, close the oldest connection that waits for a request or
+  /// has not sent it completely, instead of refusing the new one.
+  bool ReplaceOldest = false;
   std::chrono::milliseconds IdleTimeout{60000};
   /// From the first byte of a request to its last one.
   std::chrono::milliseconds ReceiveTimeout{10000};
@@ -34,6 +40,8 @@
   using Handler =
       std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
+  static constexpr std::size_t OrdinaryBodyBytes = 16384;
+
   HttpServer(WorkerPool &Workers, HttpServerLimits Limits, Handler Handle);
   ~HttpServer();
 
@@ -59,6 +67,12 @@
   /// Number of connections refused since MaxConnections was reached.
   std::uint64_t refusedConnections() const;
 
+  /// Bytes counted towards MaxReceivingBytes.
+  std::size_t receivingBytes() const;
+
+  /// Number of requests refused since MaxReceivingBytes was reached.
+  std::uint64_t refusedBodies() const;
+
 private:
   class Private;
   std::shared_ptr<Private> P;
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -8,6 +8,7 @@
 #include "executor.h"
 #include "groupdirectory.h"
 #include "http/httpserver.h"
+#include "http/sleepuntil.h"
 #include "membershipservice.h"
 #include "platformaccess.h"
 #include "platformstatusstore.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace lavenderdale {
@@ -46,10 +48,20 @@
   return Endpoints;
 }
 
+// Room for at least one request of the largest size.
+std::size_t receivingLimit(std::uint64_t Declared, std::uint64_t MaxBodyBytes) {
+  constexpr std::uint64_t Default = std::uint64_t{256} << 20U;
+  constexpr std::uint64_t LargestAtOnce = 16;
+  return Declared > 0 ? std::max(Declared, MaxBodyBytes)
+                      : std::max(Default, LargestAtOnce * MaxBodyBytes);
+}
+
 HttpServerLimits callerLimits(const Settings &Config) {
   HttpServerLimits Limits;
   Limits.MaxConnections = Config.Limits.MaxConnections;
   Limits.MaxBodyBytes = Config.Limits.MaxRequestBytes;
+  Limits.MaxReceivingBytes =
+      receivingLimit(Config.Limits.MaxReceivingBytes, Limits.MaxBodyBytes);
   Limits.IdleTimeout = Config.Limits.IdleTimeout;
   Limits.ReceiveTimeout = Config.Limits.HeaderTimeout;
   return Limits;
@@ -59,10 +71,19 @@
   HttpServerLimits Limits;
   // A forwarded request wraps the caller's request in additional JSON members.
   Limits.MaxBodyBytes = 2 * Config.Limits.MaxRequestBytes + 65536;
+  Limits.MaxReceivingBytes =
+      receivingLimit(2 * Config.Limits.MaxReceivingBytes, Limits.MaxBodyBytes);
   Limits.IdleTimeout = PeerIdleTimeout;
   return Limits;
 }
 
+// Requests of operators and monitoring have short bodies.
+HttpServerLimits adminLimits() {
+  HttpServerLimits Limits;
+  Limits.MaxReceivingBytes = std::size_t{4} << 20;
+  return Limits;
+}
+
 HttpResponse textResponse(int Status, std::string Body) {
   HttpResponse Response;
   Response.Status = Status;
@@ -141,7 +162,7 @@
                    [this](HttpRequest Request) {
                      return this->handlePeer(std::move(Request));
                    }),
-        AdminServer(Workers, HttpServerLimits{}, [this](HttpRequest Request) {
+        AdminServer(Workers, adminLimits(), [this](HttpRequest Request) {
           return this->handleAdmin(std::move(Request));
         }) {}
 
@@ -164,6 +185,8 @@
     this->Configuration->setFleet(this->Members->liveFleet());
     this->Members->start();
     this->Configuration->start();
+    asio::co_spawn(this->Workers.worker(0), this->reportRefusedBodies(),
+                   asio::detached);
     this->Workers.start();
     logInfo("started in failure domain " + this->Config.Host.FailureDomain);
     logExperiment(this->Config.Experiment);
@@ -244,10 +267,34 @@
            steadyNow() >= this->ReadyFrom.load();
   }
 
+  // Instead of one line for each refusal.
+  asio::awaitable<void> reportRefusedBodies() {
+    constexpr std::chrono::milliseconds Interval{1000};
+    std::uint64_t Reported = 0;
+    while (!this->Stopping) {
+      co_await sleepUntil(steadyNow() + Interval);
+      const std::uint64_t Refused = this->CallerServer.refusedBodies();
+      if (Refused != Reported)
+        logWarn("refused " + std::to_string(Refused - Reported) +
+                " requests of callers: bodies being received take " +
+                std::to_string(this->CallerServer.receivingBytes()) +
+                " bytes, see limits.max_receiving_bytes");
+      Reported = Refused;
+    }
+  }
+
   std::string exposition() {
     this->Metrics
         .gauge("lavenderdale_caller_connections", "Open caller connections")
         .set(static_cast<std::int64_t>(this->CallerServer.connections()));
+    this->Metrics
+        .gauge("lavenderdale_receiving_bytes",
+               "Counted bodies of callers that are received or worked on")
+        .set(static_cast<std::int64_t>(this->CallerServer.receivingBytes()));
+    this->Metrics
+        .gauge("lavenderdale_refused_bodies",
+               "Requests of callers refused for limits.max_receiving_bytes")
+        .set(static_cast<std::int64_t>(this->CallerServer.refusedBodies()));
     this->Metrics
         .gauge("lavenderdale_configuration_version",
                "Version of the configuration in force")
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -14,6 +14,25 @@
 
 namespace asio = boost::asio;
 
+// For listeners whose requests have no body and are answered at once. A faulty
+// peer that fills them with idle connections keeps nobody out.
+HttpServerLimits shortRequestLimits() {
+  HttpServerLimits Limits;
+  Limits.MaxConnections = 64;
+  Limits.MaxHeaderBytes = 8192;
+  Limits.MaxBodyBytes = 4096;
+  Limits.ReceiveTimeout = std::chrono::milliseconds(3000);
+  Limits.ReplaceOldest = true;
+  return Limits;
+}
+
+// Other hosts fetch catalogues here, all of a large fleet at the same time.
+HttpServerLimits internalLimits() {
+  HttpServerLimits Limits = shortRequestLimits();
+  Limits.MaxConnections = 512;
+  return Limits;
+}
+
 } // namespace
 
 SessionProxy::SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
@@ -36,11 +55,11 @@
       Promotions(std::make_shared<PromotionCoordinator>(
           this->Executor, Dependencies.Store, Dependencies.Authority,
           this->State)),
-      ReadinessServer(Workers, HttpServerLimits(),
+      ReadinessServer(Workers, shortRequestLimits(),
                       [this](HttpRequest Request) {
                         return this->answerReadiness(std::move(Request));
                       }),
-      InternalServer(Workers, HttpServerLimits(), [this](HttpRequest Request) {
+      InternalServer(Workers, internalLimits(), [this](HttpRequest Request) {
         return this->answerInternal(std::move(Request));
       }) {}
 
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t MaxConnectionLimit = 1'000'000;
 constexpr std::uint64_t MinMessageBytes = 1024;
 constexpr std::uint64_t MaxMessageBytes = 1024ULL * 1024 * 1024;
+constexpr std::uint64_t MaxReceivingLimit = 1024 * MaxMessageBytes;
 constexpr std::uint64_t MaxWorkers = 256;
 
 void readHost(TomlReader &Reader, HostSettings &Host) {
@@ -45,6 +46,8 @@
                           Limits.MaxRequestBytes);
   Reader.optionalUnsigned("max_result_bytes", MinMessageBytes, MaxMessageBytes,
                           Limits.MaxResultBytes);
+  Reader.optionalUnsigned("max_receiving_bytes", MinMessageBytes,
+                          MaxReceivingLimit, Limits.MaxReceivingBytes);
   Reader.optionalMilliseconds("idle_timeout_ms", seconds(1), hours(24),
                               Limits.IdleTimeout);
   Reader.optionalMilliseconds("header_timeout_ms", milliseconds(100),
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -36,6 +36,9 @@
   std::uint64_t MaxConnections = 10'000;
   std::uint64_t MaxRequestBytes = std::uint64_t{1} << 20U;
   std::uint64_t MaxResultBytes = std::uint64_t{16} << 20U;
+  /// Bodies that are received or worked on, of all callers together; 0 for 256
+  /// MiB, or 16 of the largest requests if that is more.
+  std::uint64_t MaxReceivingBytes = 0;
   std::chrono::milliseconds IdleTimeout{300'000};
   std::chrono::milliseconds HeaderTimeout{10'000};
 };
--- a/tests/auto/http/tst_http.cpp
+++ b/tests/auto/http/tst_http.cpp
@@ -141,6 +141,72 @@
   CHECK(Setup.Server.refusedConnections() == 1);
 }
 
+// Guards against callers that fill the memory with bodies that never end, and
+// against the refusal of small requests and of a single large one.
+TEST_CASE("the bodies of all connections are limited together") {
+  HttpServerLimits Limits;
+  Limits.MaxReceivingBytes = 150000;
+  Fixture Setup(Limits);
+  const std::string Large =
+      "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n";
+  CHECK(Setup.raw(Large + std::string(100000, 'x')).find("200 OK") !=
+        std::string::npos);
+  CHECK(Setup.Server.receivingBytes() == 0);
+  asio::io_context Context;
+  asio::ip::tcp::socket Unfinished(Context);
+  Unfinished.connect(
+      {asio::ip::make_address(Setup.Where.Address), Setup.Where.Port});
+  asio::write(Unfinished, asio::buffer(Large));
+  const TimePoint Limit = patient();
+  while (Setup.Server.receivingBytes() < 100000 &&
+         std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(Setup.raw(Large).find("queue-full") != std::string::npos);
+  CHECK(Setup
+            .raw("POST / HTTP/1.1\r\nConnection: close\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n")
+            .find("queue-full") != std::string::npos);
+  CHECK(Setup.Server.refusedBodies() == 2);
+  CHECK(Setup.raw(OneRequest).find("200 OK") != std::string::npos);
+  Unfinished.close();
+  while (Setup.Server.receivingBytes() > 0 &&
+         std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(Setup.raw(Large + std::string(100000, 'x')).find("200 OK") !=
+        std::string::npos);
+}
+
+// Guards against idle connections that keep a balancer or another host out.
+TEST_CASE("the oldest idle connection gives way to a new one") {
+  HttpServerLimits Limits;
+  Limits.MaxConnections = 1;
+  Limits.ReplaceOldest = true;
+  asio::io_context Context;
+  WorkerPool Workers(1);
+  HttpServer Server(Workers, Limits, echo);
+  const Endpoint Where = Server.listen({"127.0.0.1", 0}).value();
+  Workers.start();
+  const asio::ip::tcp::endpoint Address(asio::ip::make_address(Where.Address),
+                                        Where.Port);
+  asio::ip::tcp::socket Idle(Context);
+  Idle.connect(Address);
+  const TimePoint Limit = patient();
+  while (Server.connections() < 1 && std::chrono::steady_clock::now() < Limit)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  asio::ip::tcp::socket Next(Context);
+  Next.connect(Address);
+  asio::write(Next, asio::buffer(OneRequest));
+  std::string Answer;
+  boost::system::error_code Failure;
+  asio::read(Next, asio::dynamic_buffer(Answer), Failure);
+  CHECK(Answer.find("200 OK") != std::string::npos);
+  Answer.clear();
+  asio::read(Idle, asio::dynamic_buffer(Answer), Failure);
+  CHECK(Answer.empty());
+  CHECK(Server.refusedConnections() == 0);
+  Workers.stop();
+}
+
 // Guards against a true "not run" being lost or a false one being told.
 TEST_CASE("the client tells unsent requests from lost answers", "[not-run]") {
   const auto Silent = [](HttpRequest) -> asio::awaitable<HttpResponse> {
--- a/tests/process/test_misbehaving.py
+++ b/tests/process/test_misbehaving.py
@@ -13,7 +13,8 @@
 import unittest
 from pathlib import Path
 
-from cluster import wait_until
+from cluster import Cluster, wait_until
+from fleet import route, start, workspace
 from sessionfleet import Caller, Host, SessionFleet
 
 MEMORY_MB = 64
@@ -25,6 +26,8 @@
 PATIENCE_S = 40  # Until callers that make no progress are disconnected.
 LARGE = 1_000_000  # Bytes of a message a little below the limit of 1 MiB.
 STATE_BYTES = 32_000
+HTTP_HEAD = b"POST /v1/routes/cuts/statements HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n"
+HTTP_CATALOGUE = [workspace("steel"), route("cuts")]
 LIMITS = f"""
 [limits]
 memory-mb = {MEMORY_MB}
@@ -236,6 +239,49 @@
         self.crowd(200, b"", self.host.reports).send(struct.pack(">I", LARGE) + b"x" * (LARGE - 1))
         self.check_bounds()
 
+    def test_idle_connections_for_readiness(self):
+        """Guards against idle connections that keep the balancer from learning that the host is ready."""
+        self.crowd(300, b"", self.host.readiness).send(b"GET ", 1)
+        self.assertTrue(SessionFleet.ready(self.host))
+        not_for_callers = (DESCRIPTORS - FILE_DESCRIPTORS) // 4
+        self.assertLessEqual(self.host.descriptors(), self.before + not_for_callers)
+        self.check_bounds()
+
+
+class MisbehavingHttpCallers(unittest.TestCase):
+    """The same for callers and administration of the HTTP program."""
+
+    RECEIVING_MB = 16
+    MEMORY_MB = 80  # Those, as much for the administration and for copies, and the program itself.
+
+    def setUp(self):
+        self.cluster = Cluster(hosts={"h1": "d1"}, settings=f"[limits]\nmax_receiving_bytes = {self.RECEIVING_MB << 20}\n")
+        self.cluster.__enter__()
+        self.addCleanup(self.cluster.close)
+        self.key = start(self.cluster, HTTP_CATALOGUE)
+        self.daemon = self.cluster.daemons["h1"]
+
+    def check_bounds(self, port, head):
+        crowd = Crowd(port, 200, b"")
+        self.addCleanup(crowd.close)
+        crowd.send(head + b"x" * (LARGE - 1), 3)
+        time.sleep(QUIET_S)
+        pid = self.daemon.process.handle.pid
+        peak = int(Path(f"/proc/{pid}/status").read_text().partition("VmHWM:")[2].split()[0]) / 1024
+        print(f"{self.id().rpartition('.')[2]}: peak {peak:.0f} MB", flush=True)
+        self.assertLessEqual(peak, self.MEMORY_MB)
+        self.assertIsNone(self.daemon.process.handle.poll())
+        answer = self.cluster.execute(self.daemon, "cuts", "SELECT 1", key=self.key)
+        self.assertEqual(200, answer.status, answer)
+
+    def test_unfinished_bodies_of_callers(self):
+        """Guards against memory that callers fill with bodies that never end."""
+        self.check_bounds(self.daemon.clients, HTTP_HEAD % (b"Content-Length: %d" % LARGE))
+
+    def test_unfinished_bodies_at_the_administration(self):
+        """Guards against the same at the administration's listener."""
+        self.check_bounds(self.daemon.admin, HTTP_HEAD % (b"Content-Length: %d" % LARGE))
+
 
 if __name__ == "__main__":
     unittest.main()
