Do not read on from a host that does not take its answers

Cause: answers for another host are queued without a limit. A peer that sends pings and reads slowly could let them grow until the kernel ends the connection.

Change: RelayServer does not read a connection while 1 MiB of answers waits behind the one that is being written.

Considered: counting them in the memory budget and closing the connection. That would leave relayed work in doubt.

Tests: test_misbehaving test_many_requests_without_a_reader (20 peers, 200,000 pings each).

--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -106,9 +106,11 @@
 }
 
 // Reads a message after there is memory for it. A peer that sends more than is
-// carried out is not read for that time.
+// carried out, or does not take its answers, is not read for that time.
 asio::awaitable<Result<void>> RelayServer::Peer::read(std::string &Bytes) {
-  while (this->Running >= MaxRequestsInProgress && !this->Closed)
+  while ((this->Running >= MaxRequestsInProgress ||
+          this->Outgoing.size() >= MaxUntakenBytes) &&
+         !this->Closed)
     co_await sleepUntil(steadyNow() + MemoryRetryInterval);
   const Result<std::size_t> Length = co_await readRelayLength(this->Socket);
   if (!Length)
--- a/src/libs/sessionproxy/relayserver.h
+++ b/src/libs/sessionproxy/relayserver.h
@@ -28,6 +28,9 @@
   /// A connection with this many requests in progress is not read until some
   /// have ended.
   static constexpr std::size_t MaxRequestsInProgress = 1024;
+  /// A connection with this many bytes of answers behind the one that is being
+  /// written is not read until they have been taken.
+  static constexpr std::size_t MaxUntakenBytes = std::size_t{1} << 20;
 
   RelayServer(const boost::asio::any_io_executor &Executor, ProxyState &State);
 
--- a/tests/process/test_misbehaving.py
+++ b/tests/process/test_misbehaving.py
@@ -239,6 +239,16 @@
         self.crowd(200, b"", self.host.reports).send(struct.pack(">I", LARGE) + b"x" * (LARGE - 1))
         self.check_bounds()
 
+    def test_many_requests_without_a_reader(self):
+        """Guards against answers that pile up for a faulty peer that takes none."""
+        # A RelayRequest of Kind::Ping in CBOR, with work that has no commands.
+        ping = b"\x8c\x03\x01\x60\x60" + b"\x00" * 6 + b"\xf4" + b"\x86\xa0\xf6\xf4\xf6\x80\x00"
+        with socket.create_connection(("127.0.0.1", self.host.reports), 5) as peer:
+            peer.sendall(struct.pack(">I", len(ping)) + ping)
+            self.assertTrue(peer.recv(4096))
+        self.crowd(20, b"", self.host.reports).send((struct.pack(">I", len(ping)) + ping) * 200_000)
+        self.check_bounds()
+
     def test_idle_connections_for_readiness(self):
         """Guards against idle connections that keep the balancer from learning that the host is ready."""
         self.crowd(300, b"", self.host.readiness).send(b"GET ", 1)
