Limit the concurrent statements at upstreams that declare slots

Cause: the pool handed a statement to every idle connection, so an upstream of 4 slots got as many statements at once as there were connections. They waited in its FIFO queue of 32, where priority has no effect, or were refused as busy. UpstreamPool counts the statements that run and the handshakes, and keeps what is beyond the limit in its own queue. A connection that a transaction holds counts only while one of its statements runs; these statements go first and wait 100 ms at most. BEGIN, ROLLBACK and probes are not limited; STATUS is counted but does not wait. Without declared slots, or with unusable ones (logged), nothing changes. Considered: letting response times lower the limit below the slots, as in TCP Vegas. Statements of 3 ms and 19 ms are mixed, so a longer response time does not show a queue, and a limit below the slots leaves slots idle.

--- a/src/libs/pooling/upstreampool.cpp
+++ b/src/libs/pooling/upstreampool.cpp
@@ -3,6 +3,10 @@
 #include "base/softassert.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
+#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -14,25 +18,41 @@
 }
 
 void UpstreamPool::enqueue(PoolWaiter Waiter, TimePoint Now) {
-  this->Waiting.push_back({std::move(Waiter), Now});
+  std::deque<Queued> &Queue =
+      this->Concurrency && !Waiter.TakesSlot ? this->Commands : this->Waiting;
+  Queue.push_back({std::move(Waiter), Now, std::nullopt});
+}
+
+void UpstreamPool::enqueueHeld(WaiterId Waiter, ConnectionId Held,
+                               TimePoint Until) {
+  this->Held.push_back({Waiter, Held, Until});
 }
 
 bool UpstreamPool::cancel(WaiterId Waiter) {
-  const auto Found = std::find_if(
-      this->Waiting.begin(), this->Waiting.end(),
-      [Waiter](const Queued &Each) { return Each.Waiter.Id == Waiter; });
-  if (Found == this->Waiting.end())
-    return false;
-  this->Waiting.erase(Found);
-  return true;
+  const auto Queues = [Waiter](const Queued &Each) {
+    return Each.Waiter.Id == Waiter;
+  };
+  const auto Holds = [Waiter](const HeldWaiter &Each) {
+    return Each.Waiter == Waiter;
+  };
+  return std::erase_if(this->Waiting, Queues) +
+             std::erase_if(this->Commands, Queues) +
+             std::erase_if(this->Held, Holds) >
+         0;
 }
 
 std::vector<UpstreamPoolAction> UpstreamPool::decide(TimePoint Now) {
   std::vector<UpstreamPoolAction> Actions;
   this->refuseExpired(Now, Actions);
   this->sortQueue(Now);
-  this->assignIdle(Now, Actions);
-  this->openForWaiters(Now, Actions);
+  this->resumeHeld(Now, Actions);
+  this->dispatchCommands(Now, Actions);
+  if (this->Concurrency) {
+    this->dispatchWithinLimit(Now, Actions);
+  } else {
+    this->assignIdle(Now, Actions);
+    this->openForWaiters(Now, Actions);
+  }
   this->closeSurplus(Now, Actions);
   return Actions;
 }
@@ -42,7 +62,7 @@
   this->finishOpening(Workspace);
   this->RetryBackoff = {};
   this->NextLimitBackoff = InitialLimitBackoff;
-  this->Connections[Connection] = {Workspace, false, false, Now};
+  this->Connections[Connection] = {Workspace, false, false, Now, std::nullopt};
   // There is room again, perhaps for more.
   this->Permitted = std::max(this->Permitted, this->Connections.size() + 1);
 }
@@ -74,10 +94,15 @@
   Found->second.Assigned = false;
   Found->second.Pinned = false;
   Found->second.IdleSince = Now;
+  this->markEnded(Found->second);
 }
 
 void UpstreamPool::closed(ConnectionId Connection) {
-  this->Connections.erase(Connection);
+  const auto Found = this->Connections.find(Connection);
+  if (Found == this->Connections.end())
+    return;
+  this->markEnded(Found->second);
+  this->Connections.erase(Found);
 }
 
 void UpstreamPool::pinned(ConnectionId Connection) {
@@ -87,6 +112,50 @@
     Found->second.Pinned = true;
 }
 
+void UpstreamPool::started(ConnectionId Connection, TimePoint Now) {
+  const auto Found = this->Connections.find(Connection);
+  if (softAssert(Found != this->Connections.end(),
+                 "a connection with a statement is known"))
+    this->markRunning(Found->second, Now);
+}
+
+std::optional<Duration> UpstreamPool::ended(ConnectionId Connection,
+                                            TimePoint Now) {
+  const auto Found = this->Connections.find(Connection);
+  if (Found == this->Connections.end() || !Found->second.RunningSince)
+    return std::nullopt;
+  const Duration Ran = Now - *Found->second.RunningSince;
+  this->markEnded(Found->second);
+  return Ran;
+}
+
+bool UpstreamPool::isRunning(ConnectionId Connection) const {
+  const auto Found = this->Connections.find(Connection);
+  return Found != this->Connections.end() &&
+         Found->second.RunningSince.has_value();
+}
+
+void UpstreamPool::markRunning(Connection &Each, TimePoint Now) {
+  if (!Each.RunningSince)
+    ++this->Running;
+  Each.RunningSince = Now;
+}
+
+void UpstreamPool::markEnded(Connection &Each) {
+  if (!Each.RunningSince)
+    return;
+  Each.RunningSince.reset();
+  --this->Running;
+}
+
+// A handshake takes a slot, like a statement.
+std::size_t UpstreamPool::freeSlots() const {
+  const std::size_t Used = this->Running + this->Opening;
+  if (!this->Concurrency)
+    return std::numeric_limits<std::size_t>::max();
+  return *this->Concurrency > Used ? *this->Concurrency - Used : 0;
+}
+
 std::optional<ConnectionId> UpstreamPool::borrowIdle() {
   for (auto &[Id, Each] : this->Connections) {
     if (Each.Assigned)
@@ -114,10 +183,19 @@
       Next = Time;
   };
   for (const Queued &Each : this->Waiting) {
+    Consider(Each.Waiter.GiveUpAt);
+    if (!this->Concurrency || Each.PassedOverAt)
+      Consider(
+          std::max({Each.PassedOverAt.value_or(Each.QueuedAt) + EvictionDelay,
+                    this->OpenNotBefore, this->LimitedUntil}));
+  }
+  for (const Queued &Each : this->Commands) {
     Consider(Each.Waiter.GiveUpAt);
     Consider(std::max({Each.QueuedAt + EvictionDelay, this->OpenNotBefore,
                        this->LimitedUntil}));
   }
+  for (const HeldWaiter &Each : this->Held)
+    Consider(Each.Until);
   if (this->Connections.size() > this->Guaranteed)
     for (const auto &[Id, Each] : this->Connections)
       if (!Each.Assigned)
@@ -128,13 +206,15 @@
 void UpstreamPool::refuseExpired(TimePoint Now,
                                  std::vector<UpstreamPoolAction> &Actions) {
   const bool All = std::exchange(this->RefuseAll, false);
-  std::erase_if(this->Waiting, [&](const Queued &Each) {
+  const auto Refuse = [&](const Queued &Each) {
     if (!All && Now < Each.Waiter.GiveUpAt)
       return false;
     Actions.push_back(
         {UpstreamPoolAction::Kind::Refuse, Each.Waiter.Id, 0, {}});
     return true;
-  });
+  };
+  std::erase_if(this->Waiting, Refuse);
+  std::erase_if(this->Commands, Refuse);
 }
 
 // Sorts by priority, most urgent first. Within a priority, waiters that can
@@ -155,18 +235,122 @@
 void UpstreamPool::assignIdle(TimePoint Now,
                               std::vector<UpstreamPoolAction> &Actions) {
   std::erase_if(this->Waiting, [&](const Queued &Each) {
-    const std::optional<ConnectionId> Idle =
-        this->idleOf(Each.Waiter.Workspace);
-    if (!Idle)
+    return this->assignIdleTo(Each.Waiter, Now, Actions);
+  });
+}
+
+bool UpstreamPool::assignIdleTo(const PoolWaiter &Waiter, TimePoint Now,
+                                std::vector<UpstreamPoolAction> &Actions) {
+  const std::optional<ConnectionId> Idle = this->idleOf(Waiter.Workspace);
+  if (!Idle)
+    return false;
+  Connection &Chosen = this->Connections[*Idle];
+  Chosen.Assigned = true;
+  Chosen.IdleSince = Now;
+  if (Waiter.TakesSlot)
+    this->markRunning(Chosen, Now);
+  Actions.push_back(
+      {UpstreamPoolAction::Kind::Assign, Waiter.Id, *Idle, Waiter.Workspace});
+  return true;
+}
+
+void UpstreamPool::resumeHeld(TimePoint Now,
+                              std::vector<UpstreamPoolAction> &Actions) {
+  std::erase_if(this->Held, [&](const HeldWaiter &Each) {
+    if (this->freeSlots() == 0 && Now < Each.Until)
       return false;
-    this->Connections[*Idle].Assigned = true;
-    this->Connections[*Idle].IdleSince = Now;
-    Actions.push_back({UpstreamPoolAction::Kind::Assign, Each.Waiter.Id, *Idle,
-                       Each.Waiter.Workspace});
+    const auto Found = this->Connections.find(Each.Connection);
+    if (Found != this->Connections.end())
+      this->markRunning(Found->second, Now);
+    Actions.push_back(
+        {UpstreamPoolAction::Kind::Assign, Each.Waiter, Each.Connection, {}});
     return true;
   });
 }
 
+// Commands of the proxy itself wait for a connection, but not for a slot. One
+// handshake at a time may exceed the limit for them, so that a busy primary can
+// still be probed.
+void UpstreamPool::dispatchCommands(TimePoint Now,
+                                    std::vector<UpstreamPoolAction> &Actions) {
+  std::erase_if(this->Commands, [&](const Queued &Each) {
+    return this->assignIdleTo(Each.Waiter, Now, Actions);
+  });
+  for (const Queued &Each : this->Commands) {
+    const std::string &Workspace = Each.Waiter.Workspace;
+    if (Now < this->OpenNotBefore || this->Opening >= MaxOpening ||
+        (this->freeSlots() == 0 && this->Opening > 0))
+      return;
+    const bool Awaited = this->openingFor(Workspace) > 0 ||
+                         (this->hasRunningStatement(Workspace) &&
+                          Now < Each.QueuedAt + EvictionDelay);
+    if (Awaited)
+      continue;
+    if (!this->makeRoomToOpen(Now, Actions))
+      return;
+    this->startOpening(Workspace, Actions);
+  }
+}
+
+// One pass in the order of the queue, so that a waiter without a connection is
+// not passed over forever by those that have one.
+void UpstreamPool::dispatchWithinLimit(
+    TimePoint Now, std::vector<UpstreamPoolAction> &Actions) {
+  std::map<std::string, std::size_t> Wanted;
+  std::deque<Queued> Rest;
+  while (!this->Waiting.empty() && this->freeSlots() > 0) {
+    Queued Each = std::move(this->Waiting.front());
+    this->Waiting.pop_front();
+    if (this->assignIdleTo(Each.Waiter, Now, Actions))
+      continue;
+    const std::string &Workspace = Each.Waiter.Workspace;
+    if (!Each.PassedOverAt)
+      Each.PassedOverAt = Now;
+    const bool Awaited = ++Wanted[Workspace] <= this->openingFor(Workspace) ||
+                         (this->hasRunningStatement(Workspace) &&
+                          Now < *Each.PassedOverAt + EvictionDelay);
+    if (!Awaited && Now >= this->OpenNotBefore && this->Opening < MaxOpening &&
+        this->makeRoomToOpen(Now, Actions))
+      this->startOpening(Workspace, Actions);
+    Rest.push_back(std::move(Each));
+  }
+  std::move(this->Waiting.begin(), this->Waiting.end(),
+            std::back_inserter(Rest));
+  this->Waiting = std::move(Rest);
+}
+
+std::size_t UpstreamPool::allowedConnections(TimePoint Now) const {
+  return Now < this->SurplusNotBefore
+             ? std::max<std::size_t>(
+                   std::min(this->Guaranteed, this->Permitted), 1)
+             : this->Max;
+}
+
+// \returns whether a connection may be opened now, if necessary in the place of
+//          an idle one.
+bool UpstreamPool::makeRoomToOpen(TimePoint Now,
+                                  std::vector<UpstreamPoolAction> &Actions) {
+  if (Now >= this->LimitedUntil &&
+      this->Connections.size() + this->Opening < this->allowedConnections(Now))
+    return true;
+  std::optional<ConnectionId> Victim =
+      this->longestIdle(this->Concurrency.has_value());
+  if (!Victim)
+    Victim = this->longestIdle(false);
+  if (!Victim)
+    return false;
+  this->Connections.erase(*Victim);
+  Actions.push_back({UpstreamPoolAction::Kind::Close, 0, *Victim, {}});
+  return true;
+}
+
+void UpstreamPool::startOpening(const std::string &Workspace,
+                                std::vector<UpstreamPoolAction> &Actions) {
+  ++this->Opening;
+  ++this->OpeningFor[Workspace];
+  Actions.push_back({UpstreamPoolAction::Kind::Open, 0, 0, Workspace});
+}
+
 void UpstreamPool::openForWaiters(TimePoint Now,
                                   std::vector<UpstreamPoolAction> &Actions) {
   if (Now < this->OpenNotBefore)
@@ -179,33 +363,20 @@
     // Each connection that is being opened will serve one waiter.
     if (++Wanted[Workspace] <= this->openingFor(Workspace))
       continue;
-    const std::size_t Allowed =
-        Now < this->SurplusNotBefore
-            ? std::max<std::size_t>(std::min(this->Guaranteed, this->Permitted),
-                                    1)
-            : this->Max;
-    const bool Full = Now < this->LimitedUntil ||
-                      this->Connections.size() + this->Opening >= Allowed;
     if (this->hasRunningStatement(Workspace) &&
         Now < Each.QueuedAt + EvictionDelay)
       continue;
-    if (Full) {
-      const std::optional<ConnectionId> Victim = this->longestIdle();
-      if (!Victim)
-        return;
-      this->Connections.erase(*Victim);
-      Actions.push_back({UpstreamPoolAction::Kind::Close, 0, *Victim, {}});
-    }
-    ++this->Opening;
-    ++this->OpeningFor[Workspace];
-    Actions.push_back({UpstreamPoolAction::Kind::Open, 0, 0, Workspace});
+    if (!this->makeRoomToOpen(Now, Actions))
+      return;
+    this->startOpening(Workspace, Actions);
   }
 }
 
 void UpstreamPool::closeSurplus(TimePoint Now,
                                 std::vector<UpstreamPoolAction> &Actions) {
   while (this->Connections.size() > this->Guaranteed) {
-    const std::optional<ConnectionId> Victim = this->longestIdle();
+    const std::optional<ConnectionId> Victim =
+        this->longestIdle(this->Concurrency.has_value());
     if (!Victim ||
         Now < this->Connections[*Victim].IdleSince + SurplusIdleTimeout)
       return;
@@ -222,13 +393,20 @@
   return std::nullopt;
 }
 
-// Returns the connection that has been idle for longest. No waiter needs its
-// workspace, otherwise it would have been assigned.
-std::optional<ConnectionId> UpstreamPool::longestIdle() const {
+// Returns the connection that has been idle for longest. Without a limit of
+// concurrency, no waiter needs its workspace, otherwise it would have been
+// assigned.
+// \param SkipWanted leave out connections of workspaces with waiters.
+std::optional<ConnectionId> UpstreamPool::longestIdle(bool SkipWanted) const {
+  std::set<std::string_view> Wanted;
+  if (SkipWanted)
+    for (const Queued &Each : this->Waiting)
+      Wanted.insert(Each.Waiter.Workspace);
   std::optional<ConnectionId> Oldest;
   TimePoint OldestSince{};
   for (const auto &[Id, Each] : this->Connections) {
-    if (Each.Assigned || (Oldest && Each.IdleSince >= OldestSince))
+    if (Each.Assigned || (Oldest && Each.IdleSince >= OldestSince) ||
+        Wanted.contains(Each.Workspace))
       continue;
     Oldest = Id;
     OldestSince = Each.IdleSince;
--- a/src/libs/pooling/upstreampool.h
+++ b/src/libs/pooling/upstreampool.h
@@ -22,6 +22,9 @@
   unsigned Priority = 0; ///< 0 is the most urgent.
   TimePoint Target{};    ///< Latest time that meets the latency objective.
   TimePoint GiveUpAt{};  ///< When it is refused if not served yet.
+  /// Whether it takes an execution slot of the upstream. Commands of the proxy
+  /// itself, such as the start of a transaction, take none.
+  bool TakesSlot = true;
 };
 
 /// An action that the owner of the pool must perform.
@@ -46,6 +49,11 @@
 /// belongs to one workspace. Load pattern: more workspaces are active than
 /// connections are permitted, so connections must be replaced, but without a
 /// handshake for every statement.
+///
+/// With a limit of concurrency, statements and handshakes beyond it wait here,
+/// ordered by urgency, and not in the FIFO queue of the upstream. A connection
+/// that a transaction holds counts only while one of its statements runs; these
+/// statements go before new work, since others may wait for their locks.
 class UpstreamPool {
 public:
   /// Back-off after the upstream refused a connection because of its connection
@@ -75,9 +83,18 @@
   /// \param Guaranteed connections that may stay open while idle; may be 0.
   /// \param Max maximum while other hosts leave connections free.
   void setCapacity(std::size_t Guaranteed, std::size_t Max);
+  /// Sets how many statements and handshakes may be in progress at the upstream
+  /// at the same time; nothing for no limit.
+  void setConcurrency(std::optional<std::size_t> Limit) {
+    this->Concurrency = Limit;
+  }
 
   /// Adds a waiter; decide() assigns it a connection or refuses it.
   void enqueue(PoolWaiter Waiter, TimePoint Now);
+  /// Adds a waiter for a slot to run a statement on \p Held, the connection
+  /// that its transaction holds. decide() assigns it that connection again, at
+  /// the latest at \p Until: the statement is then queued by the upstream.
+  void enqueueHeld(WaiterId Waiter, ConnectionId Held, TimePoint Until);
   /// Removes a waiter.
   /// \returns false if the waiter is not or no longer queued.
   bool cancel(WaiterId Waiter);
@@ -105,6 +122,15 @@
   /// long.
   void pinned(ConnectionId Connection);
 
+  /// Reports that a statement runs on an assigned connection without having
+  /// waited for a slot.
+  void started(ConnectionId Connection, TimePoint Now);
+  /// Reports that the statement on an assigned connection ended. The connection
+  /// stays assigned.
+  /// \returns the time since the statement was assigned or started; nothing if
+  ///          none was running.
+  std::optional<Duration> ended(ConnectionId Connection, TimePoint Now);
+
   /// Assigns an idle connection for a short command of the proxy itself. Return
   /// it with released() or closed().
   /// \returns nothing if no connection is idle.
@@ -115,11 +141,17 @@
   /// Returns the number of open connections.
   std::size_t connections() const { return this->Connections.size(); }
   /// Returns the number of queued waiters.
-  std::size_t waiting() const { return this->Waiting.size(); }
+  std::size_t waiting() const {
+    return this->Waiting.size() + this->Commands.size() + this->Held.size();
+  }
   /// Returns the number of connections being opened.
   std::size_t opening() const { return this->Opening; }
   /// Returns the number of connections in use.
   std::size_t assigned() const;
+  /// Returns the number of statements that run at the upstream.
+  std::size_t running() const { return this->Running; }
+  /// Returns whether a statement runs on \p Connection.
+  bool isRunning(ConnectionId Connection) const;
   /// Returns the maximum number of connections.
   std::size_t capacity() const { return this->Max; }
   /// Returns whether the last attempt to connect failed for another reason than
@@ -136,25 +168,52 @@
     bool Assigned = false;
     bool Pinned = false;
     TimePoint IdleSince{};
+    std::optional<TimePoint> RunningSince; ///< Set while a statement runs.
   };
   struct Queued {
     PoolWaiter Waiter;
     TimePoint QueuedAt{};
+    /// When a slot was first free for it, but no connection.
+    std::optional<TimePoint> PassedOverAt;
+  };
+  struct HeldWaiter {
+    WaiterId Waiter = 0;
+    ConnectionId Connection = 0;
+    TimePoint Until{};
   };
 
   void refuseExpired(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void assignIdle(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void openForWaiters(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  void dispatchWithinLimit(TimePoint Now,
+                           std::vector<UpstreamPoolAction> &Actions);
+  void resumeHeld(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  void dispatchCommands(TimePoint Now,
+                        std::vector<UpstreamPoolAction> &Actions);
+  bool assignIdleTo(const PoolWaiter &Waiter, TimePoint Now,
+                    std::vector<UpstreamPoolAction> &Actions);
+  bool makeRoomToOpen(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  void startOpening(const std::string &Workspace,
+                    std::vector<UpstreamPoolAction> &Actions);
+  std::size_t freeSlots() const;
+  void markRunning(Connection &Each, TimePoint Now);
+  void markEnded(Connection &Each);
+  std::size_t allowedConnections(TimePoint Now) const;
   void closeSurplus(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void sortQueue(TimePoint Now);
   std::optional<ConnectionId> idleOf(const std::string &Workspace) const;
-  std::optional<ConnectionId> longestIdle() const;
+  std::optional<ConnectionId> longestIdle(bool SkipWanted) const;
   bool hasRunningStatement(const std::string &Workspace) const;
   std::size_t openingFor(const std::string &Workspace) const;
   void finishOpening(const std::string &Workspace);
 
   std::map<ConnectionId, Connection> Connections;
   std::deque<Queued> Waiting;
+  /// Waiters that take no slot, kept apart while there is a limit.
+  std::deque<Queued> Commands;
+  std::deque<HeldWaiter> Held; ///< In the order of arrival.
+  std::optional<std::size_t> Concurrency;
+  std::size_t Running = 0; ///< Connections on which a statement runs.
   std::map<std::string, std::size_t> OpeningFor;
   std::size_t Opening = 0;
   bool RefuseAll = false; ///< The upstream was found to be unreachable.
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -300,6 +300,7 @@
   Waiter.Workspace = this->LastWorkspace;
   Waiter.Target = steadyNow();
   Waiter.GiveUpAt = Limit;
+  Waiter.TakesSlot = false;
   co_return co_await Client->acquire(std::move(Waiter), Wait);
 }
 
@@ -440,6 +441,8 @@
     co_return std::nullopt;
   std::vector<UpstreamCommand> Commands(1);
   Commands[0].Type = Command::Kind::Status;
+  // A promotion depends on the answer, so it is counted but does not wait.
+  Lease.occupySlot();
   const ExchangeResult Exchange =
       co_await Lease->exchange(std::move(Commands), Deadline);
   if (Exchange.Lost || Exchange.Replies.empty())
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -180,6 +180,7 @@
   Waiter.Priority = Request.Priority;
   Waiter.Target = Now + Request.TargetIn;
   Waiter.GiveUpAt = Now + Request.GiveUpIn;
+  Waiter.TakesSlot = Request.Work.hasStatement();
   WaitHandle Wait;
   this->Waits[Request.Id] = &Wait;
   ConnectionLease Lease = co_await Client->acquire(std::move(Waiter), Wait);
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -323,6 +323,7 @@
   // Commands of the proxy itself can run on a connection of any workspace.
   if (!Work.hasStatement() && !Hold)
     Lease = Client->tryAcquireIdle();
+  Waiter.TakesSlot = Work.hasStatement();
   if (!Lease)
     Lease = co_await Client->acquire(std::move(Waiter), Wait);
   WorkResult Result;
--- a/src/libs/sessionproxy/upstreamclient.cpp
+++ b/src/libs/sessionproxy/upstreamclient.cpp
@@ -42,6 +42,19 @@
 
 void ConnectionLease::pin() { this->Client->Pool.pinned(this->Id); }
 
+asio::awaitable<void> ConnectionLease::startStatement() {
+  return this->Client->startStatement(this->Id);
+}
+
+void ConnectionLease::occupySlot() {
+  this->Client->Pool.started(this->Id, steadyNow());
+}
+
+void ConnectionLease::endStatement(
+    std::optional<ConcurrencyLimit::Outcome> Ended) {
+  this->Client->endStatement(this->Id, Ended);
+}
+
 void ConnectionLease::reset() {
   if (!this->Connection)
     return;
@@ -60,6 +73,7 @@
 
   asio::steady_timer Signal;
   PoolWaiter Waiter;
+  bool Holds = false; ///< Waits for a slot only, with a held connection.
   bool Done = false;
   ConnectionId Assigned = 0;
 };
@@ -68,14 +82,34 @@
                                const UpstreamProtocol &Protocol,
                                UpstreamEntry Entry)
     : Executor(Executor), Protocol(Protocol), Entry(std::move(Entry)),
-      Timer(Executor) {}
+      Timer(Executor) {
+  this->applySlots();
+}
+
+void UpstreamClient::applySlots() {
+  if (this->Entry.SlotsInvalid)
+    logWarn("event=slots_invalid upstream=" + this->Entry.Id +
+            " effect=unlimited");
+  if (!this->Entry.Slots)
+    this->Limit.reset();
+  else if (this->Limit)
+    this->Limit->setSlots(*this->Entry.Slots);
+  else
+    this->Limit.emplace(*this->Entry.Slots);
+}
 
 void UpstreamClient::update(const UpstreamEntry &NewEntry) {
   const bool Restarted = NewEntry.StartedAt != this->Entry.StartedAt ||
                          !(NewEntry.Address == this->Entry.Address);
+  const bool SlotsChanged = NewEntry.Slots != this->Entry.Slots ||
+                            NewEntry.SlotsInvalid != this->Entry.SlotsInvalid;
   this->Entry = NewEntry;
+  if (SlotsChanged)
+    this->applySlots();
   if (!Restarted)
     return;
+  if (this->Limit)
+    this->Limit->reset();
   this->LastSeenPosition.reset();
   for (const auto &[Id, Connection] : this->Connections)
     Connection->close();
@@ -122,6 +156,43 @@
   co_return ConnectionLease(Self, Slot.Assigned, Found->second);
 }
 
+asio::awaitable<void> UpstreamClient::startStatement(ConnectionId Id) {
+  const std::shared_ptr<UpstreamClient> Self = this->shared_from_this();
+  if (this->Pool.isRunning(Id))
+    co_return;
+  if (!this->Limit) {
+    this->Pool.started(Id, steadyNow());
+    co_return;
+  }
+  PendingWait Slot(this->Executor);
+  Slot.Holds = true;
+  const WaiterId Waiter = this->NextWaiter++;
+  const TimePoint Until = steadyNow() + MaxHeldWait;
+  Slot.Signal.expires_at(Until);
+  this->Waiters[Waiter] = &Slot;
+  this->Pool.enqueueHeld(Waiter, Id, Until);
+  this->runPoolActions();
+  error_code Ignored;
+  while (!Slot.Done) {
+    co_await Slot.Signal.async_wait(resumeWith(Ignored));
+    if (!Slot.Done)
+      this->runPoolActions();
+  }
+  this->Waiters.erase(Waiter);
+}
+
+void UpstreamClient::endStatement(
+    ConnectionId Id, std::optional<ConcurrencyLimit::Outcome> Ended) {
+  const std::size_t Running = this->Pool.running() + this->Pool.opening();
+  const TimePoint Now = steadyNow();
+  const std::optional<Duration> Occupied = this->Pool.ended(Id, Now);
+  if (!this->Limit || !Occupied)
+    return;
+  if (Ended)
+    this->Limit->record(*Ended, *Occupied, Running, Now);
+  this->runPoolActions();
+}
+
 ConnectionLease UpstreamClient::tryAcquireIdle() {
   while (const std::optional<ConnectionId> Id = this->Pool.borrowIdle())
     if (!this->dropIfClosed(*Id))
@@ -177,8 +248,10 @@
 void UpstreamClient::runPoolActions() {
   // An action can free a connection, which allows further actions.
   while (true) {
-    const std::vector<UpstreamPoolAction> Actions =
-        this->Pool.decide(steadyNow());
+    const TimePoint Now = steadyNow();
+    this->Pool.setConcurrency(
+        this->Limit ? std::optional(this->Limit->limit(Now)) : std::nullopt);
+    const std::vector<UpstreamPoolAction> Actions = this->Pool.decide(Now);
     if (Actions.empty())
       break;
     for (const UpstreamPoolAction &Action : Actions)
@@ -232,7 +305,8 @@
       this->Pool.released(Action.Connection, steadyNow());
     return;
   }
-  if (Assigns && this->dropIfClosed(Action.Connection)) {
+  if (Assigns && !Found->second->Holds &&
+      this->dropIfClosed(Action.Connection)) {
     this->Pool.enqueue(Found->second->Waiter, steadyNow());
     return;
   }
@@ -254,6 +328,8 @@
     logInfo("event=connect_failed upstream=" + this->Entry.Id + " workspace=" +
             Workspace + " open=" + std::to_string(this->Pool.connections()) +
             " error=\"" + Opened.error().Detail + "\"");
+    if (this->Limit && !AtLimit)
+      this->Limit->record(ConcurrencyLimit::Outcome::Lost, Duration{}, 1, Now);
     this->Pool.openFailed(Workspace, AtLimit, Now);
   } else {
     const ConnectionId Id = this->NextConnection++;
--- a/src/libs/sessionproxy/upstreamclient.h
+++ b/src/libs/sessionproxy/upstreamclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pooling/concurrencylimit.h"
 #include "pooling/upstreampool.h"
 #include "upstreamconnection.h"
 #include "upstreamentry.h"
@@ -40,6 +41,14 @@
   void markReusable() { this->Reusable = true; }
   /// Tells the pool that a transaction holds the connection from now on.
   void pin();
+  /// Waits for a slot of the upstream, unless the lease was acquired with one.
+  /// Ends after MaxHeldWait at the latest.
+  boost::asio::awaitable<void> startStatement();
+  /// Counts a command that takes a slot without waiting for one.
+  void occupySlot();
+  /// Reports that the statement or command has ended.
+  /// \param Ended what it tells about the upstream; nothing if it did not run.
+  void endStatement(std::optional<ConcurrencyLimit::Outcome> Ended);
   /// Ends the lease early.
   void reset();
 
@@ -76,6 +85,10 @@
   /// How long a load that another host reported is used; the duration of a few
   /// statements.
   static constexpr std::chrono::milliseconds LoadLifetime{100};
+  /// Maximum wait of a statement in a transaction for a slot. Statements of
+  /// transactions go first, so a longer wait means that the upstream hardly
+  /// answers; the statement is then queued there.
+  static constexpr std::chrono::milliseconds MaxHeldWait{100};
   /// Response time assumed before the first reply.
   static constexpr std::chrono::microseconds InitialResponseTime{10000};
 
@@ -131,6 +144,11 @@
   TimePoint lastPositionAt() const { return this->LastSeenPositionAt; }
   TimePoint behindAt() const { return this->BehindAt; }
 
+  /// The learned limit of concurrency; nullptr if the entry declares no slots.
+  const ConcurrencyLimit *concurrencyLimit() const {
+    return this->Limit ? &*this->Limit : nullptr;
+  }
+
   /// Carries out all pending decisions of the pool.
   void runPoolActions();
 
@@ -139,6 +157,10 @@
   friend class UsageCounter;
   struct PendingWait;
 
+  void applySlots();
+  boost::asio::awaitable<void> startStatement(ConnectionId Id);
+  void endStatement(ConnectionId Id,
+                    std::optional<ConcurrencyLimit::Outcome> Ended);
   void returnConnection(ConnectionId Id, bool Reusable);
   void perform(const UpstreamPoolAction &Action);
   bool dropIfClosed(ConnectionId Id);
@@ -149,6 +171,7 @@
   const UpstreamProtocol &Protocol;
   UpstreamEntry Entry;
   UpstreamPool Pool;
+  std::optional<ConcurrencyLimit> Limit; ///< Set if the entry declares slots.
   std::map<ConnectionId, std::shared_ptr<UpstreamConnection>> Connections;
   std::map<ConnectionId, TimePoint> IdleSince;
   std::map<WaiterId, PendingWait *> Waiters;
--- a/src/libs/sessionproxy/upstreamentry.h
+++ b/src/libs/sessionproxy/upstreamentry.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lavenderdale {
@@ -17,6 +18,9 @@
   bool Leaving = false; ///< Is being drained.
   bool ClaimsPrimary = false;
   std::uint64_t StartedAt = 0; ///< Distinguishes restarts under the same id.
+  /// Statements that it runs at the same time; nothing if it declares none.
+  std::optional<std::size_t> Slots;
+  bool SlotsInvalid = false; ///< Declares slots that cannot be used.
 
   bool operator==(const UpstreamEntry &) const = default;
 };
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -33,6 +33,21 @@
   return Error;
 }
 
+// What the result of a statement tells about the capacity of the upstream.
+// \returns nothing if the statement did not reach it.
+std::optional<ConcurrencyLimit::Outcome> endOf(const WorkResult &Result) {
+  using Outcome = ConcurrencyLimit::Outcome;
+  if (Result.Lost)
+    return Outcome::Lost;
+  const UpstreamReply *Reply =
+      Result.Replies.empty() ? Result.firstReply() : &Result.Replies.front();
+  if (!Reply || !Result.SetUpError.empty())
+    return std::nullopt;
+  if (Reply->Failure == UpstreamFailure::Busy)
+    return Outcome::Busy;
+  return Reply->ok() ? Outcome::Answered : Outcome::Failed;
+}
+
 } // namespace
 
 bool UpstreamWork::hasStatement() const {
@@ -68,6 +83,9 @@
 executeWork(ConnectionLease &Lease, UpstreamWork Work, StatementNames &Names) {
   WorkResult Result;
   Result.Connected = true;
+  const bool TakesSlot = Work.hasStatement();
+  if (TakesSlot)
+    co_await Lease.startStatement();
   const std::string *Definition = Work.Definition ? &*Work.Definition : nullptr;
   std::vector<Command> Batch =
       Lease->Image.switchTo(Work.Values, Definition, Names, Work.InTransaction);
@@ -104,6 +122,8 @@
   Result.Ran = steadyNow() - Start;
   Result.Sent = Exchange.Sent;
   Result.Replies = std::move(Exchange.Replies);
+  if (TakesSlot)
+    Lease.endStatement(endOf(Result));
   if (!Result.SetUpError.empty()) {
     // The session state of the connection is unknown.
     logWarn("event=set_up_failed upstream=" + Lease.client()->entry().Id +
--- a/tests/auto/platformadapter/tst_recordcodec.cpp
+++ b/tests/auto/platformadapter/tst_recordcodec.cpp
@@ -68,6 +68,34 @@
   CHECK_FALSE(Codec.decodeCatalogue(Broken));
 }
 
+// Guards against a limit of concurrency that rests on a wrong entry: it would
+// leave the slots of a database idle, or limit nothing without any notice.
+TEST_CASE("slots that cannot be used count as not declared") {
+  const RecordCodec Codec;
+  StoredObject Object = upstream(
+      R"({"service":"orders","address":"10.0.0.9:80","zone":"z1",
+          "state":"ready","database-role":"replica"})");
+  Result<UpstreamEntry> Read = Codec.decodeUpstream(Object);
+  REQUIRE(Read);
+  CHECK_FALSE(Read.value().Slots);
+  CHECK_FALSE(Read.value().SlotsInvalid);
+  Object.Spec["slots"] = 4;
+  Read = Codec.decodeUpstream(Object);
+  REQUIRE(Read);
+  CHECK(Read.value().Slots == std::size_t{4});
+  CHECK_FALSE(Read.value().SlotsInvalid);
+  for (const Json::Value &Wrong :
+       {Json::Value(0), Json::Value(-3), Json::Value(1e12), Json::Value("4"),
+        Json::Value(2.5), Json::Value(Json::nullValue)}) {
+    CAPTURE(Wrong.toStyledString());
+    Object.Spec["slots"] = Wrong;
+    Read = Codec.decodeUpstream(Object);
+    REQUIRE(Read);
+    CHECK_FALSE(Read.value().Slots);
+    CHECK(Read.value().SlotsInvalid);
+  }
+}
+
 // Other programs write to the same collection, so an entry may lack members of
 // a database or hold values of other types.
 TEST_CASE("entries that do not describe a database are rejected") {
--- a/tests/auto/pooling/tst_upstreampool.cpp
+++ b/tests/auto/pooling/tst_upstreampool.cpp
@@ -404,3 +404,199 @@
     REQUIRE(Open.size() + Opening.size() <= 5);
   }
 }
+
+namespace {
+
+/// Opens \p Count idle connections for \p Workspace, with the ids from
+/// \p First on.
+void openIdle(UpstreamPool &Pool, ConnectionId First, std::size_t Count,
+              const std::string &Workspace, TimePoint Now) {
+  for (ConnectionId Id = First; Id < First + Count; ++Id) {
+    Pool.enqueue(waiter(1000 + Id, Workspace, 0, 100ms, 700ms, Now), Now);
+    Pool.decide(Now + UpstreamPool::EvictionDelay);
+    Pool.opened(Id, Workspace, Now);
+    Pool.decide(Now);
+  }
+  for (ConnectionId Id = First; Id < First + Count; ++Id)
+    Pool.released(Id, Now);
+}
+
+} // namespace
+
+// Guards against statements beyond the slots that wait in the FIFO queue of the
+// upstream, where their priority has no effect.
+TEST_CASE("statements beyond the limit wait in the pool, urgent ones first") {
+  UpstreamPool Pool;
+  Pool.setCapacity(8, 8);
+  openIdle(Pool, 1, 6, "a", Start);
+  Pool.setConcurrency(2);
+  for (WaiterId Id = 1; Id <= 5; ++Id)
+    Pool.enqueue(waiter(Id, "a", Id == 5 ? 0 : 2), Start);
+  const auto Actions = Pool.decide(Start);
+  const auto Assigned = ofKind(Actions, UpstreamPoolAction::Kind::Assign);
+  REQUIRE(Assigned.size() == 2);
+  CHECK(Assigned[0].Waiter == 5);
+  CHECK(Pool.running() == 2);
+  CHECK(Pool.waiting() == 3);
+  CHECK(Pool.decide(Start + 1ms).empty());
+  CHECK(Pool.ended(Assigned[0].Connection, Start + 4ms) == Duration(4ms));
+  CHECK(Pool.decide(Start + 4ms).size() == 1);
+}
+
+// Guards against a transaction that uses up a slot while its caller thinks, and
+// against its statements waiting behind new work while others wait for its
+// locks.
+TEST_CASE("a held connection counts only while a statement runs, and its "
+          "statements go first") {
+  UpstreamPool Pool;
+  Pool.setCapacity(8, 8);
+  openIdle(Pool, 1, 3, "a", Start);
+  Pool.setConcurrency(1);
+  PoolWaiter Begin = waiter(1, "a", 2);
+  Begin.TakesSlot = false;
+  Pool.enqueue(Begin, Start);
+  const auto Begun =
+      ofKind(Pool.decide(Start), UpstreamPoolAction::Kind::Assign);
+  REQUIRE(Begun.size() == 1);
+  Pool.pinned(Begun[0].Connection);
+  CHECK(Pool.running() == 0);
+  Pool.enqueue(waiter(2, "a", 0), Start);
+  const auto First =
+      ofKind(Pool.decide(Start), UpstreamPoolAction::Kind::Assign);
+  REQUIRE(First.size() == 1);
+  Pool.enqueue(waiter(3, "a", 0), Start);
+  Pool.enqueueHeld(4, Begun[0].Connection, Start + 100ms);
+  CHECK(Pool.decide(Start + 1ms).empty());
+  Pool.released(First[0].Connection, Start + 2ms);
+  const auto Next =
+      ofKind(Pool.decide(Start + 2ms), UpstreamPoolAction::Kind::Assign);
+  REQUIRE(Next.size() == 1);
+  CHECK(Next[0].Waiter == 4);
+  CHECK(Next[0].Connection == Begun[0].Connection);
+  CHECK(Pool.isRunning(Begun[0].Connection));
+}
+
+// Guards against an open transaction whose statement is never sent because the
+// upstream gives no answer to others.
+TEST_CASE("a statement of a transaction is sent when its wait has ended") {
+  UpstreamPool Pool;
+  Pool.setCapacity(8, 8);
+  openIdle(Pool, 1, 2, "a", Start);
+  Pool.setConcurrency(1);
+  Pool.enqueue(waiter(1, "a"), Start);
+  const auto Running = Pool.decide(Start);
+  REQUIRE(Running.size() == 1);
+  const ConnectionId Held = Running[0].Connection == 1 ? 2 : 1;
+  REQUIRE(Pool.borrowIdle() == Held);
+  Pool.enqueueHeld(2, Held, Start + 100ms);
+  CHECK(Pool.decide(Start + 99ms).empty());
+  CHECK(Pool.nextDecision(Start + 99ms) == Start + 100ms);
+  CHECK(Pool.decide(Start + 100ms).size() == 1);
+}
+
+// Guards against handshakes that take the slots of statements beyond the limit,
+// and against a probe that waits for a free slot of a busy primary.
+TEST_CASE("handshakes count against the limit, except one for commands of the "
+          "proxy") {
+  UpstreamPool Pool;
+  Pool.setCapacity(8, 8);
+  openIdle(Pool, 1, 2, "a", Start);
+  Pool.setConcurrency(2);
+  Pool.enqueue(waiter(1, "a"), Start);
+  Pool.enqueue(waiter(2, "a"), Start);
+  CHECK(Pool.decide(Start).size() == 2);
+  Pool.enqueue(waiter(3, "b"), Start);
+  CHECK(Pool.decide(Start + 20ms).empty());
+  PoolWaiter Probe = waiter(4, "c", 0, 0ms);
+  Probe.TakesSlot = false;
+  Pool.enqueue(Probe, Start + 20ms);
+  const auto Opened =
+      ofKind(Pool.decide(Start + 20ms), UpstreamPoolAction::Kind::Open);
+  REQUIRE(Opened.size() == 1);
+  CHECK(Opened[0].Workspace == "c");
+  Pool.released(1, Start + 21ms);
+  CHECK(Pool.decide(Start + 21ms).empty()); // One statement, one handshake.
+  Pool.opened(9, "c", Start + 30ms);
+  const auto After = Pool.decide(Start + 30ms);
+  CHECK(ofKind(After, UpstreamPoolAction::Kind::Assign).size() == 1);
+  CHECK(ofKind(After, UpstreamPoolAction::Kind::Open).size() == 1);
+}
+
+// Guards against closing the connection that a waiter at the limit will need,
+// which costs a handshake and a slot for 12 ms.
+TEST_CASE("at the limit, connections that waiters need are kept") {
+  UpstreamPool Pool;
+  Pool.setCapacity(1, 4);
+  openIdle(Pool, 1, 2, "a", Start);
+  openIdle(Pool, 3, 1, "b", Start);
+  Pool.setConcurrency(1);
+  Pool.enqueue(waiter(1, "a"), Start);
+  CHECK(Pool.decide(Start).size() == 1);
+  Pool.enqueue(waiter(2, "a"), Start);
+  const auto Closed =
+      ofKind(Pool.decide(Start + 500ms), UpstreamPoolAction::Kind::Close);
+  REQUIRE(Closed.size() == 1);
+  CHECK(Closed[0].Connection == 3);
+}
+
+// Guards against waiting forever, using more slots than the limit and losing
+// count of them under random events with a changing limit.
+TEST_CASE("the limit holds under random events") {
+  const std::uint64_t Seed = GENERATE(1u, 2u, 3u, 4u, 5u, 6u);
+  CAPTURE(Seed);
+  std::mt19937_64 Random(Seed);
+  UpstreamPool Pool;
+  Pool.setCapacity(4, 6);
+  std::set<ConnectionId> Running;
+  std::vector<std::string> Opening;
+  std::set<WaiterId> Waiting;
+  ConnectionId NextConnection = 1;
+  WaiterId NextWaiter = 1;
+  TimePoint Now = Start;
+  for (int Step = 0; Step < 4000; ++Step) {
+    Now += std::chrono::milliseconds(Random() % 8);
+    const std::size_t Limit = 1 + Random() % 4;
+    Pool.setConcurrency(Limit);
+    switch (Random() % 4) {
+    case 0:
+      Pool.enqueue(waiter(NextWaiter, "w" + std::to_string(Random() % 4),
+                          Random() % 3, 50ms, 300ms, Now),
+                   Now);
+      Waiting.insert(NextWaiter++);
+      break;
+    case 1:
+      if (!Opening.empty()) {
+        Pool.opened(NextConnection++, Opening.back(), Now);
+        Opening.pop_back();
+      }
+      break;
+    default:
+      if (!Running.empty()) {
+        const ConnectionId Id = *Running.begin();
+        Running.erase(Running.begin());
+        if (Random() % 6 == 0)
+          Pool.closed(Id);
+        else
+          Pool.released(Id, Now);
+      }
+      break;
+    }
+    const std::size_t Before = Running.size() + Opening.size();
+    for (const UpstreamPoolAction &Action : Pool.decide(Now)) {
+      if (Action.Type == UpstreamPoolAction::Kind::Assign) {
+        REQUIRE(Running.insert(Action.Connection).second);
+        REQUIRE(Waiting.erase(Action.Waiter) == 1);
+      } else if (Action.Type == UpstreamPoolAction::Kind::Refuse) {
+        REQUIRE(Waiting.erase(Action.Waiter) == 1);
+      } else if (Action.Type == UpstreamPoolAction::Kind::Open) {
+        Opening.push_back(Action.Workspace);
+      }
+    }
+    REQUIRE(Pool.running() == Running.size());
+    REQUIRE(Pool.waiting() == Waiting.size());
+    REQUIRE(Running.size() + Opening.size() <= std::max(Limit, Before));
+  }
+  Pool.setConcurrency(1);
+  Pool.decide(Now + 1s);
+  CHECK(Pool.waiting() == 0);
+}
