Queue statements at the limit by priority, objective and workspace

Cause: at the limit, the pool ordered waiters by priority and objective only. A workspace at several times its usual load held up the others of its priority, less urgent work could starve, and the queue had no bound. Change: WorkQueue orders waiting statements by priority, by whether they can still meet their objective, by deficit round robin between workspaces with the rates as weights, and by objective. UpstreamPool uses it where there is a limit; the former order stays where there is none. The pool can also refuse on arrival what cannot start in time; the owner of the pool does not tell it service times yet, so it does not. Considered: extending FairQueue, whose three classes are part of the HTTP program's interface. Run: tst_scheduling, tst_pooling, tst_sessionproxy, test_sessions, test_relays pass.

--- a/src/libs/pooling/concurrencylimit.cpp
+++ b/src/libs/pooling/concurrencylimit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 namespace lavenderdale {
 namespace {
@@ -140,18 +141,23 @@
 
 // By Little's law, a limit of L statements that take t each completes L / t
 // statements in a second, however the upstream divides t into work and waiting.
+Duration ConcurrencyLimit::waitFor(std::size_t Ahead, std::size_t Running,
+                                   std::size_t Limit, Duration Each) {
+  const std::size_t Concurrent = std::max<std::size_t>(Limit, 1);
+  const std::size_t Free = Concurrent > Running ? Concurrent - Running : 0;
+  if (Ahead < Free)
+    return Duration{};
+  return Each * static_cast<std::int64_t>(Ahead - Free + 1) /
+         static_cast<std::int64_t>(Concurrent);
+}
+
 std::optional<Duration> ConcurrencyLimit::expectedWait(std::size_t Ahead,
                                                        std::size_t Running,
                                                        TimePoint Now) const {
   const std::optional<Duration> Each = this->serviceTime(Now);
   if (!Each)
     return std::nullopt;
-  const std::size_t Concurrent = this->limit(Now);
-  const std::size_t Free = Concurrent > Running ? Concurrent - Running : 0;
-  if (Ahead < Free)
-    return Duration{};
-  return fromSeconds(toSeconds(*Each) * static_cast<double>(Ahead - Free + 1) /
-                     static_cast<double>(Concurrent));
+  return waitFor(Ahead, Running, this->limit(Now), *Each);
 }
 
 bool ConcurrencyLimit::expired(TimePoint Now) const {
--- a/src/libs/pooling/concurrencylimit.h
+++ b/src/libs/pooling/concurrencylimit.h
@@ -89,6 +89,10 @@
   /// Smoothed response time of the last answers.
   /// \returns nothing without enough answers in the last RecentAnswerTime.
   std::optional<Duration> serviceTime(TimePoint Now) const;
+  /// Time until a statement can start, if \p Limit statements run at the same
+  /// time and each takes \p Each.
+  static Duration waitFor(std::size_t Ahead, std::size_t Running,
+                          std::size_t Limit, Duration Each);
   /// Time until a statement that arrives now can start. A low estimate: the
   /// lower of two averages is used, so that work is not refused because of a
   /// few slow answers.
--- a/src/libs/pooling/upstreampool.cpp
+++ b/src/libs/pooling/upstreampool.cpp
@@ -1,9 +1,9 @@
 #include "upstreampool.h"
 
 #include "base/softassert.h"
+#include "concurrencylimit.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <set>
 #include <string_view>
@@ -18,9 +18,46 @@
 }
 
 void UpstreamPool::enqueue(PoolWaiter Waiter, TimePoint Now) {
-  std::deque<Queued> &Queue =
-      this->Concurrency && !Waiter.TakesSlot ? this->Commands : this->Waiting;
-  Queue.push_back({std::move(Waiter), Now, std::nullopt});
+  if (!this->Concurrency)
+    this->Waiting.push_back({std::move(Waiter), Now});
+  else if (!Waiter.TakesSlot)
+    this->Commands.push_back({std::move(Waiter), Now});
+  else
+    this->enqueueWithinLimit(Waiter, Now);
+}
+
+void UpstreamPool::enqueueWithinLimit(const PoolWaiter &Waiter, TimePoint Now) {
+  const std::optional<Duration> Wait = this->expectedWait(Waiter, Now);
+  if (Wait && Now + *Wait > Waiter.GiveUpAt) {
+    this->refuse(Waiter.Id, Now + *Wait - Waiter.GiveUpAt);
+    return;
+  }
+  const std::optional<WorkQueue::Item> Displaced = this->Queue.enqueue(
+      {Waiter.Id, Waiter.Workspace, Waiter.Priority, Waiter.Rate, Waiter.Target,
+       Waiter.GiveUpAt, Now, std::nullopt});
+  if (Displaced)
+    this->refuse(Displaced->Id, Wait.value_or(Duration{}));
+}
+
+void UpstreamPool::refuse(WaiterId Waiter, Duration RetryAfter) {
+  this->Refusals.push_back(
+      {UpstreamPoolAction::Kind::Refuse, Waiter, 0, {}, RetryAfter});
+}
+
+std::optional<Duration> UpstreamPool::expectedWait(const PoolWaiter &Waiter,
+                                                   TimePoint Now) const {
+  if (!this->Concurrency || !this->ServiceTime)
+    return std::nullopt;
+  const auto WaitBehind = [&](bool Late) {
+    return ConcurrencyLimit::waitFor(
+        this->Held.size() + this->Queue.ahead(Waiter.Workspace, Waiter.Priority,
+                                              Waiter.Rate, Late),
+        this->Running + this->Opening, *this->Concurrency, *this->ServiceTime);
+  };
+  const Duration Wait = WaitBehind(false);
+  // What becomes late while it waits is served after all that is in time.
+  return Now + Wait + *this->ServiceTime <= Waiter.Target ? Wait
+                                                          : WaitBehind(true);
 }
 
 void UpstreamPool::enqueueHeld(WaiterId Waiter, ConnectionId Held,
@@ -35,24 +72,20 @@
   const auto Holds = [Waiter](const HeldWaiter &Each) {
     return Each.Waiter == Waiter;
   };
-  return std::erase_if(this->Waiting, Queues) +
-             std::erase_if(this->Commands, Queues) +
-             std::erase_if(this->Held, Holds) >
-         0;
+  return std::erase_if(this->Waiting, Queues) > 0 ||
+         std::erase_if(this->Commands, Queues) > 0 ||
+         std::erase_if(this->Held, Holds) > 0 || this->Queue.cancel(Waiter);
 }
 
 std::vector<UpstreamPoolAction> UpstreamPool::decide(TimePoint Now) {
-  std::vector<UpstreamPoolAction> Actions;
+  std::vector<UpstreamPoolAction> Actions = std::exchange(this->Refusals, {});
   this->refuseExpired(Now, Actions);
   this->sortQueue(Now);
   this->resumeHeld(Now, Actions);
   this->dispatchCommands(Now, Actions);
-  if (this->Concurrency) {
-    this->dispatchWithinLimit(Now, Actions);
-  } else {
-    this->assignIdle(Now, Actions);
-    this->openForWaiters(Now, Actions);
-  }
+  this->dispatchWithinLimit(Now, Actions);
+  this->assignIdle(Now, Actions);
+  this->openForWaiters(Now, Actions);
   this->closeSurplus(Now, Actions);
   return Actions;
 }
@@ -184,10 +217,8 @@
   };
   for (const Queued &Each : this->Waiting) {
     Consider(Each.Waiter.GiveUpAt);
-    if (!this->Concurrency || Each.PassedOverAt)
-      Consider(
-          std::max({Each.PassedOverAt.value_or(Each.QueuedAt) + EvictionDelay,
-                    this->OpenNotBefore, this->LimitedUntil}));
+    Consider(std::max({Each.QueuedAt + EvictionDelay, this->OpenNotBefore,
+                       this->LimitedUntil}));
   }
   for (const Queued &Each : this->Commands) {
     Consider(Each.Waiter.GiveUpAt);
@@ -196,6 +227,15 @@
   }
   for (const HeldWaiter &Each : this->Held)
     Consider(Each.Until);
+  if (const std::optional<TimePoint> GiveUp = this->Queue.nextGiveUp()) {
+    Consider(*GiveUp);
+    if (this->freeSlots() > 0)
+      this->Queue.forEach([&](const WorkQueue::Item &Each) {
+        if (Each.PassedOverAt)
+          Consider(std::max({*Each.PassedOverAt + EvictionDelay,
+                             this->OpenNotBefore, this->LimitedUntil}));
+      });
+  }
   if (this->Connections.size() > this->Guaranteed)
     for (const auto &[Id, Each] : this->Connections)
       if (!Each.Assigned)
@@ -210,11 +250,14 @@
     if (!All && Now < Each.Waiter.GiveUpAt)
       return false;
     Actions.push_back(
-        {UpstreamPoolAction::Kind::Refuse, Each.Waiter.Id, 0, {}});
+        {UpstreamPoolAction::Kind::Refuse, Each.Waiter.Id, 0, {}, {}});
     return true;
   };
   std::erase_if(this->Waiting, Refuse);
   std::erase_if(this->Commands, Refuse);
+  for (const WorkQueue::Item &Each :
+       this->Queue.takeExpired(All ? TimePoint::max() : Now))
+    Actions.push_back({UpstreamPoolAction::Kind::Refuse, Each.Id, 0, {}, {}});
 }
 
 // Sorts by priority, most urgent first. Within a priority, waiters that can
@@ -249,8 +292,11 @@
   Chosen.IdleSince = Now;
   if (Waiter.TakesSlot)
     this->markRunning(Chosen, Now);
-  Actions.push_back(
-      {UpstreamPoolAction::Kind::Assign, Waiter.Id, *Idle, Waiter.Workspace});
+  Actions.push_back({UpstreamPoolAction::Kind::Assign,
+                     Waiter.Id,
+                     *Idle,
+                     Waiter.Workspace,
+                     {}});
   return true;
 }
 
@@ -278,8 +324,7 @@
   });
   for (const Queued &Each : this->Commands) {
     const std::string &Workspace = Each.Waiter.Workspace;
-    if (Now < this->OpenNotBefore || this->Opening >= MaxOpening ||
-        (this->freeSlots() == 0 && this->Opening > 0))
+    if (!this->canOpen(Now) || (this->freeSlots() == 0 && this->Opening > 0))
       return;
     const bool Awaited = this->openingFor(Workspace) > 0 ||
                          (this->hasRunningStatement(Workspace) &&
@@ -292,31 +337,42 @@
   }
 }
 
-// One pass in the order of the queue, so that a waiter without a connection is
-// not passed over forever by those that have one.
+// Connections are assigned and opened in one pass in the order of the queue, so
+// that a waiter without a connection is not passed over forever by those that
+// have one.
 void UpstreamPool::dispatchWithinLimit(
     TimePoint Now, std::vector<UpstreamPoolAction> &Actions) {
-  std::map<std::string, std::size_t> Wanted;
-  std::deque<Queued> Rest;
-  while (!this->Waiting.empty() && this->freeSlots() > 0) {
-    Queued Each = std::move(this->Waiting.front());
-    this->Waiting.pop_front();
-    if (this->assignIdleTo(Each.Waiter, Now, Actions))
-      continue;
-    const std::string &Workspace = Each.Waiter.Workspace;
-    if (!Each.PassedOverAt)
-      Each.PassedOverAt = Now;
-    const bool Awaited = ++Wanted[Workspace] <= this->openingFor(Workspace) ||
-                         (this->hasRunningStatement(Workspace) &&
-                          Now < *Each.PassedOverAt + EvictionDelay);
-    if (!Awaited && Now >= this->OpenNotBefore && this->Opening < MaxOpening &&
-        this->makeRoomToOpen(Now, Actions))
-      this->startOpening(Workspace, Actions);
-    Rest.push_back(std::move(Each));
+  const auto Serve = [&](WorkQueue::Item &Next) {
+    return this->serveWithinLimit(Next, Now, Actions);
+  };
+  while (this->freeSlots() > 0 &&
+         this->Queue.take(Now, this->ServiceTime.value_or(Duration{}), Serve)) {
   }
-  std::move(this->Waiting.begin(), this->Waiting.end(),
-            std::back_inserter(Rest));
-  this->Waiting = std::move(Rest);
+}
+
+// Assigns a connection to \p Next, or opens one for it if a slot is free.
+// \returns whether it was assigned one.
+bool UpstreamPool::serveWithinLimit(WorkQueue::Item &Next, TimePoint Now,
+                                    std::vector<UpstreamPoolAction> &Actions) {
+  if (this->freeSlots() == 0)
+    return false;
+  PoolWaiter Waiter;
+  Waiter.Id = Next.Id;
+  Waiter.Workspace = Next.Workspace;
+  if (this->assignIdleTo(Waiter, Now, Actions))
+    return true;
+  if (!Next.PassedOverAt)
+    Next.PassedOverAt = Now;
+  const bool Awaited = this->openingFor(Next.Workspace) > 0 ||
+                       (this->hasRunningStatement(Next.Workspace) &&
+                        Now < *Next.PassedOverAt + EvictionDelay);
+  if (!Awaited && this->canOpen(Now) && this->makeRoomToOpen(Now, Actions))
+    this->startOpening(Next.Workspace, Actions);
+  return false;
+}
+
+bool UpstreamPool::canOpen(TimePoint Now) const {
+  return Now >= this->OpenNotBefore && this->Opening < MaxOpening;
 }
 
 std::size_t UpstreamPool::allowedConnections(TimePoint Now) const {
@@ -340,7 +396,7 @@
   if (!Victim)
     return false;
   this->Connections.erase(*Victim);
-  Actions.push_back({UpstreamPoolAction::Kind::Close, 0, *Victim, {}});
+  Actions.push_back({UpstreamPoolAction::Kind::Close, 0, *Victim, {}, {}});
   return true;
 }
 
@@ -348,7 +404,7 @@
                                 std::vector<UpstreamPoolAction> &Actions) {
   ++this->Opening;
   ++this->OpeningFor[Workspace];
-  Actions.push_back({UpstreamPoolAction::Kind::Open, 0, 0, Workspace});
+  Actions.push_back({UpstreamPoolAction::Kind::Open, 0, 0, Workspace, {}});
 }
 
 void UpstreamPool::openForWaiters(TimePoint Now,
@@ -381,7 +437,7 @@
         Now < this->Connections[*Victim].IdleSince + SurplusIdleTimeout)
       return;
     this->Connections.erase(*Victim);
-    Actions.push_back({UpstreamPoolAction::Kind::Close, 0, *Victim, {}});
+    Actions.push_back({UpstreamPoolAction::Kind::Close, 0, *Victim, {}, {}});
   }
 }
 
@@ -400,8 +456,9 @@
 std::optional<ConnectionId> UpstreamPool::longestIdle(bool SkipWanted) const {
   std::set<std::string_view> Wanted;
   if (SkipWanted)
-    for (const Queued &Each : this->Waiting)
-      Wanted.insert(Each.Waiter.Workspace);
+    this->Queue.forEach([&Wanted](const WorkQueue::Item &Each) {
+      Wanted.insert(Each.Workspace);
+    });
   std::optional<ConnectionId> Oldest;
   TimePoint OldestSince{};
   for (const auto &[Id, Each] : this->Connections) {
--- a/src/libs/pooling/upstreampool.h
+++ b/src/libs/pooling/upstreampool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timepoint.h"
+#include "scheduling/workqueue.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,6 +26,7 @@
   /// Whether it takes an execution slot of the upstream. Commands of the proxy
   /// itself, such as the start of a transaction, take none.
   bool TakesSlot = true;
+  double Rate = 0; ///< Rate limit of the workspace, a second; 0 if unknown.
 };
 
 /// An action that the owner of the pool must perform.
@@ -39,6 +41,9 @@
   WaiterId Waiter = 0;
   ConnectionId Connection = 0;
   std::string Workspace;
+  /// Refuse only: time until there will be room, if the waiter was refused
+  /// because it would have had to wait too long; else 0.
+  Duration RetryAfter{};
 };
 
 /// Decides which connections one host keeps to one upstream and which waiters
@@ -51,7 +56,9 @@
 /// handshake for every statement.
 ///
 /// With a limit of concurrency, statements and handshakes beyond it wait here,
-/// ordered by urgency, and not in the FIFO queue of the upstream. A connection
+/// in the order of WorkQueue, and not in the FIFO queue of the upstream. A
+/// statement that arrives when the expected wait ends after its GiveUpAt is
+/// refused at once. A connection
 /// that a transaction holds counts only while one of its statements runs; these
 /// statements go before new work, since others may wait for their locks.
 class UpstreamPool {
@@ -85,10 +92,19 @@
   void setCapacity(std::size_t Guaranteed, std::size_t Max);
   /// Sets how many statements and handshakes may be in progress at the upstream
   /// at the same time; nothing for no limit.
-  void setConcurrency(std::optional<std::size_t> Limit) {
+  /// \param ServiceTime response time of recent statements; nothing if too few
+  ///        were answered lately. Nothing is then refused on arrival.
+  void setConcurrency(std::optional<std::size_t> Limit,
+                      std::optional<Duration> ServiceTime = std::nullopt) {
     this->Concurrency = Limit;
+    this->ServiceTime = ServiceTime;
   }
 
+  /// Returns the time until a statement like \p Waiter that arrives at \p Now
+  /// can start; nothing without a limit or a service time.
+  std::optional<Duration> expectedWait(const PoolWaiter &Waiter,
+                                       TimePoint Now) const;
+
   /// Adds a waiter; decide() assigns it a connection or refuses it.
   void enqueue(PoolWaiter Waiter, TimePoint Now);
   /// Adds a waiter for a slot to run a statement on \p Held, the connection
@@ -142,7 +158,8 @@
   std::size_t connections() const { return this->Connections.size(); }
   /// Returns the number of queued waiters.
   std::size_t waiting() const {
-    return this->Waiting.size() + this->Commands.size() + this->Held.size();
+    return this->Waiting.size() + this->Queue.size() + this->Commands.size() +
+           this->Held.size();
   }
   /// Returns the number of connections being opened.
   std::size_t opening() const { return this->Opening; }
@@ -173,8 +190,6 @@
   struct Queued {
     PoolWaiter Waiter;
     TimePoint QueuedAt{};
-    /// When a slot was first free for it, but no connection.
-    std::optional<TimePoint> PassedOverAt;
   };
   struct HeldWaiter {
     WaiterId Waiter = 0;
@@ -182,9 +197,12 @@
     TimePoint Until{};
   };
 
+  void refuse(WaiterId Waiter, Duration RetryAfter);
+  void enqueueWithinLimit(const PoolWaiter &Waiter, TimePoint Now);
   void refuseExpired(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void assignIdle(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void openForWaiters(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  bool canOpen(TimePoint Now) const;
   void dispatchWithinLimit(TimePoint Now,
                            std::vector<UpstreamPoolAction> &Actions);
   void resumeHeld(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
@@ -196,6 +214,8 @@
   void startOpening(const std::string &Workspace,
                     std::vector<UpstreamPoolAction> &Actions);
   std::size_t freeSlots() const;
+  bool serveWithinLimit(WorkQueue::Item &Next, TimePoint Now,
+                        std::vector<UpstreamPoolAction> &Actions);
   void markRunning(Connection &Each, TimePoint Now);
   void markEnded(Connection &Each);
   std::size_t allowedConnections(TimePoint Now) const;
@@ -208,11 +228,14 @@
   void finishOpening(const std::string &Workspace);
 
   std::map<ConnectionId, Connection> Connections;
-  std::deque<Queued> Waiting;
+  std::deque<Queued> Waiting;               ///< Without a limit of concurrency.
+  WorkQueue Queue;                          ///< With one.
+  std::vector<UpstreamPoolAction> Refusals; ///< To be returned by decide().
   /// Waiters that take no slot, kept apart while there is a limit.
   std::deque<Queued> Commands;
   std::deque<HeldWaiter> Held; ///< In the order of arrival.
   std::optional<std::size_t> Concurrency;
+  std::optional<Duration> ServiceTime;
   std::size_t Running = 0; ///< Connections on which a statement runs.
   std::map<std::string, std::size_t> OpeningFor;
   std::size_t Opening = 0;
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -41,10 +41,14 @@
           " routes=" + std::to_string(Offered->Routes.size()) +
           " source=" + Source);
   this->Catalogue = std::move(Offered);
-  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces)
+  std::map<std::string, double> Rates;
+  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces) {
     this->setLimits(
         this->Rates.try_emplace(Name, this->StartedAt).first->second,
         Workspace);
+    Rates[Name] = Workspace.Rate;
+  }
+  this->Access.setRates(std::move(Rates));
   std::erase_if(this->Rates, [this](const auto &Each) {
     return !this->Catalogue->Workspaces.count(Each.first);
   });
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -181,6 +181,7 @@
   Waiter.Target = Now + Request.TargetIn;
   Waiter.GiveUpAt = Now + Request.GiveUpIn;
   Waiter.TakesSlot = Request.Work.hasStatement();
+  Waiter.Rate = this->Owner.State.access().rateOf(Request.Workspace);
   WaitHandle Wait;
   this->Waits[Request.Id] = &Wait;
   ConnectionLease Lease = co_await Client->acquire(std::move(Waiter), Wait);
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -258,6 +258,11 @@
   return StandsIn ? HolderCount - 1 : Rank;
 }
 
+double UpstreamAccess::rateOf(const std::string &Workspace) const {
+  const auto Found = this->Rates.find(Workspace);
+  return Found == this->Rates.end() ? 0 : Found->second;
+}
+
 asio::awaitable<WorkResult>
 UpstreamAccess::run(std::shared_ptr<UpstreamClient> Client, PoolWaiter Waiter,
                     UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold) {
@@ -324,6 +329,7 @@
   if (!Work.hasStatement() && !Hold)
     Lease = Client->tryAcquireIdle();
   Waiter.TakesSlot = Work.hasStatement();
+  Waiter.Rate = this->rateOf(Waiter.Workspace);
   if (!Lease)
     Lease = co_await Client->acquire(std::move(Waiter), Wait);
   WorkResult Result;
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -150,6 +150,14 @@
 
   StatementNames &names() { return this->Names; }
 
+  /// Sets the rate limits of the workspaces, a second, in proportion to which
+  /// their statements take turns at a busy upstream.
+  void setRates(std::map<std::string, double> ByWorkspace) {
+    this->Rates = std::move(ByWorkspace);
+  }
+  /// Rate limit of \p Workspace, a second; 0 if it is unknown.
+  double rateOf(const std::string &Workspace) const;
+
 private:
   struct Host {
     std::shared_ptr<RelayClient> Relay;
@@ -195,6 +203,7 @@
   std::map<std::string, TimePoint> RelayedWorkAt; ///< By upstream.
   std::set<std::string> Rechecked; ///< Hosts that are being pinged.
   StatementNames Names;
+  std::map<std::string, double> Rates; ///< By workspace.
 };
 
 } // namespace lavenderdale
--- a/tests/auto/pooling/tst_upstreampool.cpp
+++ b/tests/auto/pooling/tst_upstreampool.cpp
@@ -600,3 +600,34 @@
   Pool.decide(Now + 1s);
   CHECK(Pool.waiting() == 0);
 }
+
+// Guards against work that waits until its time is over although it was certain
+// on arrival that it cannot be served, and against refusals on a guess.
+TEST_CASE("work that cannot start in time is refused on arrival", "[not-run]") {
+  UpstreamPool Pool;
+  Pool.setCapacity(8, 8);
+  openIdle(Pool, 1, 2, "a", Start);
+  const bool Known = GENERATE(true, false);
+  CAPTURE(Known);
+  Pool.setConcurrency(2, Known ? std::optional<Duration>(20ms) : std::nullopt);
+  // 2 statements of 20 ms at a time: 60 of them need 600 ms.
+  for (WaiterId Id = 1; Id <= 63; ++Id) {
+    Pool.enqueue(waiter(Id, "a", 1, 200ms, 600ms), Start);
+    REQUIRE(
+        ofKind(Pool.decide(Start), UpstreamPoolAction::Kind::Refuse).size() ==
+        (Known && Id == 63 ? 1 : 0));
+  }
+  Pool.enqueue(waiter(100, "a", 1, 200ms, 500ms), Start);
+  const auto Refused =
+      ofKind(Pool.decide(Start), UpstreamPoolAction::Kind::Refuse);
+  REQUIRE(Refused.size() == (Known ? 1 : 0));
+  if (Known) {
+    CHECK(Refused[0].Waiter == 100);
+    CHECK(Refused[0].RetryAfter > 90ms);
+    CHECK(Refused[0].RetryAfter < 130ms);
+  }
+  // More urgent work, and that of another workspace, passes the backlog.
+  Pool.enqueue(waiter(101, "a", 0, 100ms, 300ms), Start);
+  Pool.enqueue(waiter(102, "b", 1, 100ms, 300ms), Start);
+  CHECK(ofKind(Pool.decide(Start), UpstreamPoolAction::Kind::Refuse).empty());
+}
