Refuse on arrival what cannot start in time, and tell the expected wait

Cause: work that an upstream could not serve waited for 70 % of its timeout and was refused then. Its caller learned neither early nor when to come back. Reads were placed by response times, which say nothing about those that wait. A busy refusal was followed by a pause of 6 ms, whatever the upstream's load. The error text starts with retry-after-ms=, the time until there will be room. A read is tried at up to three members first. Relay answers carry the holder's limit, service time and expected wait, and retry_ms for a refusal; malformed or missing members mean not told. Reads are placed by the expected wait, a new holder begins from the told estimate, and the pause after a busy refusal is one service time or the expected wait. Metrics: lavenderdale_refused_on_arrival_total, lavenderdale_upstream_running, lavenderdale_upstream_waiting, lavenderdale_upstream_limit; the log has event=refused_on_arrival once a second for each upstream.

--- a/src/libs/placement/memberchoice.cpp
+++ b/src/libs/placement/memberchoice.cpp
@@ -10,6 +10,8 @@
   // Statements in excess of the connections wait until one is free.
   const auto Rounds = static_cast<std::int64_t>(1 + Member.InFlight / Capacity);
   std::chrono::microseconds Expected = Member.ServiceTime * Rounds;
+  if (Member.ExpectedWait)
+    Expected = std::max(Expected, Member.ServiceTime + *Member.ExpectedWait);
   if (!Member.IdleConnection)
     Expected += Costs.Handshake;
   if (!Member.SameDomain)
--- a/src/libs/placement/memberchoice.h
+++ b/src/libs/placement/memberchoice.h
@@ -17,7 +17,12 @@
   std::chrono::microseconds
       ServiceTime{};        ///< Moving average of the answer time.
   std::size_t InFlight = 0; ///< Running and queued statements of this host.
-  std::size_t Capacity = 1; ///< Connections this host may use.
+  /// Statements that it runs at the same time: its learned limit, or the
+  /// connections that may be used.
+  std::size_t Capacity = 1;
+  /// Wait for a slot that the holder of its connections expects; nothing if it
+  /// does not tell.
+  std::optional<std::chrono::microseconds> ExpectedWait;
 };
 
 /// Penalties that are added to the expected answer time of a member.
--- a/src/libs/pooling/concurrencylimit.cpp
+++ b/src/libs/pooling/concurrencylimit.cpp
@@ -36,9 +36,11 @@
 void ConcurrencyLimit::reset() { *this = ConcurrencyLimit(this->Slots); }
 
 void ConcurrencyLimit::adopt(const Estimate &Other, TimePoint Now) {
-  if (!this->expired(Now) || !std::isfinite(Other.Limit) || Other.Limit <= 0)
+  if ((!this->expired(Now) && !this->Adopted) || !std::isfinite(Other.Limit) ||
+      Other.Limit <= 0)
     return;
   this->reset();
+  this->Adopted = true;
   this->Limit =
       std::clamp(Other.Limit, 1.0, static_cast<double>(this->maximum()));
   this->LastSampleAt = Now;
@@ -53,6 +55,7 @@
   if (this->expired(Now))
     this->reset();
   this->LastSampleAt = Now;
+  this->Adopted = false;
   switch (Ended) {
   case Outcome::Answered:
     this->recordAnswer(toSeconds(Occupied), Running, Now);
--- a/src/libs/pooling/concurrencylimit.h
+++ b/src/libs/pooling/concurrencylimit.h
@@ -68,8 +68,8 @@
   void setSlots(std::size_t Slots);
   /// Forgets what was learned: the upstream was restarted or moved.
   void reset();
-  /// Begins from the estimate of another host, unless answers of the last
-  /// EstimateLifetime are known here.
+  /// Begins from the estimate of another host, unless this host had answers in
+  /// the last EstimateLifetime. A newer estimate replaces it.
   void adopt(const Estimate &Other, TimePoint Now);
 
   /// Records how a statement or handshake ended.
@@ -113,6 +113,7 @@
   std::optional<TimePoint> LastSampleAt;
   std::optional<TimePoint> LastAnswerAt;
   std::optional<TimePoint> DecreasedAt;
+  bool Adopted = false;    ///< Limit is the estimate of another host.
   std::size_t Answers = 0; ///< Since the last pause of RecentAnswerTime.
   double FastSeconds = 0;
   double SlowSeconds = 0;
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -124,8 +124,13 @@
 }
 
 std::shared_ptr<UpstreamClient>
-ProxyGroup::chooseReader(const std::string &Workspace, const Position &After,
+ProxyGroup::chooseReader(const std::string &Workspace, unsigned Priority,
+                         const Position &After,
                          const std::set<std::string> &Excluded, TimePoint Now) {
+  PoolWaiter Reader;
+  Reader.Workspace = Workspace;
+  Reader.Priority = Priority;
+  Reader.Target = TimePoint::max();
   std::vector<ReadMember> Candidates;
   std::vector<std::shared_ptr<UpstreamClient>> Members;
   const std::optional<std::string> Primary = this->Tracker.primary(Now);
@@ -145,7 +150,11 @@
     Each.IdleConnection = Remote || Pool.hasIdle(Workspace);
     Each.ServiceTime = Client->responseTime(Now);
     Each.InFlight = Client->load(Now);
-    Each.Capacity = std::max<std::size_t>(Pool.capacity(), 1);
+    Each.Capacity = Client->concurrency(Now);
+    if (const std::optional<Duration> Wait =
+            Client->expectedWait(Reader, Remote, Now))
+      Each.ExpectedWait =
+          std::chrono::duration_cast<std::chrono::microseconds>(*Wait);
     Candidates.push_back(Each);
     Members.push_back(Client);
   }
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -82,11 +82,13 @@
   waitForPrimary(TimePoint Until, WaitHandle &Wait);
 
   /// Chooses the member for a read that has to see the log up to \p After.
+  /// \param Priority of the read, 0 is the most urgent.
   /// \param Excluded members that must not be chosen.
   /// \returns nullptr if there is none.
   std::shared_ptr<UpstreamClient>
-  chooseReader(const std::string &Workspace, const Position &After,
-               const std::set<std::string> &Excluded, TimePoint Now);
+  chooseReader(const std::string &Workspace, unsigned Priority,
+               const Position &After, const std::set<std::string> &Excluded,
+               TimePoint Now);
 
   /// Records that \p Client was the primary when it received a command that was
   /// sent at \p Sent and answered with position \p At.
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -25,6 +25,9 @@
       RelaysFailed(this->Registry.counter(
           "lavenderdale_relays_failed_total",
           "Requests that the other host did not answer")),
+      RefusedOnArrival(this->Registry.counter(
+          "lavenderdale_refused_on_arrival_total",
+          "Statements refused because they could not start in time")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -34,6 +37,15 @@
       UpstreamConnections(
           this->Registry.gauge("lavenderdale_upstream_connections",
                                "Connections of this host to upstreams")),
+      UpstreamRunning(
+          this->Registry.gauge("lavenderdale_upstream_running",
+                               "Statements that run over this host")),
+      UpstreamWaiting(
+          this->Registry.gauge("lavenderdale_upstream_waiting",
+                               "Statements that wait at this host")),
+      UpstreamLimit(this->Registry.gauge(
+          "lavenderdale_upstream_limit",
+          "Statements that may run at connected upstreams with slots")),
       StatementTime(
           this->Registry.histogram("lavenderdale_statement_seconds",
                                    "From a caller's statement to its reply")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -30,13 +30,19 @@
   Counter &Reads;        ///< Reads served outside of transactions.
   Counter &ReplicaReads; ///< Those of Reads that a replica served.
   Counter &Promotions;
-  Counter &Relayed;      ///< Requests relayed to the host with connections.
-  Counter &CarriedOut;   ///< Relayed requests served for other hosts.
-  Counter &RelaysFailed; ///< Relayed requests without an answer.
+  Counter &Relayed;          ///< Requests relayed to the host with connections.
+  Counter &CarriedOut;       ///< Relayed requests served for other hosts.
+  Counter &RelaysFailed;     ///< Relayed requests without an answer.
+  Counter &RefusedOnArrival; ///< Statements that could not start in time.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
   Gauge &UpstreamConnections;
+  Gauge &UpstreamRunning; ///< Statements that run over this host.
+  Gauge &UpstreamWaiting; ///< Statements that wait at this host.
+  /// Statements that may run at the same time at the upstreams to which this
+  /// host has connections and that declare slots.
+  Gauge &UpstreamLimit;
   LatencyHistogram &StatementTime; ///< From the caller's message to the reply.
   LatencyHistogram &WaitTime;      ///< Wait for an upstream connection.
   LatencyHistogram &UpstreamTime;  ///< Time spent at upstreams.
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -421,11 +421,25 @@
                       : 0);
   this->Metrics.Hosts.set(
       static_cast<std::int64_t>(this->Fleet.size(BootClock::now())));
+  const TimePoint Now = steadyNow();
   std::size_t Connections = 0;
+  std::size_t Running = 0;
+  std::size_t Waiting = 0;
+  std::size_t Limit = 0;
   for (const auto &[Name, Group] : this->Groups)
-    for (const auto &[Id, Client] : Group->gates())
-      Connections += Client->pool().connections();
+    for (const auto &[Id, Client] : Group->gates()) {
+      const UpstreamPool &Pool = Client->pool();
+      Connections += Pool.connections();
+      Running += Pool.running();
+      Waiting += Pool.waiting();
+      if (Client->concurrencyLimit() && Pool.connections() > 0)
+        Limit += Client->concurrencyLimit()->limit(Now);
+      this->Metrics.RefusedOnArrival.add(Client->takeRefusedOnArrival());
+    }
   this->Metrics.UpstreamConnections.set(static_cast<std::int64_t>(Connections));
+  this->Metrics.UpstreamRunning.set(static_cast<std::int64_t>(Running));
+  this->Metrics.UpstreamWaiting.set(static_cast<std::int64_t>(Waiting));
+  this->Metrics.UpstreamLimit.set(static_cast<std::int64_t>(Limit));
 }
 
 void ProxyState::stop() {
--- a/src/libs/sessionproxy/relaymessages.cpp
+++ b/src/libs/sessionproxy/relaymessages.cpp
@@ -9,7 +9,10 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <cmath>
 #include <exception>
+#include <optional>
+#include <ratio>
 #include <stdexcept>
 #include <utility>
 
@@ -153,6 +156,53 @@
   return Result;
 }
 
+// Members that hosts of other versions do not know are in a map at the end of
+// an answer.
+constexpr const char *LimitKey = "limit";
+constexpr const char *ServiceTimeKey = "service_us";
+constexpr const char *WaitKey = "wait_us";
+constexpr const char *RetryAfterKey = "retry_ms";
+// Longer times are taken for malformed.
+constexpr double MaxToldSeconds = 3600;
+
+// Returns member \p Key of \p Extensions; nothing if it is missing or no time
+// in units of \p PerSecond that can be used.
+std::optional<double> decodeMember(const Json &Extensions, const char *Key,
+                                   double PerSecond) {
+  const auto Found = Extensions.find(Key);
+  if (Found == Extensions.end() || !Found->is_number())
+    return std::nullopt;
+  const auto Value = Found->get<double>();
+  if (!std::isfinite(Value) || Value < 0 || Value > MaxToldSeconds * PerSecond)
+    return std::nullopt;
+  return Value;
+}
+
+Json encodeExtensions(const RelayAnswer &Answer) {
+  Json Extensions = Json::object();
+  Extensions[LimitKey] = Answer.Limit;
+  if (Answer.ServiceTime.count() > 0)
+    Extensions[ServiceTimeKey] = Answer.ServiceTime.count();
+  if (Answer.ExpectedWait)
+    Extensions[WaitKey] = Answer.ExpectedWait->count();
+  if (Answer.RetryAfter.count() > 0)
+    Extensions[RetryAfterKey] = Answer.RetryAfter.count();
+  return Extensions;
+}
+
+void decodeExtensions(const Json &Value, RelayAnswer &Answer) {
+  if (!Value.is_object())
+    return;
+  Answer.Limit = decodeMember(Value, LimitKey, 1).value_or(0);
+  Answer.ServiceTime = microseconds(static_cast<std::int64_t>(
+      decodeMember(Value, ServiceTimeKey, std::micro::den).value_or(0)));
+  if (const std::optional<double> Wait =
+          decodeMember(Value, WaitKey, std::micro::den))
+    Answer.ExpectedWait = microseconds(static_cast<std::int64_t>(*Wait));
+  Answer.RetryAfter = milliseconds(static_cast<std::int64_t>(
+      decodeMember(Value, RetryAfterKey, std::milli::den).value_or(0)));
+}
+
 std::string withHeader(const Json &Message) {
   std::string Bytes(RelayHeaderBytes, '\0');
   Json::to_cbor(Message, Bytes);
@@ -185,8 +235,11 @@
 }
 
 std::string encodeRelay(const RelayAnswer &Answer) {
-  return withHeader(Json::array({Answer.Id, Answer.Held, Answer.Refusal,
-                                 Answer.Load, encode(Answer.Result)}));
+  Json Message = Json::array({Answer.Id, Answer.Held, Answer.Refusal,
+                              Answer.Load, encode(Answer.Result)});
+  if (Answer.Limit > 0)
+    Message.push_back(encodeExtensions(Answer));
+  return withHeader(Message);
 }
 
 bool deductTransitTime(RelayRequest &Request, milliseconds SinceLastSent) {
@@ -262,6 +315,8 @@
     Value.at(2).get_to(Answer.Refusal);
     Value.at(3).get_to(Answer.Load);
     Answer.Result = decodeResult(Value.at(4));
+    if (Value.size() > 5)
+      decodeExtensions(Value.at(5), Answer);
     return Answer;
   });
 }
--- a/src/libs/sessionproxy/relaymessages.h
+++ b/src/libs/sessionproxy/relaymessages.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -58,6 +59,13 @@
   /// Number of statements of all hosts that run or wait at the upstream.
   std::size_t Load = 0;
   WorkResult Result; ///< Without SentAt, which the requesting host knows.
+  /// The sender's learned limit of concurrent statements at the upstream; 0 if
+  /// not told, in which case the following are not either.
+  double Limit = 0;
+  std::chrono::microseconds ServiceTime{}; ///< Smoothed; 0 if not told.
+  /// Expected wait of a statement like the answered one.
+  std::optional<std::chrono::microseconds> ExpectedWait;
+  std::chrono::milliseconds RetryAfter{}; ///< See WorkResult.
 };
 
 /// A message consists of a header, which is the length of the body as four
--- a/src/libs/sessionproxy/relayserver.cpp
+++ b/src/libs/sessionproxy/relayserver.cpp
@@ -34,6 +34,26 @@
   return Result;
 }
 
+// Adds what this host learned about the upstream, if it declares slots.
+void addEstimate(UpstreamClient &Client, const RelayRequest &Request,
+                 RelayAnswer &Answer) {
+  const ConcurrencyLimit *Limit = Client.concurrencyLimit();
+  if (!Limit)
+    return;
+  const TimePoint Now = steadyNow();
+  Answer.Limit = static_cast<double>(Limit->limit(Now));
+  Answer.ServiceTime = std::chrono::duration_cast<std::chrono::microseconds>(
+      Limit->estimate(Now).ServiceTime);
+  PoolWaiter Same;
+  Same.Workspace = Request.Workspace;
+  Same.Priority = Request.Priority;
+  Same.Target = TimePoint::max();
+  const std::optional<Duration> Wait = Client.expectedWait(Same, false, Now);
+  if (Wait)
+    Answer.ExpectedWait =
+        std::chrono::duration_cast<std::chrono::microseconds>(*Wait);
+}
+
 } // namespace
 
 /// One connection from another host, with the transactions held for it.
@@ -50,7 +70,7 @@
   asio::awaitable<void> runWork(RelayRequest Request);
   asio::awaitable<ConnectionLease>
   lease(const RelayRequest &Request,
-        const std::shared_ptr<UpstreamClient> &Client);
+        const std::shared_ptr<UpstreamClient> &Client, WaitHandle &Wait);
   std::uint64_t hold(ConnectionLease Lease);
   void release(std::uint64_t Held);
   void enqueue(const std::string &Bytes);
@@ -166,7 +186,8 @@
 
 asio::awaitable<ConnectionLease>
 RelayServer::Peer::lease(const RelayRequest &Request,
-                         const std::shared_ptr<UpstreamClient> &Client) {
+                         const std::shared_ptr<UpstreamClient> &Client,
+                         WaitHandle &Wait) {
   const TimePoint Now = steadyNow();
   // Commands of the proxies themselves can run on a connection of any
   // workspace.
@@ -182,7 +203,6 @@
   Waiter.GiveUpAt = Now + Request.GiveUpIn;
   Waiter.TakesSlot = Request.Work.hasStatement();
   Waiter.Rate = this->Owner.State.access().rateOf(Request.Workspace);
-  WaitHandle Wait;
   this->Waits[Request.Id] = &Wait;
   ConnectionLease Lease = co_await Client->acquire(std::move(Waiter), Wait);
   this->Waits.erase(Request.Id);
@@ -215,6 +235,7 @@
   }
   const bool ProvesLeadership = Request.Work.provesLeadership();
   ConnectionLease Lease;
+  WaitHandle Wait;
   if (Request.Held != 0) {
     const auto Found = this->Held.find(Request.Held);
     if (Found != this->Held.end()) {
@@ -223,7 +244,8 @@
       --Server->Active;
     }
   } else if (Client && !Client->unreachable()) {
-    Lease = co_await this->lease(Request, Client);
+    Lease = co_await this->lease(Request, Client, Wait);
+    Answer.RetryAfter = Wait.RetryAfter;
   }
   Answer.Result.Waited = steadyNow() - Arrived;
   // After a pause of this host, requests can still be unread that the other
@@ -253,6 +275,8 @@
   Answer.Result.Unreachable = !Client || Client->unreachable();
   if (Client)
     Answer.Load = Client->pool().assigned() + Client->pool().waiting();
+  if (Client)
+    addEstimate(*Client, Request, Answer);
   --Server->Active;
   if (!this->Closed)
     this->enqueue(encodeRelay(Answer));
--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -86,6 +86,13 @@
   std::optional<UpstreamReply> Guard; ///< Reply to the guard command.
   std::optional<UpstreamReply> Reply; ///< Reply to the statement.
   BootTime SentAt{};
+  /// Pause before a busy upstream or one without a free connection is tried
+  /// again.
+  std::chrono::milliseconds BusyPause{UpstreamClient::MinBusyPause};
+  std::size_t Refusals = 0; ///< Attempts that were refused on arrival.
+  bool Refused = false;     ///< The current attempt was.
+  /// Shortest time after which one of the refusing members will have room.
+  std::chrono::milliseconds RetryAfter{};
 };
 
 asio::awaitable<StatementOutcome>
@@ -99,6 +106,7 @@
     Try.Reply.reset();
     Try.Guard.reset();
     Try.Outcome = AttemptOutcome::NotSent;
+    Try.Refused = false;
     std::optional<Error> NotRun;
     if (AtPrimary)
       NotRun = co_await this->runAtPrimary(Call, Try);
@@ -132,9 +140,8 @@
             " age_ms=" + std::to_string(millisecondsSince(Call.Arrived)) +
             (Retry ? " next=retry" : " next=answer"));
     if (Retry) {
-      if (Try.Outcome == AttemptOutcome::RefusedBeforeRun ||
-          Try.Outcome == AttemptOutcome::NotSent)
-        co_await sleepUntil(steadyNow() + BusyRetryDelay);
+      if (!Try.Refused && notSent(Try.Outcome))
+        co_await sleepUntil(steadyNow() + Try.BusyPause);
       continue;
     }
     if (Try.Reply)
@@ -160,6 +167,8 @@
   }
   const bool Connected =
       co_await this->run(Call, Try, Client, std::move(Work), nullptr);
+  if (Try.Refused)
+    co_return this->reportNoRoom(Call, Try);
   if (!Connected && (steadyNow() >= queueDeadline(Call) || Call.Abandoned))
     co_return this->reportNotRun(Call, "no connection to the primary");
   const std::optional<UpstreamReply> &Proof =
@@ -178,8 +187,9 @@
   }
   if (!Required)
     co_return co_await this->runAtPrimary(Call, Try);
-  const std::shared_ptr<UpstreamClient> Client = Call.Group->chooseReader(
-      Call.Workspace, *Required, Try.Excluded, steadyNow());
+  const std::shared_ptr<UpstreamClient> Client =
+      Call.Group->chooseReader(Call.Workspace, Call.Route.Priority, *Required,
+                               Try.Excluded, steadyNow());
   if (!Client) {
     Try.Excluded.clear();
     co_return co_await this->runAtPrimary(Call, Try);
@@ -190,6 +200,8 @@
   Work.Deadline = readAttemptDeadline(Call, Try, *Client);
   const bool Connected =
       co_await this->run(Call, Try, Client, std::move(Work), nullptr);
+  if (Try.Refused && Try.Refusals >= MaxRefusals)
+    co_return this->reportNoRoom(Call, Try);
   if (!Connected && (steadyNow() >= queueDeadline(Call) || Call.Abandoned))
     co_return this->reportNotRun(Call, "no connection to an upstream");
   if (Try.Outcome == AttemptOutcome::ReplicaBehind)
@@ -231,6 +243,13 @@
   Call.Ran += Result.Ran;
   Call.Upstream = Try.Upstream;
   ++Call.Tries;
+  Try.BusyPause = Client.busyPause(Now);
+  if (!Result.Connected && Result.RetryAfter.count() > 0) {
+    Try.Refused = true;
+    Try.RetryAfter = ++Try.Refusals == 1
+                         ? Result.RetryAfter
+                         : std::min(Try.RetryAfter, Result.RetryAfter);
+  }
   Try.SentAt = Result.SentAt;
   Try.Guard = std::move(Result.Guard);
   Try.Reply.reset();
@@ -295,7 +314,7 @@
                       !Try.Reply->ok();
     if (!Busy || steadyNow() >= queueDeadline(Call) || Call.Abandoned)
       break;
-    co_await sleepUntil(steadyNow() + BusyRetryDelay);
+    co_await sleepUntil(steadyNow() + Try.BusyPause);
   }
   if (!Try.Reply || !Try.Reply->ok())
     co_return this->handleFailure(Call, Try);
@@ -351,8 +370,8 @@
     }
     std::shared_ptr<UpstreamClient> Client;
     if (Required)
-      Client = Call.Group->chooseReader(Call.Workspace, *Required, Try.Excluded,
-                                        steadyNow());
+      Client = Call.Group->chooseReader(Call.Workspace, Call.Route.Priority,
+                                        *Required, Try.Excluded, steadyNow());
     const bool Reader = Client != nullptr;
     if (!Client)
       Client =
@@ -372,7 +391,7 @@
     if (steadyNow() >= queueDeadline(Call) || Call.Abandoned)
       co_return this->reportNotRun(Call, "no upstream started the transaction");
     if (!Reader)
-      co_await sleepUntil(steadyNow() + BusyRetryDelay);
+      co_await sleepUntil(steadyNow() + Try.BusyPause);
   }
 }
 
@@ -481,4 +500,11 @@
   return failure(ErrorKind::QueueDeadline, Why);
 }
 
+Error StatementExecutor::reportNoRoom(const StatementCall &Call,
+                                      const Attempt &Try) const {
+  return this->reportNotRun(
+      Call, "retry-after-ms=" + std::to_string(Try.RetryAfter.count()) +
+                " the upstreams cannot start it in time");
+}
+
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/statementexecutor.h
+++ b/src/libs/sessionproxy/statementexecutor.h
@@ -52,9 +52,9 @@
   /// Fraction of the statement timeout that may be spent waiting for a
   /// connection. The rest is needed to run the statement.
   static constexpr double QueueTimeFraction = 0.7;
-  /// Delay before a statement is retried after a busy upstream refused it or
-  /// no connection was available.
-  static constexpr std::chrono::milliseconds BusyRetryDelay{6};
+  /// Members at which a read is tried while each refuses it on arrival, because
+  /// it could not start in time there: as many as most groups have.
+  static constexpr std::size_t MaxRefusals = 3;
   /// Minimum time that the first attempt of a read waits for its reply before
   /// the read is retried at another member.
   static constexpr std::chrono::milliseconds MinReadAttemptTime{150};
@@ -111,6 +111,7 @@
                                        const Attempt &Try,
                                        const UpstreamClient &Client);
   Error reportNotRun(const StatementCall &Call, const std::string &Why) const;
+  Error reportNoRoom(const StatementCall &Call, const Attempt &Try) const;
 
   UpstreamAccess &Access;
   ProxyMetrics &Metrics;
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -335,6 +335,7 @@
   WorkResult Result;
   if (!Lease) {
     Result.Waited = steadyNow() - Start;
+    Result.RetryAfter = Wait.RetryAfter;
     Result.Unreachable = Client->unreachable();
     co_return Result;
   }
@@ -405,7 +406,11 @@
   this->Holders.hostAnswered(Name, Now);
   WorkResult Result = std::move(Outcome.Answer->Result);
   Result.SentAt = SentAt;
+  Result.RetryAfter = Outcome.Answer->RetryAfter;
   Client->recordRemoteLoad(Outcome.Answer->Load, Now);
+  Client->recordRemoteEstimate(
+      {Outcome.Answer->Limit, Outcome.Answer->ServiceTime},
+      Outcome.Answer->ExpectedWait, Now);
   if (!Result.Connected && Result.Unreachable) {
     logInfo("event=relay_unreachable host=" + Name +
             " upstream=" + Client->entry().Id);
--- a/src/libs/sessionproxy/upstreamclient.cpp
+++ b/src/libs/sessionproxy/upstreamclient.cpp
@@ -76,6 +76,7 @@
   bool Holds = false; ///< Waits for a slot only, with a held connection.
   bool Done = false;
   ConnectionId Assigned = 0;
+  Duration RetryAfter{};
 };
 
 UpstreamClient::UpstreamClient(const asio::any_io_executor &Executor,
@@ -130,6 +131,8 @@
   Slot.Signal.expires_at(Waiter.GiveUpAt);
   Slot.Waiter = std::move(Waiter);
   this->Waiters[Id] = &Slot;
+  Wait.RetryAfter = {};
+  this->refreshLimit(steadyNow());
   this->Pool.enqueue(Slot.Waiter, steadyNow());
   Wait.Cancel = [Self, Id, &Slot] {
     if (!Slot.Done && Self->Pool.cancel(Id)) {
@@ -149,6 +152,8 @@
     }
   }
   Wait.Cancel = nullptr;
+  Wait.RetryAfter =
+      std::chrono::ceil<std::chrono::milliseconds>(Slot.RetryAfter);
   this->Waiters.erase(Id);
   const auto Found = this->Connections.find(Slot.Assigned);
   if (Slot.Assigned == 0 || Found == this->Connections.end())
@@ -245,12 +250,76 @@
   this->runPoolActions();
 }
 
+void UpstreamClient::refreshLimit(TimePoint Now) {
+  if (this->Limit)
+    this->Pool.setConcurrency(this->Limit->limit(Now),
+                              this->Limit->serviceTime(Now));
+  else
+    this->Pool.setConcurrency(std::nullopt);
+}
+
+void UpstreamClient::recordRefusal(const PoolWaiter &Waiter,
+                                   Duration RetryAfter, TimePoint Now) {
+  ++this->RefusedOnArrival;
+  ++this->UnloggedRefusals;
+  if (Now - this->RefusalsLoggedAt < RefusalLogInterval)
+    return;
+  this->RefusalsLoggedAt = Now;
+  logInfo(
+      "event=refused_on_arrival upstream=" + this->Entry.Id +
+      " count=" + std::to_string(this->UnloggedRefusals) +
+      " last_workspace=" + Waiter.Workspace +
+      " last_priority=" + std::to_string(Waiter.Priority) + " retry_after_ms=" +
+      std::to_string(
+          std::chrono::ceil<std::chrono::milliseconds>(RetryAfter).count()) +
+      " running=" + std::to_string(this->Pool.running()) +
+      " waiting=" + std::to_string(this->Pool.waiting()) +
+      " limit=" + std::to_string(this->Limit->limit(Now)));
+  this->UnloggedRefusals = 0;
+}
+
+void UpstreamClient::recordRemoteEstimate(
+    const ConcurrencyLimit::Estimate &Told,
+    std::optional<Duration> ExpectedWait, TimePoint Now) {
+  if (!this->Limit || Told.Limit <= 0)
+    return;
+  this->Limit->adopt(Told, Now);
+  this->RemoteWait = ExpectedWait;
+  this->RemoteWaitAt = Now;
+}
+
+std::optional<Duration> UpstreamClient::expectedWait(const PoolWaiter &Waiter,
+                                                     bool Remote,
+                                                     TimePoint Now) {
+  if (!this->Limit)
+    return std::nullopt;
+  if (Remote)
+    return Now - this->RemoteWaitAt < LoadLifetime ? this->RemoteWait
+                                                   : std::nullopt;
+  this->refreshLimit(Now);
+  return this->Pool.expectedWait(Waiter, Now);
+}
+
+std::size_t UpstreamClient::concurrency(TimePoint Now) const {
+  return this->Limit ? this->Limit->limit(Now)
+                     : std::max<std::size_t>(this->Pool.capacity(), 1);
+}
+
+std::chrono::milliseconds UpstreamClient::busyPause(TimePoint Now) const {
+  if (!this->Limit)
+    return MinBusyPause;
+  Duration Pause = this->Limit->estimate(Now).ServiceTime;
+  if (this->RemoteWait && Now - this->RemoteWaitAt < LoadLifetime)
+    Pause = std::max(Pause, *this->RemoteWait);
+  return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(Pause),
+                    MinBusyPause, MaxBusyPause);
+}
+
 void UpstreamClient::runPoolActions() {
   // An action can free a connection, which allows further actions.
   while (true) {
     const TimePoint Now = steadyNow();
-    this->Pool.setConcurrency(
-        this->Limit ? std::optional(this->Limit->limit(Now)) : std::nullopt);
+    this->refreshLimit(Now);
     const std::vector<UpstreamPoolAction> Actions = this->Pool.decide(Now);
     if (Actions.empty())
       break;
@@ -310,6 +379,9 @@
     this->Pool.enqueue(Found->second->Waiter, steadyNow());
     return;
   }
+  if (Action.RetryAfter > Duration{})
+    this->recordRefusal(Found->second->Waiter, Action.RetryAfter, steadyNow());
+  Found->second->RetryAfter = Action.RetryAfter;
   Found->second->Assigned = Action.Connection;
   Found->second->Done = true;
   Found->second->Signal.cancel();
--- a/src/libs/sessionproxy/upstreamclient.h
+++ b/src/libs/sessionproxy/upstreamclient.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lavenderdale {
 
@@ -64,6 +65,9 @@
 public:
   /// Cancels the wait; set only while one is in progress.
   std::function<void()> Cancel;
+  /// Set by a wait that was refused because it would have been too long: the
+  /// time until there will be room. Otherwise 0.
+  std::chrono::milliseconds RetryAfter{};
 };
 
 /// Connections of this host to one upstream. Carries out the decisions of
@@ -89,6 +93,12 @@
   /// transactions go first, so a longer wait means that the upstream hardly
   /// answers; the statement is then queued there.
   static constexpr std::chrono::milliseconds MaxHeldWait{100};
+  /// Bounds of the pause after a busy refusal. The lower one is the pause at
+  /// an upstream that declares no slots.
+  static constexpr std::chrono::milliseconds MinBusyPause{6};
+  static constexpr std::chrono::milliseconds MaxBusyPause{200};
+  /// Refusals on arrival are logged for each upstream at most this often.
+  static constexpr std::chrono::seconds RefusalLogInterval{1};
   /// Response time assumed before the first reply.
   static constexpr std::chrono::microseconds InitialResponseTime{10000};
 
@@ -130,6 +140,24 @@
   /// included where their number was reported recently.
   std::size_t load(TimePoint Now) const;
 
+  /// Records what the host that holds the upstream's connections told with an
+  /// answer.
+  /// \param ExpectedWait of a statement like the answered one; nothing if not
+  ///        told.
+  void recordRemoteEstimate(const ConcurrencyLimit::Estimate &Told,
+                            std::optional<Duration> ExpectedWait,
+                            TimePoint Now);
+  /// Time until a statement like \p Waiter could start; nothing if unknown.
+  /// \param Remote whether another host holds the upstream's connections.
+  std::optional<Duration> expectedWait(const PoolWaiter &Waiter, bool Remote,
+                                       TimePoint Now);
+  /// Number of statements that the upstream is known to handle at the same
+  /// time; the number of connections if it declares no slots.
+  std::size_t concurrency(TimePoint Now) const;
+  /// Pause before a statement that the upstream refused as busy is repeated:
+  /// one service time, or the expected wait if that is longer.
+  std::chrono::milliseconds busyPause(TimePoint Now) const;
+
   /// Records the log position that a reply reported.
   void recordPosition(const Position &At, TimePoint Now);
   /// Records that a read was refused because the upstream lags behind.
@@ -149,6 +177,11 @@
     return this->Limit ? &*this->Limit : nullptr;
   }
 
+  /// Returns the number of statements refused on arrival since the last call.
+  std::size_t takeRefusedOnArrival() {
+    return std::exchange(this->RefusedOnArrival, 0);
+  }
+
   /// Carries out all pending decisions of the pool.
   void runPoolActions();
 
@@ -158,6 +191,9 @@
   struct PendingWait;
 
   void applySlots();
+  void refreshLimit(TimePoint Now);
+  void recordRefusal(const PoolWaiter &Waiter, Duration RetryAfter,
+                     TimePoint Now);
   boost::asio::awaitable<void> startStatement(ConnectionId Id);
   void endStatement(ConnectionId Id,
                     std::optional<ConcurrencyLimit::Outcome> Ended);
@@ -187,6 +223,11 @@
   std::size_t InUse = 0; ///< Statements of this host's callers in progress.
   std::size_t RemoteLoad = 0;
   TimePoint RemoteLoadAt{};
+  std::optional<Duration> RemoteWait;
+  TimePoint RemoteWaitAt{};
+  std::size_t RefusedOnArrival = 0;
+  std::size_t UnloggedRefusals = 0;
+  TimePoint RefusalsLoggedAt{};
   bool Retired = false;
 };
 
--- a/src/libs/sessionproxy/upstreamwork.h
+++ b/src/libs/sessionproxy/upstreamwork.h
@@ -63,6 +63,9 @@
   /// Age of the proof of leadership that the reply repeats; zero if the work
   /// was run.
   std::chrono::milliseconds ProofAge{};
+  /// If the work was refused because it would have had to wait too long: the
+  /// time until there will be room. Otherwise 0.
+  std::chrono::milliseconds RetryAfter{};
   Duration Waited{}; ///< Time waited for the connection.
   Duration Ran{};    ///< Time that the upstream took for the commands.
 
--- a/tests/auto/placement/tst_memberchoice.cpp
+++ b/tests/auto/placement/tst_memberchoice.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <vector>
 
 using namespace lavenderdale;
 using namespace std::chrono_literals;
@@ -53,3 +54,21 @@
   Members[1].ServiceTime = 30ms;
   CHECK(chooseReadMember(Members, {}) == 0u);
 }
+
+// Guards against a read that is sent to a member at which many others wait
+// already, because the answers of those that run are quick.
+TEST_CASE("a read avoids a member whose holder expects a long wait") {
+  ReadMember Busy;
+  Busy.SameDomain = true;
+  Busy.IdleConnection = true;
+  Busy.ServiceTime = 5ms;
+  Busy.Capacity = 4;
+  ReadMember Other = Busy;
+  Other.SameDomain = false;
+  Other.ServiceTime = 9ms;
+  const std::vector<ReadMember> WithoutWait = {Busy, Other};
+  CHECK(chooseReadMember(WithoutWait, {}) == 0U);
+  Busy.ExpectedWait = 60ms;
+  const std::vector<ReadMember> WithWait = {Busy, Other};
+  CHECK(chooseReadMember(WithWait, {}) == 1U);
+}
--- a/tests/auto/sessionproxy/tst_relaymessages.cpp
+++ b/tests/auto/sessionproxy/tst_relaymessages.cpp
@@ -232,3 +232,44 @@
   CHECK_FALSE(decodeRelayAnswer(Valid));
   CHECK_FALSE(relayLength(std::string(RelayHeaderBytes, '\xFF')));
 }
+
+// Guards against an estimate that is lost on the way, and against one of a host
+// of another version or a faulty one that stops the answer or is used as told.
+TEST_CASE("an answer carries the holder's estimate, and a malformed one means "
+          "not told") {
+  RelayAnswer Answer;
+  Answer.Id = 7;
+  Answer.Limit = 5;
+  Answer.ServiceTime = std::chrono::microseconds(12345);
+  Answer.ExpectedWait = std::chrono::microseconds(0);
+  Answer.RetryAfter = std::chrono::milliseconds(80);
+  const std::string Bytes = encodeRelay(Answer).substr(RelayHeaderBytes);
+  const Result<RelayAnswer> Read = decodeRelayAnswer(Bytes);
+  REQUIRE(Read);
+  CHECK(Read.value().Limit == 5);
+  CHECK(Read.value().ServiceTime == Answer.ServiceTime);
+  CHECK(Read.value().ExpectedWait == Answer.ExpectedWait);
+  CHECK(Read.value().RetryAfter == Answer.RetryAfter);
+  // Without an estimate, an answer is the same as that of the version before.
+  RelayAnswer Plain;
+  Plain.Id = 7;
+  const std::string Old = encodeRelay(Plain).substr(RelayHeaderBytes);
+  nlohmann::json Message = nlohmann::json::from_cbor(Old);
+  CHECK(Message.size() == 5);
+  for (const char *Extension :
+       {"null", "7", "[]", "{}", R"({"limit":"5"})", R"({"limit":-1})",
+        R"({"limit":1e30,"wait_us":-5})", R"({"wait_us":[],"retry_ms":"x"})",
+        R"({"other":1})"}) {
+    CAPTURE(Extension);
+    nlohmann::json Extended = Message;
+    Extended.push_back(nlohmann::json::parse(Extension));
+    const std::vector<std::uint8_t> Cbor = nlohmann::json::to_cbor(Extended);
+    const Result<RelayAnswer> Other =
+        decodeRelayAnswer(std::string(Cbor.begin(), Cbor.end()));
+    REQUIRE(Other);
+    CHECK(Other.value().Id == 7);
+    CHECK(Other.value().Limit == 0);
+    CHECK_FALSE(Other.value().ExpectedWait);
+    CHECK(Other.value().RetryAfter.count() == 0);
+  }
+}
