--- a/src/libs/pooling/upstreampool.cpp
+++ b/src/libs/pooling/upstreampool.cpp
@@ -4,6 +4,7 @@
 #include "concurrencylimit.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <limits>
 #include <set>
 #include <string_view>
@@ -48,11 +49,19 @@
                                                    TimePoint Now) const {
   if (!this->Concurrency || !this->ServiceTime)
     return std::nullopt;
+  const std::optional<Duration> PerTurn =
+      this->Queue.timePerTurn(Waiter.Priority, Now);
   const auto WaitBehind = [&](bool Late) {
-    return ConcurrencyLimit::waitFor(
-        this->Held.size() + this->Queue.ahead(Waiter.Workspace, Waiter.Priority,
-                                              Waiter.Rate, Late),
-        this->Running + this->Opening, *this->Concurrency, *this->ServiceTime);
+    const std::size_t Ahead =
+        this->Queue.ahead(Waiter.Workspace, Waiter.Priority, Waiter.Rate, Late);
+    const Duration Wait = ConcurrencyLimit::waitFor(
+        this->Held.size() + Ahead, this->Running + this->Opening,
+        *this->Concurrency, *this->ServiceTime);
+    if (!PerTurn)
+      return Wait;
+    const std::size_t Same = this->Queue.aheadWithin(
+        Waiter.Workspace, Waiter.Priority, Waiter.Rate, Late);
+    return std::max(Wait, *PerTurn * static_cast<std::int64_t>(Same));
   };
   const Duration Wait = WaitBehind(false);
   // What becomes late while it waits is served after all that is in time.
--- a/src/libs/scheduling/workqueue.cpp
+++ b/src/libs/scheduling/workqueue.cpp
@@ -49,7 +49,7 @@
     std::optional<Item> Taken = this->takeFrom(this->Levels[Priority], Accepts);
     if (!Taken)
       continue;
-    this->recordTurn(Priority);
+    this->recordTurn(Priority, Now);
     return Taken;
   }
   return std::nullopt;
@@ -91,17 +91,21 @@
 std::size_t WorkQueue::ahead(const std::string &Workspace, unsigned Priority,
                              double Rate, bool Late) const {
   std::size_t Ahead = 0;
-  for (const auto &[Other, Each] : this->Levels) {
-    if (Other > Priority)
-      break;
-    if (Other < Priority) {
+  for (const auto &[Other, Each] : this->Levels)
+    if (Other < Priority)
       Ahead += Each.size();
-      continue;
-    }
-    Ahead += Late ? Each.InTime.Size + aheadIn(Each.Late, Workspace, Rate)
-                  : aheadIn(Each.InTime, Workspace, Rate);
-  }
-  return Ahead;
+  return Ahead + this->aheadWithin(Workspace, Priority, Rate, Late);
+}
+
+std::size_t WorkQueue::aheadWithin(const std::string &Workspace,
+                                   unsigned Priority, double Rate,
+                                   bool Late) const {
+  const auto Found = this->Levels.find(Priority);
+  if (Found == this->Levels.end())
+    return 0;
+  const Level &Same = Found->second;
+  return Late ? Same.InTime.Size + aheadIn(Same.Late, Workspace, Rate)
+              : aheadIn(Same.InTime, Workspace, Rate);
 }
 
 std::optional<TimePoint> WorkQueue::nextGiveUp() const {
@@ -225,8 +229,32 @@
   return std::nullopt;
 }
 
-void WorkQueue::recordTurn(unsigned Served) {
+std::optional<Duration> WorkQueue::timePerTurn(unsigned Priority,
+                                               TimePoint Now) const {
+  const auto Found = this->Levels.find(Priority);
+  if (Found == this->Levels.end() || Found->second.Turns < MinTurns ||
+      Now - *Found->second.LastTurnAt >= PaceLifetime)
+    return std::nullopt;
+  return Found->second.TimePerTurn;
+}
+
+void WorkQueue::measureTurn(Level &Of, TimePoint Now) {
+  if (Of.LastTurnAt) {
+    ++Of.Turns;
+    // The first turns count equally, so that none of them dominates.
+    const double Weight =
+        std::max(TurnWeight, 1.0 / static_cast<double>(Of.Turns));
+    const std::chrono::duration<double> Newest = Now - *Of.LastTurnAt;
+    const std::chrono::duration<double> Old = Of.TimePerTurn;
+    Of.TimePerTurn =
+        std::chrono::duration_cast<Duration>(Old + (Newest - Old) * Weight);
+  }
+  Of.LastTurnAt = Now;
+}
+
+void WorkQueue::recordTurn(unsigned Served, TimePoint Now) {
   Level &Own = this->Levels[Served];
+  measureTurn(Own, Now);
   Own.Credit = std::max(0.0, Own.Credit - 1);
   if (Own.size() == 0)
     this->Levels.erase(Served);
--- a/src/libs/scheduling/workqueue.h
+++ b/src/libs/scheduling/workqueue.h
@@ -2,6 +2,7 @@
 
 #include "base/timepoint.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -47,9 +48,19 @@
   /// upstream of 4 slots, more than any deadline allows.
   static constexpr std::size_t MaxLength = 2000;
   /// A priority with waiting statements gets this part of all turns at least.
-  static constexpr double MinPriorityShare = 0.1;
+  /// A tenth for each of two kinds of 9 ms and 15 ms is half of the slot time,
+  /// if the urgent statements take 3 ms.
+  static constexpr double MinPriorityShare = 0.05;
   /// Late statements get this part of the turns of their priority at least.
-  static constexpr double MinLateShare = 0.25;
+  /// A quarter took so many turns from quiet workspaces, when one of twelve had
+  /// 7.5 times its load, that these became late as well.
+  static constexpr double MinLateShare = 0.1;
+  /// Weight of the newest turn in the time between two turns of a priority.
+  static constexpr double TurnWeight = 0.1;
+  /// Turns of a priority with a backlog without which their pace is unknown.
+  static constexpr std::size_t MinTurns = 10;
+  /// The pace of a priority is used for this long after its last turn.
+  static constexpr std::chrono::seconds PaceLifetime{1};
   /// A workspace gets one turn in a round for each of these operations a second
   /// of its rate limit, between 1 and MaxTurns.
   static constexpr double RatePerTurn = 20;
@@ -79,6 +90,16 @@
   std::size_t ahead(const std::string &Workspace, unsigned Priority,
                     double Rate, bool Late) const;
 
+  /// Number of those of them that have the same priority.
+  std::size_t aheadWithin(const std::string &Workspace, unsigned Priority,
+                          double Rate, bool Late) const;
+
+  /// Time between two turns of \p Priority, measured while statements of it
+  /// were waiting. It includes the turns that more urgent ones took, so the
+  /// wait of less urgent work is not underestimated.
+  /// \returns nothing without enough recent turns.
+  std::optional<Duration> timePerTurn(unsigned Priority, TimePoint Now) const;
+
   std::size_t size() const { return this->Places.size(); }
   /// Earliest GiveUpAt; nothing if the queue is empty.
   std::optional<TimePoint> nextGiveUp() const;
@@ -100,6 +121,9 @@
     Band Late;
     double Credit = 0;     ///< Turns that are due to the level.
     double LateCredit = 0; ///< Turns that are due to its late statements.
+    std::optional<TimePoint> LastTurnAt;
+    Duration TimePerTurn{}; ///< Smoothed.
+    std::size_t Turns = 0;  ///< Measured since it last had no statements.
 
     std::size_t size() const { return this->InTime.Size + this->Late.Size; }
   };
@@ -120,7 +144,8 @@
                                const std::function<bool(Item &)> &Accepts);
   std::optional<Item> takeFrom(Level &From,
                                const std::function<bool(Item &)> &Accepts);
-  void recordTurn(unsigned Served);
+  void recordTurn(unsigned Served, TimePoint Now);
+  static void measureTurn(Level &Of, TimePoint Now);
 
   std::map<unsigned, Level> Levels;
   std::map<ItemId, Place> Places;
