--- a/src/libs/pooling/upstreampool.cpp
+++ b/src/libs/pooling/upstreampool.cpp
@@ -37,7 +37,8 @@
       {Waiter.Id, Waiter.Workspace, Waiter.Priority, Waiter.Rate, Waiter.Target,
        Waiter.GiveUpAt, Now, std::nullopt});
   if (Displaced)
-    this->refuse(Displaced->Id, Wait.value_or(Duration{}));
+    this->refuse(Displaced->Id,
+                 std::max<Duration>(Wait.value_or(Duration{}), FullQueuePause));
 }
 
 void UpstreamPool::refuse(WaiterId Waiter, Duration RetryAfter) {
--- a/src/libs/pooling/upstreampool.h
+++ b/src/libs/pooling/upstreampool.h
@@ -82,6 +82,8 @@
   /// Connections beyond the guaranteed share are closed after this idle time,
   /// so that other hosts can use them.
   static constexpr std::chrono::milliseconds SurplusIdleTimeout{400};
+  /// Minimum time until there will be room that is told when the queue is full.
+  static constexpr std::chrono::milliseconds FullQueuePause{20};
   /// Maximum number of concurrent handshakes; each occupies a slot of the
   /// upstream.
   static constexpr std::size_t MaxOpening = 2;
--- a/tests/auto/pooling/tst_upstreamreplay.cpp
+++ b/tests/auto/pooling/tst_upstreamreplay.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -55,6 +56,14 @@
   Duration LongestWait{};
 };
 
+/// A transaction of a caller who thinks between its statements.
+struct TransactionKind {
+  Duration Work = 3ms;
+  Duration Pause = 30ms;
+  int Statements = 4; ///< The commit included.
+  Duration Objective = 250ms;
+};
+
 enum class Mode { Fifo, Unlimited, Limited };
 
 /// One upstream with slots, work times and a FIFO queue, the callers, who try
@@ -81,8 +90,25 @@
     }
   }
 
+  /// Starts a transaction of \p Workspace at \p When.
+  void addTransaction(TimePoint When, const std::string &Workspace) {
+    this->at(When, [this, Workspace](TimePoint Now) {
+      const WaiterId Id = this->NextId++;
+      this->Open[Id] = {Workspace, Now, 0, 0};
+      ++this->Transactions.Offered;
+      PoolWaiter Waiter;
+      Waiter.Id = Id;
+      Waiter.Workspace = Workspace;
+      Waiter.Target = Now + Transaction.Objective;
+      Waiter.GiveUpAt = Now + 560ms;
+      Waiter.TakesSlot = false;
+      this->Pool.enqueue(Waiter, Now);
+    });
+  }
+
   std::array<Count, Kinds.size()> ByKind;
   std::map<std::string, Count> ByWorkspace;
+  Count Transactions;
 
 private:
   struct Operation {
@@ -91,6 +117,12 @@
     int Tries = 0;
     bool Ended = false;
   };
+  struct OpenTransaction {
+    std::string Workspace;
+    TimePoint From{};
+    ConnectionId Connection = 0;
+    int Ended = 0; ///< Statements that ended.
+  };
   struct Job {
     Duration Work{};
     std::function<void(TimePoint)> Done;
@@ -187,6 +219,66 @@
     }
   }
 
+  // A transaction waits for a slot before each statement if there is a limit.
+  void nextStatement(WaiterId Id, TimePoint Now) {
+    if (this->How == Mode::Limited)
+      this->Pool.enqueueHeld(Id, this->Open[Id].Connection, Now + 100ms);
+    else
+      this->runStatement(Id, Now);
+  }
+  void runStatement(WaiterId Id, TimePoint Now) {
+    this->Pool.started(this->Open[Id].Connection, Now);
+    this->at(Now + Wire, [this, Id](TimePoint Then) {
+      if (!this->submit({Transaction.Work,
+                         [this, Id](TimePoint Later) {
+                           this->statementEnded(Id, Later);
+                         }},
+                        Then))
+        this->at(Then + 6ms, [this, Id](TimePoint Later) {
+          this->runStatement(Id, Later);
+        });
+    });
+  }
+  void statementEnded(WaiterId Id, TimePoint Now) {
+    OpenTransaction &Each = this->Open[Id];
+    const std::optional<Duration> Took = this->Pool.ended(Each.Connection, Now);
+    if (Took)
+      this->Limit.record(ConcurrencyLimit::Outcome::Answered, *Took,
+                         this->Pool.running() + 1, Now);
+    if (++Each.Ended < Transaction.Statements) {
+      this->at(Now + Transaction.Pause,
+               [this, Id](TimePoint Then) { this->nextStatement(Id, Then); });
+      return;
+    }
+    this->Pool.released(Each.Connection, Now);
+    const Duration Length = Now - Each.From;
+    ++(Length <= Transaction.Objective ? this->Transactions.Served
+                                       : this->Transactions.Late);
+    this->Transactions.LongestWait =
+        std::max(this->Transactions.LongestWait, Length);
+    this->Open.erase(Id);
+  }
+  /// \returns whether \p Each concerns a transaction.
+  bool performForTransaction(const UpstreamPoolAction &Each, TimePoint Now) {
+    const auto Found = this->Open.find(Each.Waiter);
+    if (Found == this->Open.end())
+      return false;
+    if (Each.Type == UpstreamPoolAction::Kind::Refuse) {
+      ++this->Transactions.Lost;
+      this->Open.erase(Found);
+    } else if (Found->second.Connection == 0) {
+      Found->second.Connection = Each.Connection;
+      this->Pool.pinned(Each.Connection);
+      this->Pool.ended(Each.Connection, Now);
+      this->at(Now + 2 * Wire, [this, Id = Each.Waiter](TimePoint Then) {
+        this->nextStatement(Id, Then);
+      });
+    } else {
+      this->runStatement(Each.Waiter, Now);
+    }
+    return true;
+  }
+
   // The host between them.
   void refreshLimit(TimePoint Now) {
     if (this->How == Mode::Limited)
@@ -231,6 +323,8 @@
   void decide(TimePoint Now) {
     this->refreshLimit(Now);
     for (const UpstreamPoolAction &Each : this->Pool.decide(Now)) {
+      if (this->performForTransaction(Each, Now))
+        continue;
       switch (Each.Type) {
       case UpstreamPoolAction::Kind::Assign:
         this->at(Now + Wire, [this, Each, Now](TimePoint Then) {
@@ -256,11 +350,13 @@
     }
   }
 
+  static constexpr TransactionKind Transaction{};
   Mode How;
   UpstreamPool Pool;
   ConcurrencyLimit Limit;
   std::multimap<TimePoint, std::function<void(TimePoint)>> Events;
   std::map<WaiterId, Operation> Operations;
+  std::map<WaiterId, OpenTransaction> Open;
   std::deque<Job> Queue;
   std::size_t Running = 0;
   WaiterId NextId = 1;
@@ -319,8 +415,16 @@
 };
 
 std::unique_ptr<Results> replay(const char *Name,
-                                const std::vector<Arrival> &Load) {
+                                const std::vector<Arrival> &Load,
+                                double TransactionsPerSecond = 0) {
   auto Done = std::make_unique<Results>();
+  for (int I = 0; I < TransactionsPerSecond * 8; ++I)
+    // Without a pool, nothing holds connections.
+    for (Replay *Each : {&Done->Before, &Done->Now})
+      Each->addTransaction(
+          Start + std::chrono::duration_cast<Duration>(
+                      std::chrono::duration<double>(I / TransactionsPerSecond)),
+          "w" + std::to_string(I % 12));
   std::printf("%s\n%-10s %-4s %6s %6s %6s %6s %6s %8s\n", Name, "order", "of",
               "ops", "intime", "late", "lost", "refl", "wait-ms");
   for (const auto &[Mode, Each] :
@@ -331,6 +435,8 @@
       printRow(Mode, "k" + std::to_string(Of), Each->ByKind[Of]);
     printRow(Mode, "w0", Each->ByWorkspace["w0"]);
     printRow(Mode, "w1", Each->ByWorkspace["w1"]);
+    if (Each->Transactions.Offered > 0)
+      printRow(Mode, "tx", Each->Transactions);
   }
   return Done;
 }
@@ -400,3 +506,18 @@
   CHECK(inTime(Done->Now, 0) >= 990);
   CHECK(answered(Done->Now) * 100 >= answered(Done->Before) * 98);
 }
+
+// Guards against transactions that use up slots while their callers think, and
+// against statements of transactions that wait behind new work or starve it.
+TEST_CASE("replay: many transactions with pauses", "[replay]") {
+  const auto Done = replay(
+      "transactions",
+      load([](double /*Second*/, int /*Workspace*/) { return 1.1; }), 60);
+  const Count &Now = Done->Now.Transactions;
+  const Count &Before = Done->Before.Transactions;
+  CHECK(Now.Served * 100 >= Now.Offered * 95);
+  CHECK(Now.Served >= Before.Served);
+  CHECK(Now.LongestWait <= Before.LongestWait);
+  CHECK(inTime(Done->Now, 0) >= 980);
+  CHECK(answered(Done->Now) * 100 >= answered(Done->Before) * 95);
+}
