--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -151,8 +151,13 @@
 }
 
 std::shared_ptr<UpstreamClient>
-ProxyGroup::chooseReader(const std::string &Workspace, const Position &After,
+ProxyGroup::chooseReader(const std::string &Workspace, unsigned Priority,
+                         const Position &After,
                          const std::set<std::string> &Excluded, TimePoint Now) {
+  PoolWaiter Reader;
+  Reader.Workspace = Workspace;
+  Reader.Priority = Priority;
+  Reader.Target = TimePoint::max();
   std::vector<ReadMember> Candidates;
   std::vector<std::shared_ptr<UpstreamClient>> Members;
   const std::optional<std::string> Primary = this->Tracker.primary(Now);
@@ -187,7 +192,11 @@
         Remote || Pool.hasIdle(Workspace) || Client->isCold(Now);
     Each.ServiceTime = Client->responseTime(Now);
     Each.InFlight = Client->load(Now);
-    Each.Capacity = std::max<std::size_t>(Pool.capacity(), 1);
+    Each.Capacity = Client->concurrency(Now);
+    if (const std::optional<Duration> Wait =
+            Client->expectedWait(Reader, Remote, Now))
+      Each.ExpectedWait =
+          std::chrono::duration_cast<std::chrono::microseconds>(*Wait);
     Candidates.push_back(Each);
     Members.push_back(Client);
   }
@@ -360,6 +369,7 @@
   Waiter.Workspace = this->LastWorkspace;
   Waiter.Target = steadyNow();
   Waiter.GiveUpAt = Limit;
+  Waiter.TakesSlot = false;
   co_return co_await Client->acquire(std::move(Waiter), Wait);
 }
 
@@ -503,6 +513,8 @@
     co_return std::nullopt;
   std::vector<UpstreamCommand> Commands(1);
   Commands[0].Type = Command::Kind::Status;
+  // A promotion depends on the answer, so it is counted but does not wait.
+  Lease.occupySlot();
   const ExchangeResult Exchange =
       co_await Lease->exchange(std::move(Commands), Deadline);
   if (Exchange.Lost || Exchange.Replies.empty())
--- a/src/libs/sessionproxy/proxymetrics.cpp
+++ b/src/libs/sessionproxy/proxymetrics.cpp
@@ -47,6 +47,9 @@
       ColdRefusals(this->Registry.counter(
           "lavenderdale_cold_refusals_total",
           "Requests that exceeded the limit of a cold upstream")),
+      RefusedOnArrival(this->Registry.counter(
+          "lavenderdale_refused_on_arrival_total",
+          "Statements refused because they could not start in time")),
       OpenSessions(this->Registry.gauge("lavenderdale_open_sessions",
                                         "Sessions that are open")),
       CatalogueVersion(this->Registry.gauge("lavenderdale_catalogue_version",
@@ -71,6 +74,15 @@
       EvacuatedConnections(this->Registry.gauge(
           "lavenderdale_evacuated_connections",
           "Connections of this host to upstreams in evacuated domains")),
+      UpstreamRunning(
+          this->Registry.gauge("lavenderdale_upstream_running",
+                               "Statements that run over this host")),
+      UpstreamWaiting(
+          this->Registry.gauge("lavenderdale_upstream_waiting",
+                               "Statements that wait at this host")),
+      UpstreamLimit(this->Registry.gauge(
+          "lavenderdale_upstream_limit",
+          "Statements that may run at connected upstreams with slots")),
       StatementTime(
           this->Registry.histogram("lavenderdale_statement_seconds",
                                    "From a caller's statement to its reply")),
--- a/src/libs/sessionproxy/proxymetrics.h
+++ b/src/libs/sessionproxy/proxymetrics.h
@@ -48,7 +48,8 @@
   Counter &SharedRefused;  ///< Requests of other hosts beyond the limit.
   Gauge &WatchesStore;     ///< 1 if this host watches the store itself.
   Counter &EvacuationRefusals; ///< Work not sent to evacuated upstreams.
-  Counter &ColdRefusals; ///< Requests beyond the limit of a cold upstream.
+  Counter &ColdRefusals;     ///< Requests beyond the limit of a cold upstream.
+  Counter &RefusedOnArrival; ///< Statements that could not start in time.
   Gauge &OpenSessions;
   Gauge &CatalogueVersion;
   Gauge &Hosts;
@@ -56,8 +57,13 @@
   Gauge &Isolated;      ///< 1 while no host of another failure domain answers.
   Gauge &ColdUpstreams; ///< To which requests are limited.
   Gauge &EvacuatedDomains;
-  Gauge &EvacuationRevision;       ///< Of the store, at which they were read.
-  Gauge &EvacuatedConnections;     ///< Of this host to upstreams there.
+  Gauge &EvacuationRevision;   ///< Of the store, at which they were read.
+  Gauge &EvacuatedConnections; ///< Of this host to upstreams there.
+  Gauge &UpstreamRunning;      ///< Statements that run over this host.
+  Gauge &UpstreamWaiting;      ///< Statements that wait at this host.
+  /// Statements that may run at the same time at the upstreams to which this
+  /// host has connections and that declare slots.
+  Gauge &UpstreamLimit;
   LatencyHistogram &StatementTime; ///< From the caller's message to the reply.
   LatencyHistogram &WaitTime;      ///< Wait for an upstream connection.
   LatencyHistogram &UpstreamTime;  ///< Time spent at upstreams.
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -46,10 +46,14 @@
           " routes=" + std::to_string(Offered->Routes.size()) +
           " source=" + Source);
   this->Catalogue = std::move(Offered);
-  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces)
+  std::map<std::string, double> Rates;
+  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces) {
     this->setLimits(
         this->Rates.try_emplace(Name, this->StartedAt).first->second,
         Workspace);
+    Rates[Name] = Workspace.Rate;
+  }
+  this->Access.setRates(std::move(Rates));
   std::erase_if(this->Rates, [this](const auto &Each) {
     return !this->Catalogue->Workspaces.count(Each.first);
   });
@@ -478,10 +482,21 @@
                       : 0);
   this->Metrics.Hosts.set(
       static_cast<std::int64_t>(this->Fleet.size(BootClock::now())));
+  const TimePoint Now = steadyNow();
   std::size_t Connections = 0;
+  std::size_t Running = 0;
+  std::size_t Waiting = 0;
+  std::size_t Limit = 0;
   for (const auto &[Name, Group] : this->Groups)
-    for (const auto &[Id, Client] : Group->gates())
-      Connections += Client->pool().connections();
+    for (const auto &[Id, Client] : Group->gates()) {
+      const UpstreamPool &Pool = Client->pool();
+      Connections += Pool.connections();
+      Running += Pool.running();
+      Waiting += Pool.waiting();
+      if (Client->concurrencyLimit() && Pool.connections() > 0)
+        Limit += Client->concurrencyLimit()->limit(Now);
+      this->Metrics.RefusedOnArrival.add(Client->takeRefusedOnArrival());
+    }
   this->Metrics.UpstreamConnections.set(static_cast<std::int64_t>(Connections));
   const std::optional<EvacuationSet> &Evacuated =
       this->Access.evacuations().current();
@@ -489,7 +504,6 @@
   for (const EvacuationProgress &Each : this->evacuationProgress())
     Remaining += Each.Connections;
   std::int64_t Cold = 0;
-  const TimePoint Now = steadyNow();
   for (const auto &[Name, Group] : this->Groups)
     for (const auto &[Id, Client] : Group->gates())
       Cold += Client->isCold(Now) ? 1 : 0;
@@ -499,6 +513,9 @@
   this->Metrics.EvacuationRevision.set(
       static_cast<std::int64_t>(Evacuated ? Evacuated->Revision : 0));
   this->Metrics.EvacuatedConnections.set(static_cast<std::int64_t>(Remaining));
+  this->Metrics.UpstreamRunning.set(static_cast<std::int64_t>(Running));
+  this->Metrics.UpstreamWaiting.set(static_cast<std::int64_t>(Waiting));
+  this->Metrics.UpstreamLimit.set(static_cast<std::int64_t>(Limit));
 }
 
 void ProxyState::stop() {
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -272,6 +272,11 @@
   return {};
 }
 
+double UpstreamAccess::rateOf(const std::string &Workspace) const {
+  const auto Found = this->Rates.find(Workspace);
+  return Found == this->Rates.end() ? 0 : Found->second;
+}
+
 asio::awaitable<WorkResult>
 UpstreamAccess::run(std::shared_ptr<UpstreamClient> Client, PoolWaiter Waiter,
                     UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold) {
@@ -346,11 +351,14 @@
   // Commands of the proxy itself can run on a connection of any workspace.
   if (!Work.hasStatement() && !Hold)
     Lease = Client->tryAcquireIdle();
+  Waiter.TakesSlot = Work.hasStatement();
+  Waiter.Rate = this->rateOf(Waiter.Workspace);
   if (!Lease)
     Lease = co_await Client->acquire(std::move(Waiter), Wait);
   WorkResult Result;
   if (!Lease) {
     Result.Waited = steadyNow() - Start;
+    Result.RetryAfter = Wait.RetryAfter;
     Result.Unreachable = Client->unreachable();
     co_return Result;
   }
@@ -421,7 +429,11 @@
   this->Holders.hostAnswered(Name, Now);
   WorkResult Result = std::move(Outcome.Answer->Result);
   Result.SentAt = SentAt;
+  Result.RetryAfter = Outcome.Answer->RetryAfter;
   Client->recordRemoteLoad(Outcome.Answer->Load, Now);
+  Client->recordRemoteEstimate(
+      {Outcome.Answer->Limit, Outcome.Answer->ServiceTime},
+      Outcome.Answer->ExpectedWait, Now);
   if (!Result.Connected && Result.Unreachable) {
     logInfo("event=relay_unreachable host=" + Name +
             " upstream=" + Client->entry().Id);
--- a/src/libs/sessionproxy/upstreamentry.h
+++ b/src/libs/sessionproxy/upstreamentry.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lavenderdale {
@@ -21,6 +22,9 @@
   /// Time for which the upstream is cold after it wrote the entry; 0 if it is
   /// not.
   std::chrono::milliseconds ColdRemaining{};
+  /// Statements that it runs at the same time; nothing if it declares none.
+  std::optional<std::size_t> Slots;
+  bool SlotsInvalid = false; ///< Declares slots that cannot be used.
 
   bool operator==(const UpstreamEntry &) const = default;
 };
