--- a/src/libs/placement/placement.cpp
+++ b/src/libs/placement/placement.cpp
@@ -1,11 +1,14 @@
 #include "placement.h"
 
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <memory>
 #include <set>
+#include <string>
 #include <tuple>
 
 namespace lavenderdale {
@@ -14,29 +17,67 @@
 constexpr std::size_t RelayCount = 2;
 constexpr std::size_t MonitorCount = 3;
 constexpr std::size_t MinMonitorCount = 2;
+constexpr std::string_view PromoterRole = "promoter";
 
 using HostRefs = std::vector<const PlacementHost *>;
 
+// Computes SHA-256 with an algorithm that is looked up once. SHA256() looks it
+// up for each hash, which takes three times as long as the hash itself.
+class Hasher {
+public:
+  using Digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+  Digest hash(std::string_view Role, std::string_view Key,
+              std::string_view Host) {
+    constexpr char Separator = '\0';
+    this->Text.clear();
+    this->Text.append(Role).push_back(Separator);
+    this->Text.append(Key).push_back(Separator);
+    this->Text.append(Host);
+    Digest Result{};
+    if (!this->Algorithm || !this->Context ||
+        EVP_DigestInit_ex2(this->Context.get(), this->Algorithm.get(),
+                           nullptr) != 1 ||
+        EVP_DigestUpdate(this->Context.get(), this->Text.data(),
+                         this->Text.size()) != 1 ||
+        EVP_DigestFinal_ex(this->Context.get(), Result.data(), nullptr) != 1)
+      SHA256(reinterpret_cast<const unsigned char *>(this->Text.data()),
+             this->Text.size(), Result.data());
+    return Result;
+  }
+
+private:
+  struct Free {
+    void operator()(EVP_MD *Each) const { EVP_MD_free(Each); }
+    void operator()(EVP_MD_CTX *Each) const { EVP_MD_CTX_free(Each); }
+  };
+
+  std::unique_ptr<EVP_MD, Free> Algorithm{
+      EVP_MD_fetch(nullptr, "SHA256", nullptr)};
+  std::unique_ptr<EVP_MD_CTX, Free> Context{EVP_MD_CTX_new()};
+  std::string Text; ///< Reused, because most texts need an allocation.
+};
+
 // Returns the first 8 bytes of SHA-256 in big-endian order. The parts are
 // separated by a byte that names cannot contain, so different parts never
 // yield the same hash input.
 std::uint64_t stableHash(std::string_view Role, std::string_view Key,
                          std::string_view Host) {
-  constexpr char Separator = '\0';
-  std::string Text;
-  Text.reserve(Role.size() + Key.size() + Host.size() + 2);
-  Text.append(Role).push_back(Separator);
-  Text.append(Key).push_back(Separator);
-  Text.append(Host);
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
-  SHA256(reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
-         Digest.data());
+  thread_local Hasher OfThread;
+  const Hasher::Digest Digest = OfThread.hash(Role, Key, Host);
   std::uint64_t Value = 0;
   for (std::size_t I = 0; I < sizeof Value; ++I)
     Value = Value << 8U | Digest[I];
   return Value;
 }
 
+// Hosts of equal capacity have equal weights, so their hashes decide alone.
+double weightedScore(std::uint64_t Hash, double Capacity) {
+  constexpr double HashRange = 0x1p64;
+  const double Uniform = (static_cast<double>(Hash) + 1) / (HashRange + 2);
+  return -std::pow(Capacity, CapacityExponent) / std::log(Uniform);
+}
+
 HostRefs hostsOf(std::string_view FailureDomain,
                  std::span<const PlacementHost> Hosts, bool Inside = true) {
   HostRefs Found;
@@ -103,15 +144,17 @@
 } // namespace
 
 bool RankedHolder::operator<(const RankedHolder &Other) const {
-  return std::tie(this->SameDomain, this->Weight, Other.Host) <
-         std::tie(Other.SameDomain, Other.Weight, this->Host);
+  return std::tie(this->SameDomain, this->Score, this->Weight, Other.Host) <
+         std::tie(Other.SameDomain, Other.Score, Other.Weight, this->Host);
 }
 
 RankedHolder rankHolder(std::string_view Upstream,
                         std::string_view FailureDomain,
                         const PlacementHost &Host) {
-  return {Host.FailureDomain == FailureDomain,
-          stableHash("holder", Upstream, Host.Name), Host.Name};
+  const std::uint64_t Hash = stableHash("holder", Upstream, Host.Name);
+  const double Capacity = FailureDomain.empty() ? 1 : Host.Capacity;
+  return {Host.FailureDomain == FailureDomain, weightedScore(Hash, Capacity),
+          Hash, Host.Name};
 }
 
 std::vector<std::string> holdersOf(std::string_view Upstream,
@@ -162,7 +205,7 @@
   HostRefs All;
   for (const PlacementHost &Host : Hosts)
     All.push_back(&Host);
-  const HostRefs Ranked = ranked(All, "promoter", Group);
+  const HostRefs Ranked = ranked(All, PromoterRole, Group);
   std::set<std::string_view> Domains;
   std::vector<std::string> Names;
   std::vector<std::string> Rest;
@@ -174,6 +217,10 @@
   return Names;
 }
 
+std::uint64_t promoterWeight(std::string_view Group, std::string_view Host) {
+  return stableHash(PromoterRole, Group, Host);
+}
+
 std::vector<std::string> watchersOf(std::span<const PlacementUpstream> Group,
                                     std::span<const PlacementHost> Hosts) {
   std::vector<std::string> Names;
--- a/src/libs/pooling/upstreampool.h
+++ b/src/libs/pooling/upstreampool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timepoint.h"
+#include "scheduling/workqueue.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,10 @@
   unsigned Priority = 0; ///< 0 is the most urgent.
   TimePoint Target{};    ///< Latest time that meets the latency objective.
   TimePoint GiveUpAt{};  ///< When it is refused if not served yet.
+  /// Whether it takes an execution slot of the upstream. Commands of the proxy
+  /// itself, such as the start of a transaction, take none.
+  bool TakesSlot = true;
+  double Rate = 0; ///< Rate limit of the workspace, a second; 0 if unknown.
 };
 
 /// An action that the owner of the pool must perform.
@@ -36,6 +41,9 @@
   WaiterId Waiter = 0;
   ConnectionId Connection = 0;
   std::string Workspace;
+  /// Refuse only: time until there will be room, if the waiter was refused
+  /// because it would have had to wait too long; else 0.
+  Duration RetryAfter{};
 };
 
 /// Decides which connections one host keeps to one upstream and which waiters
@@ -46,6 +54,13 @@
 /// belongs to one workspace. Load pattern: more workspaces are active than
 /// connections are permitted, so connections must be replaced, but without a
 /// handshake for every statement.
+///
+/// With a limit of concurrency, statements and handshakes beyond it wait here,
+/// in the order of WorkQueue, and not in the FIFO queue of the upstream. A
+/// statement that arrives when the expected wait ends after its GiveUpAt is
+/// refused at once. A connection
+/// that a transaction holds counts only while one of its statements runs; these
+/// statements go before new work, since others may wait for their locks.
 class UpstreamPool {
 public:
   /// Back-off after the upstream refused a connection because of its connection
@@ -67,6 +82,8 @@
   /// Connections beyond the guaranteed share are closed after this idle time,
   /// so that other hosts can use them.
   static constexpr std::chrono::milliseconds SurplusIdleTimeout{400};
+  /// Minimum time until there will be room that is told when the queue is full.
+  static constexpr std::chrono::milliseconds FullQueuePause{20};
   /// Maximum number of concurrent handshakes; each occupies a slot of the
   /// upstream.
   static constexpr std::size_t MaxOpening = 2;
@@ -75,9 +92,27 @@
   /// \param Guaranteed connections that may stay open while idle; may be 0.
   /// \param Max maximum while other hosts leave connections free.
   void setCapacity(std::size_t Guaranteed, std::size_t Max);
+  /// Sets how many statements and handshakes may be in progress at the upstream
+  /// at the same time; nothing for no limit.
+  /// \param ServiceTime response time of recent statements; nothing if too few
+  ///        were answered lately. Nothing is then refused on arrival.
+  void setConcurrency(std::optional<std::size_t> Limit,
+                      std::optional<Duration> ServiceTime = std::nullopt) {
+    this->Concurrency = Limit;
+    this->ServiceTime = ServiceTime;
+  }
+
+  /// Returns the time until a statement like \p Waiter that arrives at \p Now
+  /// can start; nothing without a limit or a service time.
+  std::optional<Duration> expectedWait(const PoolWaiter &Waiter,
+                                       TimePoint Now) const;
 
   /// Adds a waiter; decide() assigns it a connection or refuses it.
   void enqueue(PoolWaiter Waiter, TimePoint Now);
+  /// Adds a waiter for a slot to run a statement on \p Held, the connection
+  /// that its transaction holds. decide() assigns it that connection again, at
+  /// the latest at \p Until: the statement is then queued by the upstream.
+  void enqueueHeld(WaiterId Waiter, ConnectionId Held, TimePoint Until);
   /// Removes a waiter.
   /// \returns false if the waiter is not or no longer queued.
   bool cancel(WaiterId Waiter);
@@ -105,6 +140,15 @@
   /// long.
   void pinned(ConnectionId Connection);
 
+  /// Reports that a statement runs on an assigned connection without having
+  /// waited for a slot.
+  void started(ConnectionId Connection, TimePoint Now);
+  /// Reports that the statement on an assigned connection ended. The connection
+  /// stays assigned.
+  /// \returns the time since the statement was assigned or started; nothing if
+  ///          none was running.
+  std::optional<Duration> ended(ConnectionId Connection, TimePoint Now);
+
   /// Assigns an idle connection for a short command of the proxy itself. Return
   /// it with released() or closed().
   /// \returns nothing if no connection is idle.
@@ -115,11 +159,18 @@
   /// Returns the number of open connections.
   std::size_t connections() const { return this->Connections.size(); }
   /// Returns the number of queued waiters.
-  std::size_t waiting() const { return this->Waiting.size(); }
+  std::size_t waiting() const {
+    return this->Waiting.size() + this->Queue.size() + this->Commands.size() +
+           this->Held.size();
+  }
   /// Returns the number of connections being opened.
   std::size_t opening() const { return this->Opening; }
   /// Returns the number of connections in use.
   std::size_t assigned() const;
+  /// Returns the number of statements that run at the upstream.
+  std::size_t running() const { return this->Running; }
+  /// Returns whether a statement runs on \p Connection.
+  bool isRunning(ConnectionId Connection) const;
   /// Returns the maximum number of connections.
   std::size_t capacity() const { return this->Max; }
   /// Returns whether the last attempt to connect failed for another reason than
@@ -136,25 +187,58 @@
     bool Assigned = false;
     bool Pinned = false;
     TimePoint IdleSince{};
+    std::optional<TimePoint> RunningSince; ///< Set while a statement runs.
   };
   struct Queued {
     PoolWaiter Waiter;
     TimePoint QueuedAt{};
   };
+  struct HeldWaiter {
+    WaiterId Waiter = 0;
+    ConnectionId Connection = 0;
+    TimePoint Until{};
+  };
 
+  void refuse(WaiterId Waiter, Duration RetryAfter);
+  void enqueueWithinLimit(const PoolWaiter &Waiter, TimePoint Now);
   void refuseExpired(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void assignIdle(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void openForWaiters(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  bool canOpen(TimePoint Now) const;
+  void dispatchWithinLimit(TimePoint Now,
+                           std::vector<UpstreamPoolAction> &Actions);
+  void resumeHeld(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  void dispatchCommands(TimePoint Now,
+                        std::vector<UpstreamPoolAction> &Actions);
+  bool assignIdleTo(const PoolWaiter &Waiter, TimePoint Now,
+                    std::vector<UpstreamPoolAction> &Actions);
+  bool makeRoomToOpen(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
+  void startOpening(const std::string &Workspace,
+                    std::vector<UpstreamPoolAction> &Actions);
+  std::size_t freeSlots() const;
+  bool serveWithinLimit(WorkQueue::Item &Next, TimePoint Now,
+                        std::vector<UpstreamPoolAction> &Actions);
+  void markRunning(Connection &Each, TimePoint Now);
+  void markEnded(Connection &Each);
+  std::size_t allowedConnections(TimePoint Now) const;
   void closeSurplus(TimePoint Now, std::vector<UpstreamPoolAction> &Actions);
   void sortQueue(TimePoint Now);
   std::optional<ConnectionId> idleOf(const std::string &Workspace) const;
-  std::optional<ConnectionId> longestIdle() const;
+  std::optional<ConnectionId> longestIdle(bool SkipWanted) const;
   bool hasRunningStatement(const std::string &Workspace) const;
   std::size_t openingFor(const std::string &Workspace) const;
   void finishOpening(const std::string &Workspace);
 
   std::map<ConnectionId, Connection> Connections;
-  std::deque<Queued> Waiting;
+  std::deque<Queued> Waiting;               ///< Without a limit of concurrency.
+  WorkQueue Queue;                          ///< With one.
+  std::vector<UpstreamPoolAction> Refusals; ///< To be returned by decide().
+  /// Waiters that take no slot, kept apart while there is a limit.
+  std::deque<Queued> Commands;
+  std::deque<HeldWaiter> Held; ///< In the order of arrival.
+  std::optional<std::size_t> Concurrency;
+  std::optional<Duration> ServiceTime;
+  std::size_t Running = 0; ///< Connections on which a statement runs.
   std::map<std::string, std::size_t> OpeningFor;
   std::size_t Opening = 0;
   bool RefuseAll = false; ///< The upstream was found to be unreachable.
--- a/src/libs/sessionproxy/fleetview.h
+++ b/src/libs/sessionproxy/fleetview.h
@@ -24,11 +24,15 @@
   struct Registration {
     Endpoint Address;
     std::string FailureDomain; ///< Empty if an older version registered it.
+    double Capacity = 0;       ///< In cores; 0 if not declared.
+    std::string Internal = {}; ///< HTTP address for other hosts; may be empty.
   };
 
   struct Host {
     Endpoint Address;
     std::string FailureDomain;
+    double Capacity = 0;            ///< In cores; 0 if not declared.
+    std::string Internal;           ///< As registered; may be empty.
     bool Registered = false;        ///< In the object store.
     std::optional<HostReport> Last; ///< The latest report.
     BootTime HeardAt{};             ///< When the latest report arrived.
@@ -62,6 +66,14 @@
   /// The same, with the registered hosts that had no time to report yet.
   std::size_t assumedInContact(BootTime Now) const;
 
+  /// Number of hosts, this one included, that were heard since \p Since.
+  std::size_t heardSince(BootTime Since) const;
+
+  /// Age up to which a report shows that this host is in contact.
+  std::chrono::milliseconds contactAge() const {
+    return contactLifetime(this->Hosts.size() + 1);
+  }
+
   /// The other hosts to which work can be given: those with a recent report
   /// that are not leaving, and registered ones that had no time to report yet.
   ///
@@ -79,12 +91,43 @@
 
   const std::map<std::string, Host> &hosts() const { return this->Hosts; }
 
+  /// Number that changes whenever present() may have changed.
+  std::uint64_t presentRevision(BootTime Now) const;
+
 private:
+  /// Results of a walk over all hosts. They stay the same until ValidUntil,
+  /// unless a report or the registrations change a host's state.
+  struct Counts {
+    std::size_t Size = 0;
+    std::size_t InContact = 0;
+    std::size_t AssumedInContact = 0;
+    std::size_t Rank = 0;
+    std::uint64_t Revision = 0;
+    BootTime CountedAt{};
+    BootTime ValidUntil{};
+  };
+
+  const Counts &counts(BootTime Now) const;
+  Counts count(BootTime Now) const;
+  bool mayBeServing(const Host &Each, BootTime Now) const;
+  bool isInContact(const Host &Each, BootTime Now) const;
+  /// Whether all counts include \p Each, and a report only confirms that.
+  bool isCounted(const Host &Each, BootTime Now) const;
   bool isRecentlyHeard(const Host &Each, BootTime Now) const;
   bool isPresent(const Host &Each, BootTime Now) const;
 
+  /// Moves \p Each to the end of HeardTimes.
+  void recordHeard(Host &Each, BootTime Now);
+  void updateHeardTimes();
+
   const std::string OwnName;
   std::map<std::string, Host> Hosts; ///< Without this host.
+  /// Host::HeardAt of the hosts that have reported, in ascending order. An
+  /// operation may need heardSince().
+  std::vector<BootTime> HeardTimes;
+  /// Cached, because each operation and each report needs the counts.
+  mutable std::optional<Counts> Cached;
+  mutable std::uint64_t Revision = 0;
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   Upstreams,  ///< Written by the upstreams themselves.
   Hosts,      ///< Registrations of the hosts, one object for each host.
   Promotions, ///< Claims of the right to promote, one object for each group.
+  /// Orders of operators, one object for each evacuated failure domain.
+  Evacuations,
 };
 
 /// An object of the store, or a change to one.
@@ -33,6 +36,11 @@
 struct StoredObjects {
   std::vector<StoredObject> Objects;
   std::uint64_t AtRevision = 0;
+  /// Set if another host passed on what it had received: when the store
+  /// answered it, or earlier.
+  std::optional<TimePoint> AnsweredAt;
+  /// When the store last failed to answer that host; unset if it never did.
+  std::optional<TimePoint> FailedAt;
 };
 
 /// Whether a list may be served from a stale copy of the store.
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -47,15 +47,18 @@
   std::vector<PrimaryTracker::Member> Members;
   for (const UpstreamEntry &Each : Entries) {
     Present.insert(Each.Id);
-    Members.push_back({Each.Id, Each.ClaimsPrimary, Each.Leaving});
+    // An evacuated primary is replaced like one that leaves.
+    Members.push_back({Each.Id, Each.ClaimsPrimary,
+                       Each.Leaving || this->Access.isEvacuated(Each)});
     this->Departed.present(Each.Id, Each.StartedAt, Now);
     std::shared_ptr<UpstreamClient> &Client = this->Clients[Each.Id];
-    if (Client) {
+    if (Client)
       Client->update(Each);
-      continue;
-    }
-    Client =
-        std::make_shared<UpstreamClient>(this->Executor, this->Protocol, Each);
+    else
+      Client = std::make_shared<UpstreamClient>(this->Executor, this->Protocol,
+                                                Each);
+    Client->applyEvacuation(
+        this->Access.evacuations().find(Each.FailureDomain));
   }
   std::erase_if(this->Clients, [&](const auto &Each) {
     if (Present.count(Each.first))
@@ -77,6 +80,16 @@
   }
 }
 
+void ProxyGroup::setColdRate(double PerSecond, const ColdTolerance &Tolerance) {
+  const TimePoint Now = steadyNow();
+  for (const auto &[Id, Client] : this->Clients)
+    Client->setColdLimit(
+        PerSecond > 0
+            ? ColdRate::permitted(PerSecond, Tolerance,
+                                  this->Access.rank(Client->entry(), Now) == 0)
+            : std::nullopt);
+}
+
 void ProxyGroup::recordUse(const std::string &Workspace, TimePoint Now) {
   this->LastUse = Now;
   if (this->LastWorkspace != Workspace)
@@ -92,7 +105,21 @@
   if (!Id)
     return nullptr;
   const auto Found = this->Clients.find(*Id);
-  return Found == this->Clients.end() ? nullptr : Found->second;
+  if (Found == this->Clients.end() || Found->second->isEvacuated())
+    return nullptr;
+  return Found->second;
+}
+
+bool ProxyGroup::isEvacuated() const {
+  return !this->Clients.empty() &&
+         std::ranges::all_of(this->Clients, [](const auto &Each) {
+           return Each.second->isEvacuated();
+         });
+}
+
+bool ProxyGroup::isEvacuated(const std::string &Id) const {
+  const auto Found = this->Clients.find(Id);
+  return Found != this->Clients.end() && Found->second->isEvacuated();
 }
 
 asio::awaitable<std::shared_ptr<UpstreamClient>>
@@ -106,7 +133,7 @@
   while (!Cancelled && !this->Stopped) {
     const TimePoint Now = steadyNow();
     Client = this->primary(Now);
-    if (Client || Now >= Until)
+    if (Client || Now >= Until || this->isEvacuated())
       break;
     co_await sleepUntil(std::min<TimePoint>(Until, Now + PollInterval));
   }
@@ -124,28 +151,52 @@
 }
 
 std::shared_ptr<UpstreamClient>
-ProxyGroup::chooseReader(const std::string &Workspace, const Position &After,
+ProxyGroup::chooseReader(const std::string &Workspace, unsigned Priority,
+                         const Position &After,
                          const std::set<std::string> &Excluded, TimePoint Now) {
+  PoolWaiter Reader;
+  Reader.Workspace = Workspace;
+  Reader.Priority = Priority;
+  Reader.Target = TimePoint::max();
   std::vector<ReadMember> Candidates;
   std::vector<std::shared_ptr<UpstreamClient>> Members;
   const std::optional<std::string> Primary = this->Tracker.primary(Now);
   bool OthersStay = false;
-  for (const auto &[Id, Client] : this->Clients)
-    OthersStay = OthersStay || !Client->entry().Leaving;
+  bool OthersWarm = false;
   for (const auto &[Id, Client] : this->Clients) {
-    if (Excluded.count(Id) || (Client->entry().Leaving && OthersStay))
+    OthersWarm =
+        OthersWarm || (!Client->isCold(Now) && !Excluded.count(Id) &&
+                       !Client->isEvacuated() && !Client->entry().Leaving);
+    OthersStay =
+        OthersStay || (!Client->entry().Leaving && !Client->isEvacuated());
+  }
+  for (const auto &[Id, Client] : this->Clients) {
+    if (Excluded.count(Id) || Client->isEvacuated() ||
+        (Client->entry().Leaving && OthersStay))
       continue;
     const UpstreamPool &Pool = Client->pool();
     ReadMember Each;
     const bool Remote = this->Access.isRemote(Client->entry(), Now);
+    // A cold member warms up by the reads of its holder, which knows how many
+    // it may still get.
+    if (OthersWarm && Client->isCold(Now) &&
+        (Remote || !Client->admitsCold(Now)))
+      continue;
     Each.Reachable = Remote || !Client->unreachable();
     Each.Primary = Primary == Id;
     Each.SameDomain = Client->entry().FailureDomain == this->OwnDomain;
     Each.KnownBehind = this->knownBehind(*Client, After, Now);
-    Each.IdleConnection = Remote || Pool.hasIdle(Workspace);
+    // After an evacuation no connection is open; a member that must warm up
+    // would never get a read if that counted against it.
+    Each.IdleConnection =
+        Remote || Pool.hasIdle(Workspace) || Client->isCold(Now);
     Each.ServiceTime = Client->responseTime(Now);
     Each.InFlight = Client->load(Now);
-    Each.Capacity = std::max<std::size_t>(Pool.capacity(), 1);
+    Each.Capacity = Client->concurrency(Now);
+    if (const std::optional<Duration> Wait =
+            Client->expectedWait(Reader, Remote, Now))
+      Each.ExpectedWait =
+          std::chrono::duration_cast<std::chrono::microseconds>(*Wait);
     Candidates.push_back(Each);
     Members.push_back(Client);
   }
@@ -241,6 +292,10 @@
 bool ProxyGroup::isProbeDue(TimePoint Now) {
   if (!this->inUse(Now))
     return false;
+  // The primary may have been replaced without this host hearing of it.
+  if (this->isEvacuated(this->Tracker.primary(Now).value_or("")))
+    return Now - this->LastUse < ProofInterval &&
+           Now - this->LastProbeAt >= ProofInterval;
   const std::optional<Duration> Age = this->Tracker.provenAge(Now);
   if (this->inTrouble()) {
     // The other hosts learn from the promoters and from the entries of the
@@ -272,6 +327,21 @@
   co_await this->probe(std::max(MaxAge, std::chrono::milliseconds(0)));
 }
 
+// Members in evacuated failure domains are not probed. While the likely primary
+// is one of them, the others are probed in turn.
+std::optional<std::string> ProxyGroup::probeTarget(TimePoint Now) {
+  std::optional<std::string> Target = this->Tracker.probeTarget(Now);
+  if (!Target || !this->isEvacuated(*Target))
+    return Target;
+  std::vector<std::string> Others;
+  for (const auto &[Id, Client] : this->Clients)
+    if (!Client->isEvacuated())
+      Others.push_back(Id);
+  if (Others.empty())
+    return std::nullopt;
+  return Others[this->ProbeTurn++ % Others.size()];
+}
+
 asio::awaitable<void> ProxyGroup::probe(std::chrono::milliseconds MaxProofAge) {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   this->Probing = true;
@@ -279,8 +349,7 @@
   // Waiting reads are resumed when the probe has ended; the timer itself only
   // limits their wait.
   this->ProbeEnded.expires_at(steadyNow() + ProbeTimeout + ProbeInterval);
-  const std::optional<std::string> Target =
-      this->Tracker.probeTarget(steadyNow());
+  const std::optional<std::string> Target = this->probeTarget(steadyNow());
   const auto Found = Target ? this->Clients.find(*Target) : this->Clients.end();
   if (Found != this->Clients.end())
     co_await this->runProbe(Found->second, MaxProofAge);
@@ -300,6 +369,7 @@
   Waiter.Workspace = this->LastWorkspace;
   Waiter.Target = steadyNow();
   Waiter.GiveUpAt = Limit;
+  Waiter.TakesSlot = false;
   co_return co_await Client->acquire(std::move(Waiter), Wait);
 }
 
@@ -328,9 +398,10 @@
   const std::string &Target = Client.entry().Id;
   const TimePoint Now = steadyNow();
   // A relaying host that does not answer, or a lack of free connections, says
-  // nothing about the member itself.
+  // nothing about the member itself, nor does an order to evacuate it.
   if (Result.RelayFailed || (!Result.Connected && !Result.Unreachable)) {
-    if (!Result.Connected && Client.pool().connections() == 0 && !Remote)
+    if (!Client.isEvacuated() && !Result.Connected &&
+        Client.pool().connections() == 0 && !Remote)
       this->Tracker.recordUnreachable(Target, Now);
     return;
   }
@@ -367,7 +438,7 @@
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   const std::optional<std::string> Last = this->Tracker.lastPrimary();
   const auto Found = Last ? this->Clients.find(*Last) : this->Clients.end();
-  if (Found == this->Clients.end())
+  if (Found == this->Clients.end() || Found->second->isEvacuated())
     co_return;
   const std::shared_ptr<UpstreamClient> Client = Found->second;
   // A holder that does not answer is skipped by the next probe.
@@ -401,6 +472,8 @@
       this->Clients;
   if (this->SuspectedSince)
     Queried.erase(this->Tracker.lastPrimary().value_or(""));
+  std::erase_if(Queried,
+                [](const auto &Each) { return Each.second->isEvacuated(); });
   Query->Missing = Queried.size();
   for (const auto &[Id, Client] : Queried)
     asio::co_spawn(
@@ -440,6 +513,8 @@
     co_return std::nullopt;
   std::vector<UpstreamCommand> Commands(1);
   Commands[0].Type = Command::Kind::Status;
+  // A promotion depends on the answer, so it is counted but does not wait.
+  Lease.occupySlot();
   const ExchangeResult Exchange =
       co_await Lease->exchange(std::move(Commands), Deadline);
   if (Exchange.Lost || Exchange.Replies.empty())
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -64,6 +64,9 @@
   void setMembers(const std::vector<UpstreamEntry> &Entries);
   /// \param Limit connections that each member accepts from all hosts together.
   void setConnectionLimit(std::size_t Limit);
+  /// \param PerSecond requests to a cold member from all hosts together; 0 for
+  ///        no limit.
+  void setColdRate(double PerSecond, const ColdTolerance &Tolerance);
   /// \param Count replicas that receive a commit before it is acknowledged.
   void setSynchronousReplicas(std::size_t Count) {
     this->SynchronousReplicas = Count;
@@ -72,21 +75,27 @@
   /// Records that a statement of \p Workspace uses the group.
   void recordUse(const std::string &Workspace, TimePoint Now);
 
-  /// Returns the member to send writes to, or nullptr.
+  /// Whether the group has members, and all are in evacuated failure domains.
+  bool isEvacuated() const;
+
+  /// Returns the member to send writes to, or nullptr if none is known or it is
+  /// evacuated.
   std::shared_ptr<UpstreamClient> primary(TimePoint Now);
 
   /// Waits for a primary.
   /// \returns nullptr if none was found until \p Until, or if \p Wait was
-  ///          cancelled.
+  ///          cancelled; at once if all members are evacuated.
   boost::asio::awaitable<std::shared_ptr<UpstreamClient>>
   waitForPrimary(TimePoint Until, WaitHandle &Wait);
 
   /// Chooses the member for a read that has to see the log up to \p After.
+  /// \param Priority of the read, 0 is the most urgent.
   /// \param Excluded members that must not be chosen.
   /// \returns nullptr if there is none.
   std::shared_ptr<UpstreamClient>
-  chooseReader(const std::string &Workspace, const Position &After,
-               const std::set<std::string> &Excluded, TimePoint Now);
+  chooseReader(const std::string &Workspace, unsigned Priority,
+               const Position &After, const std::set<std::string> &Excluded,
+               TimePoint Now);
 
   /// Records that \p Client was the primary when it received a command that was
   /// sent at \p Sent and answered with position \p At.
@@ -172,6 +181,8 @@
 private:
   bool knownBehind(const UpstreamClient &Client, const Position &After,
                    TimePoint Now) const;
+  bool isEvacuated(const std::string &Id) const;
+  std::optional<std::string> probeTarget(TimePoint Now);
   bool isProbeDue(TimePoint Now);
   boost::asio::awaitable<void> probe(std::chrono::milliseconds MaxProofAge);
   boost::asio::awaitable<void> runProbe(std::shared_ptr<UpstreamClient> Client,
@@ -202,6 +213,7 @@
   std::optional<TimePoint> TroubleAt;
   bool Probing = false;
   TimePoint LastProbeAt{};
+  std::size_t ProbeTurn = 0; ///< While the likely primary is evacuated.
   boost::asio::steady_timer ProbeEnded; ///< Cancelled when a probe ends.
   std::size_t ConnectionLimit = 1;
   std::size_t SynchronousReplicas = 0;
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -22,11 +22,18 @@
 
 ProxyState::ProxyState(boost::asio::any_io_executor Executor,
                        const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-                       RateTolerance Tolerance)
+                       RateTolerance Tolerance,
+                       std::chrono::milliseconds EvacuationBound,
+                       ColdTolerance ColdUpstreams,
+                       MemoryBudget::Limits Allowed)
     : Executor(std::move(Executor)), Protocol(Protocol),
       Identity(std::move(Identity)), Tolerance(Tolerance),
-      Access(this->Executor, this->Identity.Host, this->Identity.FailureDomain,
-             this->Metrics),
+      ColdUpstreams(ColdUpstreams),
+      Memory(std::make_shared<MemoryBudget>(Allowed, steadyNow())),
+      Access(this->Executor,
+             {this->Identity.Host, this->Identity.FailureDomain,
+              this->Identity.Capacity},
+             EvacuationBound, this->Metrics),
       Fleet(this->Identity.Host) {}
 
 void ProxyState::offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
@@ -39,10 +46,14 @@
           " routes=" + std::to_string(Offered->Routes.size()) +
           " source=" + Source);
   this->Catalogue = std::move(Offered);
-  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces)
+  std::map<std::string, double> Rates;
+  for (const auto &[Name, Workspace] : this->Catalogue->Workspaces) {
     this->setLimits(
         this->Rates.try_emplace(Name, this->StartedAt).first->second,
         Workspace);
+    Rates[Name] = Workspace.Rate;
+  }
+  this->Access.setRates(std::move(Rates));
   std::erase_if(this->Rates, [this](const auto &Each) {
     return !this->Catalogue->Workspaces.count(Each.first);
   });
@@ -59,6 +70,56 @@
       (Rate.limit() * this->Tolerance.Fraction + this->Tolerance.Operations));
 }
 
+void ProxyState::offerEvacuations(const EvacuationSet &Read,
+                                  const std::string &Source) {
+  const Evacuations::Change Change =
+      this->Access.evacuations().offer(Read, steadyNow());
+  if (Change.empty())
+    return;
+  const std::string Origin =
+      " revision=" + std::to_string(Read.Revision) + " source=" + Source;
+  for (const std::string &Each : Change.Withdrawn)
+    logInfo(std::string("event=evacuation_withdrawn domain=")
+                .append(Each)
+                .append(Origin));
+  this->applyUpstreams();
+  for (const EvacuationProgress &Each : this->evacuationProgress()) {
+    if (std::ranges::find(Change.Ordered, Each.Domain) == Change.Ordered.end())
+      continue;
+    logInfo("event=evacuation_ordered domain=" + Each.Domain +
+            " upstreams=" + std::to_string(Each.Upstreams) +
+            " connections=" + std::to_string(Each.Connections) + Origin);
+    // A host that starts reads the orders before the upstreams.
+    if (Each.Upstreams == 0 && this->Directory.size() > 0)
+      logWarn("event=evacuation_without_upstreams domain=" + Each.Domain);
+  }
+  if (!Read.canBeTold())
+    logWarn("event=evacuations_not_told domains=" +
+            std::to_string(Read.Domains.size()) +
+            " max=" + std::to_string(EvacuationSet::MaxToldDomains));
+}
+
+std::vector<ProxyState::EvacuationProgress> ProxyState::evacuationProgress() {
+  std::vector<EvacuationProgress> All;
+  const Evacuations &Orders = this->Access.evacuations();
+  if (!Orders.current())
+    return All;
+  for (const std::string &Domain : Orders.current()->Domains) {
+    EvacuationProgress Each;
+    Each.Domain = Domain;
+    Each.Revision = Orders.find(Domain)->Revision;
+    for (const auto &[Name, Group] : this->Groups)
+      for (const auto &[Id, Client] : Group->gates()) {
+        if (Client->entry().FailureDomain != Domain)
+          continue;
+        ++Each.Upstreams;
+        Each.Connections += Client->pool().connections();
+      }
+    All.push_back(std::move(Each));
+  }
+  return All;
+}
+
 void ProxyState::applyUpstreams() {
   const auto ByGroup = this->Directory.byGroup();
   std::set<std::string> Wanted;
@@ -82,6 +143,10 @@
     Each.second->stop();
     return true;
   });
+  this->GroupsByUpstream.clear();
+  for (const auto &[Name, Group] : this->Groups)
+    for (const auto &[Upstream, Client] : Group->gates())
+      this->GroupsByUpstream[Upstream] = Group;
   this->applyGroupSettings();
 }
 
@@ -105,6 +170,8 @@
     if (Found != this->Catalogue->Groups.end()) {
       Group->setConnectionLimit(Found->second.ConnectionLimit);
       Group->setSynchronousReplicas(Found->second.SynchronousReplicas);
+      if (this->Access.evacuations().enabled())
+        Group->setColdRate(Found->second.ColdPerSecond, this->ColdUpstreams);
     }
   }
 }
@@ -114,6 +181,8 @@
   if (!this->Fleet.recordReport(Report, Now))
     return;
   this->confirmFrom(Report, Now);
+  if (Report.Evacuated)
+    this->offerEvacuations(*Report.Evacuated, Report.Host);
   if (this->Fleet.size(Now) <= SmallFleet)
     this->applyDemands(Report, Now);
   else
@@ -248,21 +317,22 @@
   return success();
 }
 
-SharedRate ProxyState::newOwnedRate(const std::string &Workspace,
-                                    BootTime Now) const {
-  SharedRate Rate(Now);
+/// Returns the operations that another owner of the rate reported in the last
+/// window.
+std::optional<double> ProxyState::reportedUse(const std::string &Workspace,
+                                              BootTime Now) const {
   const auto Reported = this->ReportedUses.find(Workspace);
-  if (Reported != this->ReportedUses.end() &&
-      Now - Reported->second.At < SharedRate::Window)
-    Rate.setReportedPriorUse(Reported->second.Operations);
-  return Rate;
+  if (Reported == this->ReportedUses.end() ||
+      Now - Reported->second.At >= SharedRate::Window)
+    return std::nullopt;
+  return Reported->second.Operations;
 }
 
 double ProxyState::contactFraction(BootTime Now) {
   const auto InContact = static_cast<double>(this->Fleet.assumedInContact(Now));
   const auto Known = static_cast<double>(this->Fleet.size(Now));
   this->Contact.record(std::min(1.0, InContact / std::max(Known, 1.0)), Now);
-  return this->Contact.lowest(Now);
+  return this->Contact.sustained(Now);
 }
 
 // Hosts without contact may be in another network partition with an owner of
@@ -276,23 +346,22 @@
   const auto Declared = this->Catalogue->Workspaces.find(Workspace);
   if (Declared == this->Catalogue->Workspaces.end())
     return success();
-  const double Part = this->contactFraction(Now);
-  const auto Found = this->OwnedRates.find(Workspace);
-  OwnedRate &Owned =
-      Found != this->OwnedRates.end()
-          ? Found->second
-          : this->OwnedRates
-                .emplace(Workspace,
-                         OwnedRate{this->newOwnedRate(Workspace, Now), Now})
-                .first->second;
-  if (Now - Owned.AskedAt >= SharedRate::Window)
-    Owned.Rate = this->newOwnedRate(Workspace, Now);
-  Owned.AskedAt = Now;
-  SharedRate &Rate = Owned.Rate;
-  this->setLimits(Rate, Declared->second);
-  Rate.setFraction(Part);
-  return Rate.admit(1, Now) ? success()
-                            : Result<void>(rateLimited(Rate, 1, Now));
+  auto Found = this->OwnedRates.find(Workspace);
+  if (Found == this->OwnedRates.end() || Found->second.isExpired(Now))
+    Found =
+        this->OwnedRates
+            .insert_or_assign(Workspace,
+                              OwnedRate(this->reportedUse(Workspace, Now), Now))
+            .first;
+  OwnedRate &Owned = Found->second;
+  this->setLimits(Owned.rate(), Declared->second);
+  FleetContact Contact{this->contactFraction(Now), 1, this->Fleet.size(Now),
+                       this->Fleet.contactAge()};
+  if (Owned.isTakingOver(Contact.Lifetime, Now))
+    Contact.HeardSince = this->Fleet.heardSince(Owned.startedAt());
+  return Owned.admit(Contact, Now)
+             ? success()
+             : Result<void>(rateLimited(Owned.rate(), 1, Now));
 }
 
 Result<void> ProxyState::admitWithoutOwner(const std::string &Workspace,
@@ -321,10 +390,8 @@
 
 std::shared_ptr<ProxyGroup>
 ProxyState::findGroupOf(const std::string &Upstream) const {
-  for (const auto &[Name, Group] : this->Groups)
-    if (Group->gates().contains(Upstream))
-      return Group;
-  return nullptr;
+  const auto Found = this->GroupsByUpstream.find(Upstream);
+  return Found == this->GroupsByUpstream.end() ? nullptr : Found->second;
 }
 
 std::shared_ptr<ProxyGroup>
@@ -333,16 +400,17 @@
   return Found == this->Groups.end() ? nullptr : Found->second;
 }
 
-std::set<std::string> ProxyState::promotersToTell() {
+std::set<std::string> ProxyState::promotersToTell(TimePoint Now) {
   std::set<std::string> Names;
   for (const auto &[Name, Group] : this->Groups) {
     if (!Group->inTrouble())
       continue;
-    const std::vector<std::string> &Order = this->Access.promoters(Name);
-    const std::size_t Count =
-        std::min(Order.size(), UpstreamAccess::PromoterCount);
-    Names.insert(Order.begin(),
-                 Order.begin() + static_cast<std::ptrdiff_t>(Count));
+    // The hosts that may replace the primary agree with each report.
+    const bool Promoter =
+        this->Access.promotionRank(Name) < UpstreamAccess::PromoterCount;
+    for (std::string &Each : this->Access.promoters(Name))
+      if (Promoter || this->Notices.due(Each, Now))
+        Names.insert(std::move(Each));
   }
   return Names;
 }
@@ -353,6 +421,8 @@
   Report.Host = this->Identity.Host;
   Report.FailureDomain = this->Identity.FailureDomain;
   Report.StartedAt = this->Identity.StartedAt;
+  Report.Capacity = this->Identity.Capacity;
+  Report.Evacuated = this->Access.evacuations().current();
   Report.Sequence = ++this->Sequence;
   Report.CatalogueVersion = this->Catalogue ? this->Catalogue->Version : 0;
   if (this->ConfirmedAt)
@@ -372,9 +442,9 @@
   }
   if (!Shares)
     for (const auto &[Name, Owned] : this->OwnedRates) {
-      const double Used = Owned.Rate.used(1, Now);
-      if (Used >= Owned.Rate.limit() * ReportedUseShare)
-        Report.Demands.push_back({Name, Owned.Rate.demand(Now), Used});
+      const double Used = Owned.rate().used(1, Now);
+      if (Used >= Owned.rate().limit() * ReportedUseShare)
+        Report.Demands.push_back({Name, Owned.rate().demand(Now), Used});
     }
   const TimePoint Steady = steadyNow();
   for (const auto &[Name, Group] : this->Groups) {
@@ -406,22 +476,53 @@
 }
 
 void ProxyState::updateGauges() {
+  this->Metrics.setUse(*this->Memory);
   this->Metrics.CatalogueVersion.set(
       this->Catalogue ? static_cast<std::int64_t>(this->Catalogue->Version)
                       : 0);
   this->Metrics.Hosts.set(
       static_cast<std::int64_t>(this->Fleet.size(BootClock::now())));
+  const TimePoint Now = steadyNow();
   std::size_t Connections = 0;
+  std::size_t Running = 0;
+  std::size_t Waiting = 0;
+  std::size_t Limit = 0;
   for (const auto &[Name, Group] : this->Groups)
-    for (const auto &[Id, Client] : Group->gates())
-      Connections += Client->pool().connections();
+    for (const auto &[Id, Client] : Group->gates()) {
+      const UpstreamPool &Pool = Client->pool();
+      Connections += Pool.connections();
+      Running += Pool.running();
+      Waiting += Pool.waiting();
+      if (Client->concurrencyLimit() && Pool.connections() > 0)
+        Limit += Client->concurrencyLimit()->limit(Now);
+      this->Metrics.RefusedOnArrival.add(Client->takeRefusedOnArrival());
+    }
   this->Metrics.UpstreamConnections.set(static_cast<std::int64_t>(Connections));
+  const std::optional<EvacuationSet> &Evacuated =
+      this->Access.evacuations().current();
+  std::size_t Remaining = 0;
+  for (const EvacuationProgress &Each : this->evacuationProgress())
+    Remaining += Each.Connections;
+  std::int64_t Cold = 0;
+  for (const auto &[Name, Group] : this->Groups)
+    for (const auto &[Id, Client] : Group->gates())
+      Cold += Client->isCold(Now) ? 1 : 0;
+  this->Metrics.ColdUpstreams.set(Cold);
+  this->Metrics.EvacuatedDomains.set(
+      static_cast<std::int64_t>(Evacuated ? Evacuated->Domains.size() : 0));
+  this->Metrics.EvacuationRevision.set(
+      static_cast<std::int64_t>(Evacuated ? Evacuated->Revision : 0));
+  this->Metrics.EvacuatedConnections.set(static_cast<std::int64_t>(Remaining));
+  this->Metrics.UpstreamRunning.set(static_cast<std::int64_t>(Running));
+  this->Metrics.UpstreamWaiting.set(static_cast<std::int64_t>(Waiting));
+  this->Metrics.UpstreamLimit.set(static_cast<std::int64_t>(Limit));
 }
 
 void ProxyState::stop() {
   for (const auto &[Name, Group] : this->Groups)
     Group->stop();
   this->Groups.clear();
+  this->GroupsByUpstream.clear();
 }
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include "base/boottime.h"
+#include "failover/troublenotices.h"
 #include "fleetview.h"
+#include "limits/coldrate.h"
 #include "limits/contactfraction.h"
+#include "limits/memorybudget.h"
+#include "limits/ownedrate.h"
 #include "limits/sharedrate.h"
 #include "protocols.h"
 #include "proxygroup.h"
@@ -14,12 +18,14 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lavenderdale {
 
@@ -28,6 +34,7 @@
   std::string Host;
   std::string FailureDomain;
   std::uint64_t StartedAt = 0; ///< Unix time in milliseconds.
+  double Capacity = 0; ///< Processor capacity in cores; 0 if not declared.
 };
 
 /// How far the operations of a workspace in a window may exceed its limit.
@@ -60,16 +67,37 @@
   /// hosts, the owner that they turn to knows what was admitted already.
   static constexpr double ReportedUseShare = 0.5;
 
+  /// \param EvacuationBound see UpstreamAccess.
+  /// \param ColdUpstreams applies only in deployments with evacuations.
   ProxyState(boost::asio::any_io_executor Executor,
              const UpstreamProtocol &Protocol, ProxyIdentity Identity,
-             RateTolerance Tolerance);
+             RateTolerance Tolerance,
+             std::chrono::milliseconds EvacuationBound = {},
+             ColdTolerance ColdUpstreams = {},
+             MemoryBudget::Limits Allowed = MemoryBudget::limitsFor(0, 0));
 
   /// Applies a catalogue if it is newer than the current one.
   /// \param Source where it came from, for the log.
   void offerCatalogue(std::shared_ptr<const SessionCatalogue> Offered,
                       const std::string &Source);
-  /// Records that the catalogue in force was the latest one at \p Now.
-  void confirmCatalogue(TimePoint Now) { this->ConfirmedAt = Now; }
+  /// Records that the catalogue in force was the latest one at \p At.
+  void confirmCatalogue(TimePoint At) {
+    this->ConfirmedAt = std::max(this->ConfirmedAt.value_or(At), At);
+  }
+
+  /// Applies a set of evacuated failure domains if it was read after the
+  /// current one.
+  /// \param Source where it came from, for the log.
+  void offerEvacuations(const EvacuationSet &Read, const std::string &Source);
+
+  /// What still runs in one evacuated failure domain.
+  struct EvacuationProgress {
+    std::string Domain;
+    std::uint64_t Revision = 0;  ///< Of the store, from which it is evacuated.
+    std::size_t Upstreams = 0;   ///< Known ones in the domain.
+    std::size_t Connections = 0; ///< Of this host, all of them in use.
+  };
+  std::vector<EvacuationProgress> evacuationProgress();
 
   /// Updates the groups after a change of the directory.
   void applyUpstreams();
@@ -113,9 +141,9 @@
   /// Returns the group called \p Name, or nullptr.
   std::shared_ptr<ProxyGroup> findGroup(const std::string &Name) const;
 
-  /// Hosts that must hear at once which primaries this host does not reach,
-  /// because they replace them.
-  std::set<std::string> promotersToTell();
+  /// Hosts that must hear at \p Now which primaries this host does not reach,
+  /// because they replace them. Counts the notices to them as sent.
+  std::set<std::string> promotersToTell(TimePoint Now);
 
   /// Builds the next report to the other hosts.
   HostReport report(BootTime Now, bool Leaving);
@@ -132,6 +160,7 @@
   FleetView &fleet() { return this->Fleet; }
   UpstreamAccess &access() { return this->Access; }
   ProxyMetrics &metrics() { return this->Metrics; }
+  MemoryBudget &memory() { return *this->Memory; }
   /// Sets the gauges to the current state.
   void updateGauges();
   const ProxyIdentity &identity() const { return this->Identity; }
@@ -147,11 +176,6 @@
     TimePoint At{};
   };
 
-  /// The count of a workspace whose rate this host owns.
-  struct OwnedRate {
-    SharedRate Rate;
-    BootTime AskedAt{}; ///< When an operation was last counted.
-  };
   /// The use of a workspace that its owner reported.
   struct ReportedUse {
     double Operations = 0; ///< In the window before the report.
@@ -162,7 +186,8 @@
   void confirmFrom(const HostReport &Report, BootTime Now);
   boost::asio::awaitable<Result<void>> admitByOwner(std::string Workspace);
   void applyDemands(const HostReport &Report, BootTime Now);
-  SharedRate newOwnedRate(const std::string &Workspace, BootTime Now) const;
+  std::optional<double> reportedUse(const std::string &Workspace,
+                                    BootTime Now) const;
   double contactFraction(BootTime Now);
   Result<void> admitWithShares(const std::string &Workspace, BootTime Now);
   Result<void> admitWithoutOwner(const std::string &Workspace, BootTime Now);
@@ -175,12 +200,15 @@
   const UpstreamProtocol &Protocol;
   const ProxyIdentity Identity;
   const RateTolerance Tolerance;
+  const ColdTolerance ColdUpstreams;
   std::shared_ptr<const SessionCatalogue> Catalogue;
   std::optional<TimePoint> ConfirmedAt;
   UpstreamDirectory Directory;
   ProxyMetrics Metrics;
+  const std::shared_ptr<MemoryBudget> Memory;
   UpstreamAccess Access;
   std::map<std::string, std::shared_ptr<ProxyGroup>> Groups;
+  std::map<std::string, std::shared_ptr<ProxyGroup>> GroupsByUpstream;
   const BootTime StartedAt = BootClock::now();
   std::map<std::string, SharedRate> Rates;
   std::map<std::string, OwnedRate> OwnedRates;
@@ -189,6 +217,7 @@
   FleetView Fleet;
   std::size_t AppliedHosts = 0;
   std::map<std::string, PromotionOrder> PromotionOrders;
+  TroubleNotices Notices;
   std::uint64_t Sequence = 0;
 };
 
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <random>
 #include <utility>
 
 namespace lavenderdale {
@@ -14,31 +15,77 @@
 
 namespace asio = boost::asio;
 
+Json::Value describeEvacuation(ProxyState &State) {
+  Json::Value Description;
+  const std::optional<EvacuationSet> &Set =
+      State.access().evacuations().current();
+  Description["enabled"] = State.access().evacuations().enabled();
+  if (Set)
+    Description["revision"] = Json::UInt64(Set->Revision);
+  Description["domains"] = Json::Value(Json::arrayValue);
+  for (const ProxyState::EvacuationProgress &Each :
+       State.evacuationProgress()) {
+    Json::Value Domain;
+    Domain["name"] = Each.Domain;
+    Domain["since-revision"] = Json::UInt64(Each.Revision);
+    Domain["upstreams"] = Json::UInt64(Each.Upstreams);
+    Domain["connections"] = Json::UInt64(Each.Connections);
+    Description["domains"].append(std::move(Domain));
+  }
+  return Description;
+}
+
+// For listeners whose requests have no body and are answered at once. A faulty
+// peer that fills them with idle connections keeps nobody out.
+HttpServerLimits shortRequestLimits() {
+  HttpServerLimits Limits;
+  Limits.MaxConnections = 64;
+  Limits.MaxHeaderBytes = 8192;
+  Limits.MaxBodyBytes = 4096;
+  Limits.ReceiveTimeout = std::chrono::milliseconds(3000);
+  Limits.ReplaceOldest = true;
+  return Limits;
+}
+
+// Other hosts fetch catalogues here, all of a large fleet at the same time.
+HttpServerLimits internalLimits() {
+  HttpServerLimits Limits = shortRequestLimits();
+  Limits.MaxConnections = 512;
+  return Limits;
+}
+
 } // namespace
 
 SessionProxy::SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
                            SessionProxyDependencies Dependencies)
     : Executor(Workers.worker(0).get_executor()), Settings(std::move(Settings)),
       State(this->Executor, Dependencies.Upstreams, this->Settings.Identity,
-            this->Settings.Tolerance),
+            this->Settings.Tolerance, this->Settings.EvacuationBound,
+            this->Settings.ColdUpstreams,
+            MemoryBudget::limitsFor(this->Settings.MemoryBytes,
+                                    this->Settings.Descriptors)),
       Statements(this->State.access(), this->State.metrics()),
       Server(std::make_shared<SessionServer>(
           this->Executor, this->State, this->Statements, Dependencies.Callers)),
+      Store(this->Executor, Dependencies.Store, this->State.fleet(),
+            {this->Settings.Identity.Host,
+             this->Settings.Identity.FailureDomain,
+             this->Settings.Identity.Capacity},
+            std::random_device{}(), this->State.metrics()),
       Follower(std::make_shared<StoreFollower>(
-          this->Executor, Dependencies.Store, this->State, Dependencies.Records,
-          toString(this->Settings.Reports))),
+          this->Executor, this->Store, this->State, Dependencies.Records,
+          this->Settings.Reports, this->Settings.Internal)),
       Fleet(std::make_shared<ReportExchange>(
           this->Executor, this->State, Dependencies.Records,
           this->Settings.Reports, this->Settings.Internal, CataloguePath)),
       Relays(std::make_shared<RelayServer>(this->Executor, this->State)),
       Promotions(std::make_shared<PromotionCoordinator>(
-          this->Executor, Dependencies.Store, Dependencies.Authority,
-          this->State)),
-      ReadinessServer(Workers, HttpServerLimits(),
+          this->Executor, this->Store, Dependencies.Authority, this->State)),
+      ReadinessServer(Workers, shortRequestLimits(),
                       [this](HttpRequest Request) {
                         return this->answerReadiness(std::move(Request));
                       }),
-      InternalServer(Workers, HttpServerLimits(), [this](HttpRequest Request) {
+      InternalServer(Workers, internalLimits(), [this](HttpRequest Request) {
         return this->answerInternal(std::move(Request));
       }) {}
 
@@ -71,6 +118,7 @@
           std::to_string(this->Server->sessions()));
   this->Promotions->stop();
   this->Follower->stop();
+  this->Store.stop();
   this->Fleet->leave();
   asio::co_spawn(this->Executor, this->Follower->unregister(), asio::detached);
   co_await sleepUntil(Start + ReadinessDrainTime);
@@ -95,13 +143,29 @@
     co_await sleepUntil(steadyNow() + ProxyGroup::ProbeInterval);
     this->State.supervise(steadyNow());
     this->Fleet->checkSuspectDomains();
+    this->checkIsolation(steadyNow());
   }
 }
 
+void SessionProxy::checkIsolation(TimePoint Now) {
+  this->Isolation.update(this->State.access().otherDomainsSilent(Now), Now);
+  const bool NowIsolated = this->Isolation.isIsolated(Now);
+  if (NowIsolated != this->Isolated)
+    logWarn(std::string("event=") +
+            (NowIsolated ? "domain_isolated" : "domain_reconnected") +
+            " domain=" + this->State.identity().FailureDomain +
+            " sessions=" + std::to_string(this->Server->sessions()));
+  this->Isolated = NowIsolated;
+  this->State.metrics().Isolated.set(NowIsolated ? 1 : 0);
+  if (!this->Stopping && this->Isolation.takeMoveSessions(Now))
+    this->Server->moveSessions();
+}
+
 asio::awaitable<HttpResponse>
 SessionProxy::answerReadiness(HttpRequest Request) {
   HttpResponse Response;
-  const bool Ready = this->State.canServe() && !this->Stopping;
+  const bool Ready =
+      this->State.canServe() && !this->Stopping && !this->Isolated;
   Response.Status = Ready ? 200 : 503;
   if (Request.Target != this->Settings.ReadinessPath)
     Response.Status = 404;
@@ -119,10 +183,16 @@
     Response.Body = this->State.metrics().exposition();
     co_return Response;
   }
+  if (Request.Target == EvacuationPath) {
+    Response.Body = writeCompactJson(describeEvacuation(this->State));
+    co_return Response;
+  }
   if (Request.Target == CataloguePath && this->State.catalogue()) {
     Response.Body = writeCompactJson(this->State.catalogue()->Document);
     co_return Response;
   }
+  if (Request.Target.starts_with(SharedStorePath))
+    co_return co_await this->Store.answer(std::move(Request.Target));
   Response.Status = 404;
   co_return Response;
 }
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "failover/domainisolation.h"
 #include "http/httpserver.h"
 #include "objectstore.h"
 #include "promotioncoordinator.h"
@@ -8,6 +9,7 @@
 #include "relayserver.h"
 #include "reportexchange.h"
 #include "sessionserver.h"
+#include "sharedstore.h"
 #include "storefollower.h"
 
 #include <chrono>
@@ -26,6 +28,12 @@
   Endpoint Internal; ///< HTTP: metrics, catalogue for other hosts.
   std::chrono::milliseconds StopGrace{}; ///< From SIGTERM to the exit.
   RateTolerance Tolerance;
+  /// Time from the order to evacuate a failure domain until nothing more is
+  /// sent to its upstreams; 0 if the deployment has no such orders.
+  std::chrono::milliseconds EvacuationBound{};
+  std::size_t MemoryBytes = 0; ///< Of the host; 0 if not declared.
+  std::size_t Descriptors = 0; ///< Of the host; 0 if not declared.
+  ColdTolerance ColdUpstreams;
 };
 
 /// External systems and codecs that a session proxy uses.
@@ -50,6 +58,7 @@
   static constexpr std::chrono::milliseconds RunningStatementsReserve{800};
   static constexpr const char *CataloguePath = "/catalogue";
   static constexpr const char *MetricsPath = "/metrics";
+  static constexpr const char *EvacuationPath = "/evacuated-domains";
 
   SessionProxy(WorkerPool &Workers, SessionProxySettings Settings,
                SessionProxyDependencies Dependencies);
@@ -66,6 +75,7 @@
   boost::asio::awaitable<HttpResponse> answerReadiness(HttpRequest Request);
   boost::asio::awaitable<HttpResponse> answerInternal(HttpRequest Request);
   boost::asio::awaitable<void> supervise();
+  void checkIsolation(TimePoint Now);
   boost::asio::awaitable<void> waitForSessions(TimePoint Until);
 
   boost::asio::any_io_executor Executor;
@@ -73,12 +83,15 @@
   ProxyState State;
   StatementExecutor Statements;
   std::shared_ptr<SessionServer> Server;
+  SharedStore Store;
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<ReportExchange> Fleet;
   std::shared_ptr<RelayServer> Relays;
   std::shared_ptr<PromotionCoordinator> Promotions;
   HttpServer ReadinessServer;
   HttpServer InternalServer;
+  DomainIsolation Isolation;
+  bool Isolated = false; ///< As last logged.
   bool Stopping = false;
   bool Stopped = false; ///< Nothing is served any more.
 };
--- a/src/libs/sessionproxy/sessionserver.h
+++ b/src/libs/sessionproxy/sessionserver.h
@@ -16,6 +16,8 @@
 public:
   /// How often the deadlines of sessions are checked. They are seconds long.
   static constexpr std::chrono::milliseconds CheckInterval{250};
+  /// Time between summaries of refusals in the log.
+  static constexpr std::chrono::milliseconds SummaryInterval{1000};
   /// Large enough for many callers that reconnect at once, as after a loss of
   /// power.
   static constexpr int Backlog = 1024;
@@ -30,6 +32,9 @@
   /// Closes the listener and every session without a statement or transaction.
   /// The other sessions close when theirs have ended.
   void closeIdle();
+  /// Closes the open sessions as closeIdle() does, but goes on accepting new
+  /// ones.
+  void moveSessions();
   /// Rolls back open transactions and closes all sessions. Statements that are
   /// running are still answered.
   void endTransactions();
@@ -43,6 +48,7 @@
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(std::shared_ptr<CallerSession> Session);
   boost::asio::awaitable<void> checkLimits();
+  void summarise();
 
   boost::asio::any_io_executor Executor;
   ProxyState &State;
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -1,6 +1,7 @@
 #include "storefollower.h"
 
 #include "http/sleepuntil.h"
+#include "placement/hostcapacity.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,20 +17,28 @@
 
 constexpr const char *AddressField = "reportAddress";
 constexpr const char *DomainField = "failureDomain";
+constexpr const char *CapacityField = "capacity";
+constexpr const char *InternalField = "internalAddress";
 
 std::string stringField(const Json::Value &Spec, const char *Field) {
   return Spec.isObject() && Spec[Field].isString() ? Spec[Field].asString()
                                                    : std::string();
 }
 
+double capacityOf(const Json::Value &Spec) {
+  return Spec.isObject() && Spec[CapacityField].isNumeric()
+             ? usableCapacity(Spec[CapacityField].asDouble())
+             : 0;
+}
+
 } // namespace
 
-StoreFollower::StoreFollower(asio::any_io_executor Executor, ObjectStore &Store,
+StoreFollower::StoreFollower(asio::any_io_executor Executor, SharedStore &Store,
                              ProxyState &State, const RecordDecoder &Decoder,
-                             std::string ReportAddress)
+                             Endpoint Reports, Endpoint Internal)
     : Executor(std::move(Executor)), Store(Store), State(State),
-      Decoder(Decoder), ReportAddress(std::move(ReportAddress)),
-      Random(std::random_device{}()) {}
+      Decoder(Decoder), Reports(std::move(Reports)),
+      Internal(std::move(Internal)), Random(std::random_device{}()) {}
 
 void StoreFollower::start() {
   const FollowedCollection Catalogue{Collection::Catalogue,
@@ -46,10 +55,21 @@
                                      true,
                                      &StoreFollower::replaceUpstreams,
                                      &StoreFollower::updateUpstreams,
-                                     &StoreFollower::doNothing,
+                                     &StoreFollower::recordOutageOfWatcher,
                                      &StoreFollower::recordStoreOutage};
   asio::co_spawn(this->Executor, this->follow(Catalogue), asio::detached);
-  asio::co_spawn(this->Executor, this->follow(Upstreams), asio::detached);
+  const FollowedCollection Evacuated{Collection::Evacuations,
+                                     "evacuations",
+                                     &StoreCallIntervals::EvacuationWait,
+                                     false,
+                                     &StoreFollower::replaceEvacuations,
+                                     &StoreFollower::updateEvacuations,
+                                     &StoreFollower::ignoreAnswer,
+                                     &StoreFollower::doNothing};
+  if (this->State.access().evacuations().enabled())
+    asio::co_spawn(this->Executor, this->follow(Evacuated), asio::detached);
+  asio::co_spawn(this->Executor, this->followAfterEvacuations(Upstreams),
+                 asio::detached);
   asio::co_spawn(this->Executor, this->keepRegistered(), asio::detached);
 }
 
@@ -63,23 +83,47 @@
 }
 
 // One host of each failure domain confirms the catalogue.
-StoreCallIntervals StoreFollower::callIntervals() const {
+StoreCallIntervals StoreFollower::callIntervals() {
   constexpr const char *ConfirmationKey = "catalogue";
-  StoreCallIntervals Intervals =
-      storeCallIntervals(this->State.fleet().size(BootClock::now()));
+  StoreCallIntervals Intervals = storeCallIntervals(this->Store.callingHosts());
   if (this->State.access().promotionRank(ConfirmationKey) <
       UpstreamAccess::PromoterCount)
     Intervals.CatalogueWait = Intervals.ConfirmingWait;
   return Intervals;
 }
 
+// A host that starts after an order must not use the upstreams that the order
+// concerns. If the orders cannot be read although the upstreams can, it serves
+// after half of the bound, and learns of the orders from other hosts.
+StoreFollower::Task<void>
+StoreFollower::followAfterEvacuations(FollowedCollection Followed) {
+  constexpr std::chrono::milliseconds PollInterval{10};
+  const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
+  const Evacuations &Orders = this->State.access().evacuations();
+  const TimePoint Until = steadyNow() + Orders.bound() / 2;
+  while (Orders.enabled() && !Orders.current() && !this->Stopped &&
+         steadyNow() < Until)
+    co_await sleepUntil(steadyNow() + PollInterval);
+  if (Orders.enabled() && !Orders.current())
+    logWarn("event=evacuations_unknown next=use_all_upstreams");
+  co_await this->follow(Followed);
+}
+
 StoreFollower::Task<void> StoreFollower::follow(FollowedCollection Followed) {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   std::chrono::milliseconds Backoff = MinBackoff;
+  bool Starting = true;
   bool Lost = false;
   while (!this->Stopped) {
-    const Result<StoredObjects> Listed = co_await this->Store.list(
-        Followed.From, ListFreshness::Current, steadyNow() + CallTimeout);
+    // g++ 12 frees a temporary twice when a conditional operator awaits.
+    Result<StoredObjects> Listed =
+        failure(ErrorKind::PlatformUnavailable, "not listed");
+    if (std::exchange(Starting, false))
+      Listed = co_await this->Store.listAtStart(Followed.From,
+                                                steadyNow() + CallTimeout);
+    else
+      Listed = co_await this->Store.list(Followed.From, ListFreshness::Current,
+                                         steadyNow() + CallTimeout);
     if (!Listed) {
       (this->*Followed.OnUnavailable)();
       if (!std::exchange(Lost, true))
@@ -91,7 +135,7 @@
     if (std::exchange(Lost, false))
       logInfo(std::string("event=store_regained collection=") + Followed.Name);
     Backoff = MinBackoff;
-    (this->*Followed.OnAnswered)();
+    (this->*Followed.OnAnswered)(Listed.value());
     (this->*Followed.OnListed)(Listed.value());
     // Lists again only when the store no longer keeps the changes since.
     while (!this->Stopped &&
@@ -118,11 +162,12 @@
       }
       Backoff = MinBackoff;
       Revision = std::max(Revision, Changes.value().AtRevision);
-      (this->*Followed.OnAnswered)();
+      (this->*Followed.OnAnswered)(Changes.value());
       if (Changes.value().Objects.empty())
         continue;
       (this->*Followed.OnChanged)(Changes.value());
-      if (Followed.PausesAfterChange)
+      // The watcher has paused, so that it sends several changes at once.
+      if (Followed.PausesAfterChange && !Changes.value().AnsweredAt)
         co_await sleepUntil(steadyNow() + this->callIntervals().ChangePause);
       continue;
     }
@@ -160,8 +205,8 @@
   }
 }
 
-void StoreFollower::confirmCatalogue() {
-  this->State.confirmCatalogue(steadyNow());
+void StoreFollower::confirmCatalogue(const StoredObjects &Objects) {
+  this->State.confirmCatalogue(Objects.AnsweredAt.value_or(steadyNow()));
 }
 
 void StoreFollower::replaceUpstreams(const StoredObjects &Objects) {
@@ -205,15 +250,40 @@
   this->State.applyUpstreams();
 }
 
+// Only the names of the objects count: an object whose contents cannot be read
+// is an order as well.
+void StoreFollower::replaceEvacuations(const StoredObjects &Objects) {
+  this->EvacuatedDomains.clear();
+  this->updateEvacuations(Objects);
+}
+
+void StoreFollower::updateEvacuations(const StoredObjects &Objects) {
+  for (const StoredObject &Each : Objects.Objects) {
+    if (Each.Removed)
+      this->EvacuatedDomains.erase(Each.Name);
+    else
+      this->EvacuatedDomains.insert(Each.Name);
+  }
+  this->State.offerEvacuations({Objects.AtRevision, this->EvacuatedDomains},
+                               "store");
+}
+
 void StoreFollower::recordStoreOutage() {
   this->State.directory().recordStoreFailure(steadyNow());
 }
 
+// Entries that lapsed while the store was away lapse for its watchers first.
+void StoreFollower::recordOutageOfWatcher(const StoredObjects &Objects) {
+  if (Objects.FailedAt)
+    this->State.directory().recordStoreFailure(*Objects.FailedAt);
+}
+
 StoreFollower::Task<void> StoreFollower::keepRegistered() {
   const std::shared_ptr<StoreFollower> Keep = this->shared_from_this();
   std::chrono::milliseconds Backoff = MinBackoff;
   // After a restart of all hosts, the list tells at once who else there is.
   co_await this->listHosts(ListFreshness::MayBeStale);
+  this->Store.hostsListed();
   while (!this->Stopped && !co_await this->registerHost())
     co_await this->backOff(Backoff);
   ListFreshness Freshness = ListFreshness::Current;
@@ -221,15 +291,23 @@
     co_await this->listHosts(Freshness);
     Freshness = ListFreshness::MayBeStale;
     co_await this->unregisterGoneHosts();
-    co_await sleepUntil(steadyNow() + this->callIntervals().HostInterval);
+    co_await sleepUntil(
+        steadyNow() +
+        storeCallIntervals(this->State.fleet().size(BootClock::now()))
+            .HostInterval);
   }
 }
 
 StoreFollower::Task<bool> StoreFollower::registerHost() {
   StoredObject Own;
   Own.Name = this->State.identity().Host;
-  Own.Spec[AddressField] = this->ReportAddress;
+  Own.Spec[AddressField] = toString(this->Reports);
   Own.Spec[DomainField] = this->State.identity().FailureDomain;
+  if (this->State.identity().Capacity > 0)
+    Own.Spec[CapacityField] = this->State.identity().Capacity;
+  // Hosts that start need it before the first report arrives.
+  if (this->Store.shares())
+    Own.Spec[InternalField] = toString(this->Internal);
   const Result<StoredObject> Created = co_await this->Store.create(
       Collection::Hosts, Own, steadyNow() + CallTimeout);
   if (Created)
@@ -262,7 +340,9 @@
     const Result<Endpoint> Where =
         parseEndpoint(stringField(Each.Spec, AddressField));
     if (Where)
-      Hosts[Each.Name] = {Where.value(), stringField(Each.Spec, DomainField)};
+      Hosts[Each.Name] = {Where.value(), stringField(Each.Spec, DomainField),
+                          capacityOf(Each.Spec),
+                          stringField(Each.Spec, InternalField)};
     else
       logInfo("event=host_unreadable name=" + Each.Name);
   }
--- a/src/libs/sessionproxy/upstreamaccess.cpp
+++ b/src/libs/sessionproxy/upstreamaccess.cpp
@@ -2,6 +2,7 @@
 
 #include "http/resumewith.h"
 #include "http/sleepuntil.h"
+#include "placement/hostcapacity.h"
 #include "telemetry/logging.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -50,18 +51,23 @@
 }
 
 UpstreamAccess::UpstreamAccess(asio::any_io_executor Executor,
-                               std::string OwnName, std::string OwnDomain,
+                               PlacementHost Self,
+                               std::chrono::milliseconds EvacuationBound,
                                ProxyMetrics &Metrics)
-    : Executor(std::move(Executor)), OwnName(std::move(OwnName)),
-      OwnDomain(std::move(OwnDomain)), Metrics(Metrics),
-      Holders(this->OwnName) {}
+    : Executor(std::move(Executor)), Self(std::move(Self)),
+      Evacuated(EvacuationBound), Metrics(Metrics), Holders(this->Self.Name),
+      Promoters(this->Self.Name) {}
 
 void UpstreamAccess::setHosts(const FleetView &Fleet, BootTime Now) {
-  std::vector<PlacementHost> NewLive{{this->OwnName, this->OwnDomain}};
+  const std::uint64_t Revision = Fleet.presentRevision(Now);
+  if (Revision == this->AppliedRevision)
+    return;
+  this->AppliedRevision = Revision;
+  std::vector<PlacementHost> NewLive{this->Self};
   const TimePoint SteadyTime = steadyNow();
   std::map<std::string, Host> Present;
   for (const auto &[Name, Each] : Fleet.present(Now)) {
-    NewLive.push_back({Name, Each->FailureDomain});
+    NewLive.push_back({Name, Each->FailureDomain, Each->Capacity});
     Host &Entry = Present[Name];
     const auto Known = this->Hosts.find(Name);
     if (Known != this->Hosts.end() &&
@@ -75,11 +81,12 @@
   }
   // Transactions that are held over a replaced relay client keep it alive.
   this->Hosts = std::move(Present);
+  fillCapacities(NewLive);
   std::ranges::sort(NewLive, {}, &PlacementHost::Name);
   if (NewLive == this->Live)
     return;
   this->Live = NewLive;
-  this->Promoters.clear();
+  this->Promoters.setHosts(this->Live);
   this->Holders.setHosts(std::move(NewLive));
 }
 
@@ -92,7 +99,7 @@
 std::string UpstreamAccess::chooseHolder(const UpstreamEntry &Entry,
                                          TimePoint Now) {
   std::string Name = this->Holders.choose(Entry.Id, Entry.FailureDomain, Now);
-  return this->Hosts.count(Name) ? Name : this->OwnName;
+  return this->Hosts.count(Name) ? Name : this->Self.Name;
 }
 
 bool UpstreamAccess::heardRecently(const std::string &Name,
@@ -144,7 +151,7 @@
 void UpstreamAccess::prepareWrite(const UpstreamEntry &Entry) {
   const TimePoint Now = steadyNow();
   const std::string Name = this->chooseHolder(Entry, Now);
-  if (Name != this->OwnName && !this->heardRecently(Name, Now))
+  if (Name != this->Self.Name && !this->heardRecently(Name, Now))
     this->startPing(Name);
 }
 
@@ -200,18 +207,12 @@
   this->Rechecked.erase(Name);
 }
 
-const std::vector<std::string> &
-UpstreamAccess::promoters(const std::string &Group) {
-  std::vector<std::string> &Known = this->Promoters[Group];
-  if (Known.empty())
-    Known = promotionOrder(Group, this->Live);
-  return Known;
+std::vector<std::string> UpstreamAccess::promoters(const std::string &Group) {
+  return this->Promoters.first(Group, PromoterCount);
 }
 
 std::size_t UpstreamAccess::promotionRank(const std::string &Group) {
-  const std::vector<std::string> &Order = this->promoters(Group);
-  return static_cast<std::size_t>(std::ranges::find(Order, this->OwnName) -
-                                  Order.begin());
+  return this->Promoters.ownRank(Group);
 }
 
 std::string UpstreamAccess::rateOwner(const std::string &Workspace,
@@ -219,7 +220,7 @@
   // Hosts of all failure domains are candidates, because no host is in the
   // domain with the empty name.
   std::string Name = this->Holders.choose("rate/" + Workspace, "", Now);
-  return this->Hosts.count(Name) ? Name : this->OwnName;
+  return this->Hosts.count(Name) ? Name : this->Self.Name;
 }
 
 asio::awaitable<std::optional<std::string>>
@@ -245,12 +246,12 @@
 }
 
 bool UpstreamAccess::isRemote(const UpstreamEntry &Entry, TimePoint Now) {
-  return this->chooseHolder(Entry, Now) != this->OwnName;
+  return this->chooseHolder(Entry, Now) != this->Self.Name;
 }
 
 std::size_t UpstreamAccess::rank(const UpstreamEntry &Entry, TimePoint Now) {
   const std::size_t Rank =
-      this->Holders.rank(this->OwnName, Entry.Id, Entry.FailureDomain);
+      this->Holders.rank(this->Self.Name, Entry.Id, Entry.FailureDomain);
   if (Rank < HolderCount)
     return Rank;
   const auto Relayed = this->RelayedWorkAt.find(Entry.Id);
@@ -260,24 +261,44 @@
   return StandsIn ? HolderCount - 1 : Rank;
 }
 
+bool UpstreamAccess::maySend(const UpstreamEntry &Entry) const {
+  const Evacuations::Order *Order = this->Evacuated.find(Entry.FailureDomain);
+  return !Order || steadyNow() < Order->TransactionsEndAt;
+}
+
+// Nothing was sent, and the path to the upstream has not failed.
+WorkResult UpstreamAccess::refuseEvacuated() {
+  this->Metrics.EvacuationRefusals.add();
+  return {};
+}
+
+double UpstreamAccess::rateOf(const std::string &Workspace) const {
+  const auto Found = this->Rates.find(Workspace);
+  return Found == this->Rates.end() ? 0 : Found->second;
+}
+
 asio::awaitable<WorkResult>
 UpstreamAccess::run(std::shared_ptr<UpstreamClient> Client, PoolWaiter Waiter,
                     UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold) {
+  if (this->isEvacuated(Client->entry()))
+    co_return this->refuseEvacuated();
   std::string Name = this->chooseHolder(Client->entry(), steadyNow());
   // The outcome of a write is unknown if the holder fails, and a probe that is
   // lost with its holder delays the next proof that the primary is still the
   // primary.
-  if (Name != this->OwnName && Work.mayWrite()) {
+  if (Name != this->Self.Name && Work.mayWrite()) {
     const bool Alive = co_await this->isAlive(Name);
     if (!Alive)
       Name = this->chooseHolder(Client->entry(), steadyNow());
+    if (this->isEvacuated(Client->entry()))
+      co_return this->refuseEvacuated();
   }
   const std::shared_ptr<UpstreamClient> Target = Client;
   const UsageCounter Use(*Target);
   const std::string Upstream = Target->entry().Id;
   const bool Statement = Work.hasStatement();
   WorkResult Result;
-  if (Name != this->OwnName && this->Hosts.count(Name)) {
+  if (Name != this->Self.Name && this->Hosts.count(Name)) {
     Result = co_await this->runRemotely(Name, Client, Waiter, Work, Wait, Hold);
     this->recordPathResult(Name, Upstream, Result, Statement);
     // Nothing was sent to the upstream, so the work can still run over the
@@ -291,7 +312,7 @@
   Result = co_await this->runLocally(std::move(Client), std::move(Waiter),
                                      std::move(Work), Wait, Hold);
   Result.Waited += Before;
-  this->recordPathResult(this->OwnName, Upstream, Result, Statement);
+  this->recordPathResult(this->Self.Name, Upstream, Result, Statement);
   co_return Result;
 }
 
@@ -322,14 +343,22 @@
                            WaitHandle &Wait, HeldConnection *Hold) {
   const TimePoint Start = steadyNow();
   ConnectionLease Lease;
+  const bool Limited = Work.hasStatement() || Hold;
+  if (Limited && !Client->admitsCold(Start)) {
+    this->Metrics.ColdRefusals.add();
+    co_return WorkResult();
+  }
   // Commands of the proxy itself can run on a connection of any workspace.
   if (!Work.hasStatement() && !Hold)
     Lease = Client->tryAcquireIdle();
+  Waiter.TakesSlot = Work.hasStatement();
+  Waiter.Rate = this->rateOf(Waiter.Workspace);
   if (!Lease)
     Lease = co_await Client->acquire(std::move(Waiter), Wait);
   WorkResult Result;
   if (!Lease) {
     Result.Waited = steadyNow() - Start;
+    Result.RetryAfter = Wait.RetryAfter;
     Result.Unreachable = Client->unreachable();
     co_return Result;
   }
@@ -400,7 +429,11 @@
   this->Holders.hostAnswered(Name, Now);
   WorkResult Result = std::move(Outcome.Answer->Result);
   Result.SentAt = SentAt;
+  Result.RetryAfter = Outcome.Answer->RetryAfter;
   Client->recordRemoteLoad(Outcome.Answer->Load, Now);
+  Client->recordRemoteEstimate(
+      {Outcome.Answer->Limit, Outcome.Answer->ServiceTime},
+      Outcome.Answer->ExpectedWait, Now);
   if (!Result.Connected && Result.Unreachable) {
     logInfo("event=relay_unreachable host=" + Name +
             " upstream=" + Client->entry().Id);
@@ -417,6 +450,13 @@
 asio::awaitable<WorkResult> UpstreamAccess::runHeld(HeldConnection &Held,
                                                     UpstreamWork Work) {
   const std::shared_ptr<UpstreamClient> Client = Held.Client;
+  if (!this->maySend(Client->entry())) {
+    // Without an answer and without bytes sent, the transaction counts as
+    // rolled back.
+    WorkResult Ended = this->refuseEvacuated();
+    Ended.Lost = true;
+    co_return Ended;
+  }
   if (!Held.Relay) {
     WorkResult Result =
         co_await executeWork(Held.Local, std::move(Work), this->Names);
@@ -455,7 +495,10 @@
 }
 
 void UpstreamAccess::rollBack(HeldConnection Held) {
-  if (Held.Local)
+  // Also for an upstream whose entry was removed before the order. The held
+  // connection is closed when it is destroyed.
+  const bool MaySend = !Held || this->maySend(Held.Client->entry());
+  if (Held.Local && MaySend)
     rollBackAndRelease(this->Executor, std::move(Held.Local));
   // The holder rolls back a remote transaction when it receives the release.
 }
--- a/src/libs/sessionproxy/upstreamaccess.h
+++ b/src/libs/sessionproxy/upstreamaccess.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "fleetview.h"
+#include "placement/evacuations.h"
 #include "placement/holderselector.h"
+#include "placement/promotionranking.h"
 #include "proxymetrics.h"
 #include "relayclient.h"
 #include "upstreamclient.h"
@@ -70,10 +72,19 @@
   /// Timeout of a rate limit request; the owner answers from memory.
   static constexpr std::chrono::milliseconds RateCheckTimeout{80};
 
-  /// \param OwnName name of this host.
-  /// \param OwnDomain failure domain of this host.
-  UpstreamAccess(boost::asio::any_io_executor Executor, std::string OwnName,
-                 std::string OwnDomain, ProxyMetrics &Metrics);
+  /// \param Self this host, with its capacity if its settings declare one.
+  /// \param EvacuationBound time from the order to evacuate a failure domain
+  ///        until nothing more is sent there; 0 if there are no such orders.
+  UpstreamAccess(boost::asio::any_io_executor Executor, PlacementHost Self,
+                 std::chrono::milliseconds EvacuationBound,
+                 ProxyMetrics &Metrics);
+
+  /// Decides which upstreams may be used; see isEvacuated().
+  Evacuations &evacuations() { return this->Evacuated; }
+  /// Whether nothing new may be sent to the upstream of \p Entry.
+  bool isEvacuated(const UpstreamEntry &Entry) const {
+    return this->Evacuated.covers(Entry.FailureDomain);
+  }
 
   /// Replaces the hosts that work can be relayed to by those present in
   /// \p Fleet.
@@ -81,7 +92,8 @@
   /// Records that a report of host \p Name arrived at \p Now.
   void recordReport(const std::string &Name, TimePoint Now);
 
-  /// Runs \p Work on any connection for the waiter's workspace.
+  /// Runs \p Work on any connection for the waiter's workspace. Work for an
+  /// evacuated upstream is not run, and its result is not connected.
   /// \param Wait lets the caller cancel the wait for a connection.
   /// \param [out] Hold receives the connection if a transaction is open on it
   ///        afterwards; nullptr if no connection is to be held.
@@ -111,6 +123,10 @@
   /// \p Since.
   std::vector<std::string> silentHosts(const std::string &FailureDomain,
                                        TimePoint Since) const;
+  /// Whether no host of another failure domain answers.
+  bool otherDomainsSilent(TimePoint Now) const {
+    return this->Holders.otherDomainsSkipped(Now);
+  }
   /// Records that \p Name does not answer. It is skipped until it does.
   void hostFailed(const std::string &Name);
 
@@ -131,10 +147,10 @@
   /// together.
   static constexpr std::size_t PromoterCount = 5;
 
-  /// Hosts, this one included, by who replaces the failed primary of \p Group
-  /// first.
-  const std::vector<std::string> &promoters(const std::string &Group);
-  /// Position of this host among promoters().
+  /// The first PromoterCount hosts, this one included, by who replaces the
+  /// failed primary of \p Group first.
+  std::vector<std::string> promoters(const std::string &Group);
+  /// Position of this host in the promotionOrder() of \p Group.
   std::size_t promotionRank(const std::string &Group);
 
   /// Name of the host that counts the operations of \p Workspace against its
@@ -150,6 +166,14 @@
 
   StatementNames &names() { return this->Names; }
 
+  /// Sets the rate limits of the workspaces, a second, in proportion to which
+  /// their statements take turns at a busy upstream.
+  void setRates(std::map<std::string, double> ByWorkspace) {
+    this->Rates = std::move(ByWorkspace);
+  }
+  /// Rate limit of \p Workspace, a second; 0 if it is unknown.
+  double rateOf(const std::string &Workspace) const;
+
 private:
   struct Host {
     std::shared_ptr<RelayClient> Relay;
@@ -174,6 +198,9 @@
   boost::asio::awaitable<void> recheck(std::string Name);
   void recordPathResult(const std::string &Host, const std::string &Upstream,
                         const WorkResult &Result, bool Statement);
+  /// Whether an open transaction at the upstream may go on.
+  bool maySend(const UpstreamEntry &Entry) const;
+  WorkResult refuseEvacuated();
   boost::asio::awaitable<WorkResult>
   runLocally(std::shared_ptr<UpstreamClient> Client, PoolWaiter Waiter,
              UpstreamWork Work, WaitHandle &Wait, HeldConnection *Hold);
@@ -183,18 +210,20 @@
               HeldConnection *Hold);
 
   boost::asio::any_io_executor Executor;
-  const std::string OwnName;
-  const std::string OwnDomain;
+  const PlacementHost Self;
+  Evacuations Evacuated;
   ProxyMetrics &Metrics;
   HolderSelector Holders;
   std::map<std::string, Host> Hosts;
-  std::vector<PlacementHost> Live; ///< Hosts and this one.
-  std::map<std::string, std::vector<std::string>> Promoters; ///< By group.
+  std::vector<PlacementHost> Live;   ///< Hosts and this one.
+  std::uint64_t AppliedRevision = 0; ///< FleetView::presentRevision() of Live.
+  PromotionRanking Promoters;
   std::map<std::string, std::shared_ptr<PendingPing>> Pings; ///< By host.
   std::set<std::string> DomainsToCheck;
   std::map<std::string, TimePoint> RelayedWorkAt; ///< By upstream.
   std::set<std::string> Rechecked; ///< Hosts that are being pinged.
   StatementNames Names;
+  std::map<std::string, double> Rates; ///< By workspace.
 };
 
 } // namespace lavenderdale
--- a/src/libs/sessionproxy/upstreamclient.h
+++ b/src/libs/sessionproxy/upstreamclient.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "limits/coldrate.h"
+#include "placement/evacuations.h"
+#include "pooling/concurrencylimit.h"
 #include "pooling/upstreampool.h"
 #include "upstreamconnection.h"
 #include "upstreamentry.h"
@@ -13,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lavenderdale {
 
@@ -40,6 +44,14 @@
   void markReusable() { this->Reusable = true; }
   /// Tells the pool that a transaction holds the connection from now on.
   void pin();
+  /// Waits for a slot of the upstream, unless the lease was acquired with one.
+  /// Ends after MaxHeldWait at the latest.
+  boost::asio::awaitable<void> startStatement();
+  /// Counts a command that takes a slot without waiting for one.
+  void occupySlot();
+  /// Reports that the statement or command has ended.
+  /// \param Ended what it tells about the upstream; nothing if it did not run.
+  void endStatement(std::optional<ConcurrencyLimit::Outcome> Ended);
   /// Ends the lease early.
   void reset();
 
@@ -55,6 +67,9 @@
 public:
   /// Cancels the wait; set only while one is in progress.
   std::function<void()> Cancel;
+  /// Set by a wait that was refused because it would have been too long: the
+  /// time until there will be room. Otherwise 0.
+  std::chrono::milliseconds RetryAfter{};
 };
 
 /// Connections of this host to one upstream. Carries out the decisions of
@@ -76,6 +91,16 @@
   /// How long a load that another host reported is used; the duration of a few
   /// statements.
   static constexpr std::chrono::milliseconds LoadLifetime{100};
+  /// Maximum wait of a statement in a transaction for a slot. Statements of
+  /// transactions go first, so a longer wait means that the upstream hardly
+  /// answers; the statement is then queued there.
+  static constexpr std::chrono::milliseconds MaxHeldWait{100};
+  /// Bounds of the pause after a busy refusal. The lower one is the pause at
+  /// an upstream that declares no slots.
+  static constexpr std::chrono::milliseconds MinBusyPause{6};
+  static constexpr std::chrono::milliseconds MaxBusyPause{200};
+  /// Refusals on arrival are logged for each upstream at most this often.
+  static constexpr std::chrono::seconds RefusalLogInterval{1};
   /// Response time assumed before the first reply.
   static constexpr std::chrono::microseconds InitialResponseTime{10000};
 
@@ -89,6 +114,38 @@
   /// closed when their leases end.
   void retire();
 
+  /// Applies the order to evacuate the upstream's failure domain, or its
+  /// withdrawal. While there is one, no connection is opened or leased, waiters
+  /// are refused and idle connections are closed. Leased ones are closed when
+  /// the deadlines of the order pass.
+  /// \param Given the order, or nullptr.
+  void applyEvacuation(const Evacuations::Order *Given);
+  /// Whether nothing new may be sent to the upstream.
+  bool isEvacuated() const { return this->Evacuation.has_value(); }
+  /// Whether a leased connection may still be used at \p Now.
+  bool maySend(TimePoint Now) const {
+    return !this->Evacuation || Now < this->Evacuation->TransactionsEndAt;
+  }
+
+  /// \param Limit requests in ColdRate::Window that this host may send to the
+  ///        upstream while it is cold; nothing for no limit.
+  void setColdLimit(std::optional<std::size_t> Limit) {
+    this->ColdLimit = Limit;
+  }
+  /// Whether the number of requests is limited at \p Now.
+  bool isCold(TimePoint Now) const {
+    return this->ColdLimit && Now < this->ColdUntil;
+  }
+  /// Whether another request may be sent at \p Now over this host.
+  bool admitsCold(TimePoint Now) {
+    return !this->isCold(Now) || this->Cold.hasRoom(*this->ColdLimit, Now);
+  }
+  /// Counts a request that is sent over this host at \p Now.
+  void countCold(TimePoint Now) {
+    if (this->isCold(Now))
+      this->Cold.count(Now);
+  }
+
   /// Waits for a connection until the waiter gives up or \p Wait cancels.
   /// \returns an empty lease if no connection was assigned.
   boost::asio::awaitable<ConnectionLease> acquire(PoolWaiter Waiter,
@@ -117,6 +174,24 @@
   /// included where their number was reported recently.
   std::size_t load(TimePoint Now) const;
 
+  /// Records what the host that holds the upstream's connections told with an
+  /// answer.
+  /// \param ExpectedWait of a statement like the answered one; nothing if not
+  ///        told.
+  void recordRemoteEstimate(const ConcurrencyLimit::Estimate &Told,
+                            std::optional<Duration> ExpectedWait,
+                            TimePoint Now);
+  /// Time until a statement like \p Waiter could start; nothing if unknown.
+  /// \param Remote whether another host holds the upstream's connections.
+  std::optional<Duration> expectedWait(const PoolWaiter &Waiter, bool Remote,
+                                       TimePoint Now);
+  /// Number of statements that the upstream is known to handle at the same
+  /// time; the number of connections if it declares no slots.
+  std::size_t concurrency(TimePoint Now) const;
+  /// Pause before a statement that the upstream refused as busy is repeated:
+  /// one service time, or the expected wait if that is longer.
+  std::chrono::milliseconds busyPause(TimePoint Now) const;
+
   /// Records the log position that a reply reported.
   void recordPosition(const Position &At, TimePoint Now);
   /// Records that a read was refused because the upstream lags behind.
@@ -131,6 +206,16 @@
   TimePoint lastPositionAt() const { return this->LastSeenPositionAt; }
   TimePoint behindAt() const { return this->BehindAt; }
 
+  /// The learned limit of concurrency; nullptr if the entry declares no slots.
+  const ConcurrencyLimit *concurrencyLimit() const {
+    return this->Limit ? &*this->Limit : nullptr;
+  }
+
+  /// Returns the number of statements refused on arrival since the last call.
+  std::size_t takeRefusedOnArrival() {
+    return std::exchange(this->RefusedOnArrival, 0);
+  }
+
   /// Carries out all pending decisions of the pool.
   void runPoolActions();
 
@@ -139,16 +224,27 @@
   friend class UsageCounter;
   struct PendingWait;
 
+  void applySlots();
+  void refreshLimit(TimePoint Now);
+  void recordRefusal(const PoolWaiter &Waiter, Duration RetryAfter,
+                     TimePoint Now);
+  boost::asio::awaitable<void> startStatement(ConnectionId Id);
+  void endStatement(ConnectionId Id,
+                    std::optional<ConcurrencyLimit::Outcome> Ended);
   void returnConnection(ConnectionId Id, bool Reusable);
   void perform(const UpstreamPoolAction &Action);
   bool dropIfClosed(ConnectionId Id);
   boost::asio::awaitable<void> open(std::string Workspace);
   void armTimer();
+  void closeIdle();
+  void armEvacuationTimer(TimePoint Now);
+  void endEvacuatedWork(TimePoint Now);
 
   boost::asio::any_io_executor Executor;
   const UpstreamProtocol &Protocol;
   UpstreamEntry Entry;
   UpstreamPool Pool;
+  std::optional<ConcurrencyLimit> Limit; ///< Set if the entry declares slots.
   std::map<ConnectionId, std::shared_ptr<UpstreamConnection>> Connections;
   std::map<ConnectionId, TimePoint> IdleSince;
   std::map<WaiterId, PendingWait *> Waiters;
@@ -156,6 +252,11 @@
   WaiterId NextWaiter = 1;
   boost::asio::steady_timer Timer;
   std::optional<TimePoint> TimerAt;
+  boost::asio::steady_timer EvacuationTimer;
+  std::optional<Evacuations::Order> Evacuation;
+  std::optional<std::size_t> ColdLimit;
+  TimePoint ColdUntil{};
+  ColdRate Cold;
   std::chrono::microseconds ResponseTime{InitialResponseTime};
   TimePoint ResponseTimeAt{};
   std::optional<Position> LastSeenPosition;
@@ -164,6 +265,11 @@
   std::size_t InUse = 0; ///< Statements of this host's callers in progress.
   std::size_t RemoteLoad = 0;
   TimePoint RemoteLoadAt{};
+  std::optional<Duration> RemoteWait;
+  TimePoint RemoteWaitAt{};
+  std::size_t RefusedOnArrival = 0;
+  std::size_t UnloggedRefusals = 0;
+  TimePoint RefusalsLoggedAt{};
   bool Retired = false;
 };
 
--- a/src/libs/sessionproxy/upstreamentry.h
+++ b/src/libs/sessionproxy/upstreamentry.h
@@ -2,8 +2,10 @@
 
 #include "http/endpoint.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lavenderdale {
@@ -17,6 +19,12 @@
   bool Leaving = false; ///< Is being drained.
   bool ClaimsPrimary = false;
   std::uint64_t StartedAt = 0; ///< Distinguishes restarts under the same id.
+  /// Time for which the upstream is cold after it wrote the entry; 0 if it is
+  /// not.
+  std::chrono::milliseconds ColdRemaining{};
+  /// Statements that it runs at the same time; nothing if it declares none.
+  std::optional<std::size_t> Slots;
+  bool SlotsInvalid = false; ///< Declares slots that cannot be used.
 
   bool operator==(const UpstreamEntry &) const = default;
 };
--- a/tests/auto/platformadapter/tst_recordcodec.cpp
+++ b/tests/auto/platformadapter/tst_recordcodec.cpp
@@ -68,6 +68,34 @@
   CHECK_FALSE(Codec.decodeCatalogue(Broken));
 }
 
+// Guards against a limit of concurrency that rests on a wrong entry: it would
+// leave the slots of a database idle, or limit nothing without any notice.
+TEST_CASE("slots that cannot be used count as not declared") {
+  const RecordCodec Codec;
+  StoredObject Object = upstream(
+      R"({"service":"orders","address":"10.0.0.9:80","zone":"z1",
+          "state":"ready","database-role":"replica"})");
+  Result<UpstreamEntry> Read = Codec.decodeUpstream(Object);
+  REQUIRE(Read);
+  CHECK_FALSE(Read.value().Slots);
+  CHECK_FALSE(Read.value().SlotsInvalid);
+  Object.Spec["slots"] = 4;
+  Read = Codec.decodeUpstream(Object);
+  REQUIRE(Read);
+  CHECK(Read.value().Slots == std::size_t{4});
+  CHECK_FALSE(Read.value().SlotsInvalid);
+  for (const Json::Value &Wrong :
+       {Json::Value(0), Json::Value(-3), Json::Value(1e12), Json::Value("4"),
+        Json::Value(2.5), Json::Value(Json::nullValue)}) {
+    CAPTURE(Wrong.toStyledString());
+    Object.Spec["slots"] = Wrong;
+    Read = Codec.decodeUpstream(Object);
+    REQUIRE(Read);
+    CHECK_FALSE(Read.value().Slots);
+    CHECK(Read.value().SlotsInvalid);
+  }
+}
+
 // Other programs write to the same collection, so an entry may lack members of
 // a database or hold values of other types.
 TEST_CASE("entries that do not describe a database are rejected") {
@@ -92,3 +120,41 @@
   Other.Spec = "text";
   CHECK_FALSE(Codec.decodeUpstream(Other));
 }
+
+// Guards against a value of another writer that lifts the limit on a cold
+// database, and against one that costs the entry or the configuration.
+TEST_CASE("unusable values of cold databases count on the safe side") {
+  const RecordCodec Codec;
+  const std::string Entry =
+      R"({"service": "orders", "address": "127.0.0.1:7", "state": "ready",
+          "database-role": "replica")";
+  const auto ColdOf = [&](const std::string &Member) {
+    const Result<UpstreamEntry> Decoded =
+        Codec.decodeUpstream(upstream(Entry + Member + "}"));
+    REQUIRE(Decoded);
+    return Decoded.value().ColdRemaining;
+  };
+  CHECK(ColdOf("") == 0ms);
+  CHECK(ColdOf(R"(, "cold-remaining-ms": 0)") == 0ms);
+  CHECK(ColdOf(R"(, "cold-remaining-ms": 1200)") == 1200ms);
+  CHECK(ColdOf(R"(, "cold-remaining-ms": 0.5)") == 1ms);
+  for (const char *Each : {"-1", "1e300", "\"soon\"", "[]", "true"}) {
+    INFO(Each);
+    CHECK(ColdOf(std::string(R"(, "cold-remaining-ms": )") + Each) == 1h);
+  }
+  const auto RateOf = [&](const std::string &Member) {
+    std::string Text = Configuration;
+    const std::string Place = R"("connection-limit": 16)";
+    Text.replace(Text.find(Place), Place.size(), Place + Member);
+    const Result<SessionCatalogue> Decoded = Codec.decodeCatalogue(json(Text));
+    REQUIRE(Decoded);
+    return Decoded.value().Groups.at("orders").ColdPerSecond;
+  };
+  CHECK(RateOf("") == 0);
+  CHECK(RateOf(R"(, "cold-per-s": 0)") == 0);
+  CHECK(RateOf(R"(, "cold-per-s": 20)") == 20);
+  for (const char *Each : {"-20", "1e300", "\"20\"", "{}"}) {
+    INFO(Each);
+    CHECK(RateOf(std::string(R"(, "cold-per-s": )") + Each) == 5);
+  }
+}
