--- a/src/libs/distribution/watcherchoice.cpp
+++ b/src/libs/distribution/watcherchoice.cpp
@@ -21,6 +21,7 @@
   });
   Ranked.resize(std::min(WatcherCount, Ranked.size()));
   std::vector<std::string> Names;
+  Names.reserve(Ranked.size());
   for (RankedHolder &Each : Ranked)
     Names.push_back(std::move(Each.Host));
   return Names;
