--- a/tests/auto/limits/tst_ownedrate.cpp
+++ b/tests/auto/limits/tst_ownedrate.cpp
@@ -72,8 +72,12 @@
   CHECK(Admitted <= (Limit - Reported) * Part);
   // Each host reports once in 1.98 s.
   for (BootTime Now = Cut + 1s; Now < Cut + 3s; Now += 2ms) {
-    const auto Heard = static_cast<std::size_t>(
-        std::min<double>(Hosts, Hosts * (Now - Cut) / 1980ms));
+    const double HeardPart = std::min(
+        1.0,
+        std::chrono::duration<double>(Now - Cut) /
+            std::chrono::duration<double>(std::chrono::milliseconds(1980)));
+    const auto Heard =
+        static_cast<std::size_t>(static_cast<double>(Hosts) * HeardPart);
     Admitted += Owner.admit({1, Heard, Hosts, ContactLifetime}, Now) ? 1 : 0;
   }
   // Up to MaxPriorUse may have been admitted before, as far as it knows.
@@ -124,7 +128,7 @@
             Hosts, Hosts, Lifetime};
         if (!AskFirst)
           Contact.HeardSince = static_cast<std::size_t>(
-              Hosts * (1 - SmallSide) *
+              static_cast<double>(Hosts) * (1 - SmallSide) *
               std::min(1.0, std::chrono::duration<double>(Now - Cut) /
                                 std::chrono::duration<double>(ReportInterval)));
         if (Asked.admit(Contact, Now))
--- a/tests/auto/limits/tst_sharedrate.cpp
+++ b/tests/auto/limits/tst_sharedrate.cpp
@@ -158,15 +158,15 @@
       for (int Left = Arrivals(Random); Left > 0; --Left)
         if (Owner.admit(1, Now))
           Admitted.push_back(Now);
-  const auto admittedBetween = [&Admitted](BootTime From, BootTime Until) {
+  const auto AdmittedBetween = [&Admitted](BootTime From, BootTime Until) {
     return static_cast<std::size_t>(std::ranges::lower_bound(Admitted, Until) -
                                     std::ranges::lower_bound(Admitted, From));
   };
   std::size_t Most = 0;
   for (BootTime From = Start; From <= Start + 55s; From += 10ms)
-    Most = std::max(Most, admittedBetween(From, From + 5s));
+    Most = std::max(Most, AdmittedBetween(From, From + 5s));
   constexpr double Windows = 10;
-  CHECK(static_cast<double>(admittedBetween(Start + 5s, Start + 55s)) >=
+  CHECK(static_cast<double>(AdmittedBetween(Start + 5s, Start + 55s)) >=
         Windows * Limit);
   CHECK(Most <= maxAdmissions(Rate, Burst));
 }
