Take back the division of rates between the sides of a partition

What an owner had granted counted only in proportion to its part, and the part rose with the mean contact after a partition. The rule for owners that take over stays, which only lowers what they grant; owners are spread over all hosts.

--- a/src/libs/limits/contactfraction.cpp
+++ b/src/libs/limits/contactfraction.cpp
@@ -27,20 +27,4 @@
   return Lowest;
 }
 
-double ContactFraction::sustained(BootTime Now) const {
-  constexpr std::int64_t RecentSlots = 2;
-  const std::int64_t Newest = slotOf(Now);
-  double Recent = 1;
-  double Lost = 0; // Sum over the slots of the window.
-  for (const Slot &Each : this->Slots) {
-    const std::int64_t Age = Newest - Each.Number;
-    if (Each.Number < 0 || Age >= static_cast<std::int64_t>(SlotCount))
-      continue;
-    Lost += 1 - Each.Lowest;
-    if (Age < RecentSlots)
-      Recent = std::min(Recent, Each.Lowest);
-  }
-  return std::min(Recent, 1 - Lost / static_cast<double>(SlotCount));
-}
-
 } // namespace lavenderdale
--- a/src/libs/limits/contactfraction.h
+++ b/src/libs/limits/contactfraction.h
@@ -32,12 +32,6 @@
   /// none was.
   double lowest(BootTime Now) const;
 
-  /// Returns the fraction of a rate that an owner may grant at \p Now: at once
-  /// the lowest recent contact when it falls, and the mean of the window when
-  /// it has risen. Owners on the other side of a partition grant their fraction
-  /// evenly, so what they granted leaves the window in the same way.
-  double sustained(BootTime Now) const;
-
 private:
   static constexpr std::size_t SlotCount = 20;
   static constexpr std::chrono::milliseconds SlotLength{Window.count() /
--- a/src/libs/limits/ownedrate.cpp
+++ b/src/libs/limits/ownedrate.cpp
@@ -16,11 +16,11 @@
 // how much of the fleet is on this side.
 double OwnedRate::fraction(const FleetContact &Contact, BootTime Now) const {
   if (!this->isTakingOver(Contact.Lifetime, Now))
-    return Contact.Sustained;
+    return Contact.Lowest;
   const double Heard = static_cast<double>(Contact.HeardSince) /
                        static_cast<double>(std::max<std::size_t>(
                            {Contact.Hosts, Contact.HeardSince, 1}));
-  return std::min(Contact.Sustained, Heard);
+  return std::min(Contact.Lowest, Heard);
 }
 
 bool OwnedRate::admit(const FleetContact &Contact, BootTime Now) {
--- a/src/libs/limits/ownedrate.h
+++ b/src/libs/limits/ownedrate.h
@@ -11,9 +11,8 @@
 
 /// What a host knows about its contact to the other hosts.
 struct FleetContact {
-  /// Fraction of the rate that contact permits, see
-  /// ContactFraction::sustained().
-  double Sustained = 1;
+  /// Lowest fraction of the hosts in contact during the last window.
+  double Lowest = 1;
   /// Hosts that were heard since the count began, this one included; needed
   /// while OwnedRate::isTakingOver().
   std::size_t HeardSince = 1;
--- a/src/libs/limits/sharedrate.cpp
+++ b/src/libs/limits/sharedrate.cpp
@@ -33,11 +33,12 @@
   return this->Rate * Seconds(Window).count() + this->Burst;
 }
 
-/// Returns how many of \p Operations count under the limit \p LimitNow that
-/// were admitted under the limit \p LimitThen.
-double SharedRate::scaledTo(double LimitNow, double LimitThen,
-                            double Operations) {
-  return LimitThen > LimitNow ? Operations * LimitNow / LimitThen : Operations;
+/// Returns how many of \p Operations count now that were admitted under the
+/// limit \p LimitThen.
+double SharedRate::scaledTo(double LimitThen, double Operations) const {
+  return LimitThen > this->fullLimit()
+             ? Operations * this->fullLimit() / LimitThen
+             : Operations;
 }
 
 void SharedRate::setFraction(double NewFraction) {
@@ -76,17 +77,11 @@
 
 double SharedRate::sumOf(const Slots &Operations, BootTime Now) const {
   const SlotNumber Oldest = slotOf(Now) - static_cast<SlotNumber>(SlotCount);
-  double Sum = 0;       // Under the limit of all hosts.
-  double SumOfPart = 0; // Under the part of it that may be admitted here.
-  for (const Slot &Each : Operations) {
-    if (Each.Number <= Oldest)
-      continue;
-    Sum += scaledTo(this->fullLimit(), Each.Limit, Each.Admitted);
-    SumOfPart +=
-        scaledTo(this->limit(), Each.Limit * Each.Fraction, Each.Admitted);
-  }
-  return Sum >= this->fullLimit() * FullUseShare ? Sum
-                                                 : std::min(Sum, SumOfPart);
+  double Sum = 0;
+  for (const Slot &Each : Operations)
+    if (Each.Number > Oldest)
+      Sum += this->scaledTo(Each.Limit, Each.Admitted);
+  return Sum;
 }
 
 void SharedRate::addTo(Slots &Operations, double Count, BootTime Now) const {
@@ -94,11 +89,11 @@
   Slot &Current =
       Operations[static_cast<std::size_t>(Number) % Operations.size()];
   if (Current.Number != Number)
-    Current = {Number, 0, this->fullLimit(), this->Fraction};
+    Current = {Number, 0, this->fullLimit()};
   Current.Limit = std::max(Current.Limit, this->fullLimit());
   // If the limit was lowered in this slot, the whole slot is scaled to it, but
   // these operations were admitted under the present limit.
-  const double Scale = scaledTo(this->fullLimit(), Current.Limit, 1);
+  const double Scale = this->scaledTo(Current.Limit, 1);
   Current.Admitted += Scale > 0 ? Count / Scale : Count;
 }
 
@@ -146,10 +141,9 @@
   const double Fraction = this->demandFraction(Hosts, Now);
   const double Estimated = std::min(this->demand(Now) * Length,
                                     this->limit() * Fraction * MaxPriorUse);
-  const double Reported =
-      this->ReportedPriorUse >= this->fullLimit() * FullUseShare
-          ? std::max(this->ReportedPriorUse, this->limit())
-          : this->ReportedPriorUse * this->Fraction;
+  const double Reported = this->ReportedPriorUse >= this->limit() * FullUseShare
+                              ? std::max(this->ReportedPriorUse, this->limit())
+                              : this->ReportedPriorUse;
   const double Spent =
       std::max({0.0, Estimated - this->PriorUseTolerance * Fraction, Reported});
   return Age < HoldTime ? Spent : Spent * (Length - Age) / (Length - HoldTime);
@@ -170,7 +164,7 @@
       continue;
     }
     ++Counted;
-    Sum += scaledTo(this->fullLimit(), Each.Limit, Each.Last.Used);
+    Sum += this->scaledTo(Each.Limit, Each.Last.Used);
   }
   // A silent host that belongs to the fleet may admit an equal share now. What
   // it admitted before counts in any case, also if it has left.
--- a/src/libs/limits/sharedrate.h
+++ b/src/libs/limits/sharedrate.h
@@ -69,10 +69,7 @@
   /// \param Burst operations over all hosts in addition to the rate.
   void setLimits(double Rate, double Burst);
 
-  /// Sets the fraction of the limits that may be admitted here. When it falls,
-  /// the operations already admitted count in proportion, unless they were
-  /// nearly the whole limit: they were those of all callers, and the other part
-  /// of the fleet counts its part of them too.
+  /// Sets the fraction of the limits that may be admitted here.
   /// \param Fraction 0 to 1; 1 for all.
   void setFraction(double Fraction);
 
@@ -85,9 +82,8 @@
 
   /// Sets the operations that an owner before this one admitted in the window
   /// before the start, as far as it reported them. They count as prior use in
-  /// proportion to the fraction, even if the demand here is lower. If nearly
-  /// the whole limit was used, they count in full: that owner may still serve
-  /// others at that pace, and several hosts may take its place.
+  /// full, even if the demand here is lower: that owner may still serve others,
+  /// and several hosts may take its place.
   void setReportedPriorUse(double Operations) {
     this->ReportedPriorUse = Operations;
   }
@@ -132,8 +128,7 @@
   struct Slot {
     SlotNumber Number = -1;
     double Admitted = 0;
-    double Limit = 0;    ///< Of all hosts, when they were admitted.
-    double Fraction = 1; ///< Of the limit, when the first was admitted.
+    double Limit = 0; ///< Of all hosts, when they were admitted.
   };
   using Slots = std::array<Slot, SlotCount>;
   struct Peer {
@@ -147,7 +142,7 @@
 
   static SlotNumber slotOf(BootTime Time);
   double fullLimit() const;
-  static double scaledTo(double LimitNow, double LimitThen, double Operations);
+  double scaledTo(double LimitThen, double Operations) const;
   double sumOf(const Slots &Operations, BootTime Now) const;
   void addTo(Slots &Operations, double Count, BootTime Now) const;
   double usedByPeers(std::size_t Hosts, BootTime Now) const;
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -332,7 +332,7 @@
   const auto InContact = static_cast<double>(this->Fleet.assumedInContact(Now));
   const auto Known = static_cast<double>(this->Fleet.size(Now));
   this->Contact.record(std::min(1.0, InContact / std::max(Known, 1.0)), Now);
-  return this->Contact.sustained(Now);
+  return this->Contact.lowest(Now);
 }
 
 // Hosts without contact may be in another network partition with an owner of
