--- a/src/libs/distribution/watcherchoice.h
+++ b/src/libs/distribution/watcherchoice.h
@@ -41,8 +41,8 @@
   std::chrono::milliseconds FallbackSpread{4};
   /// The same for the registration of a host at its start, and the list of all
   /// hosts after it. It keeps 300 hosts under 120 writes and 600 reads a
-  /// second. Also used for the first lists of the followed collections if no
-  /// watcher answers.
+  /// second. Also used for lists of the followed collections after a failed
+  /// first one, if no watcher answers.
   std::chrono::milliseconds StartSpread{20};
   /// The same for the first list of claims. Shorter, because a claim is
   /// respected from the time at which it was first read.
