--- a/review/common-2/casefleet.py
+++ b/review/common-2/casefleet.py
@@ -135,10 +135,14 @@
         self.configure(first_configuration or configuration(1))
         self.hosts = [Host(f"host-{n}", self.store.port, directory, zone, memory_mb)
                       for n, zone in enumerate(host_zones)]
-        for each in self.hosts:
-            each.start()
-        for each in self.hosts:
-            wait_until(f"{each.name} is ready", each.ready, 20)
+        try:
+            for each in self.hosts:
+                each.start()
+            for each in self.hosts:
+                wait_until(f"{each.name} is ready", each.ready, 20)
+        except BaseException:
+            self.close()
+            raise
 
     def configure(self, spec):
         self.loop.call(self.store.put, "config", "main", spec)
