Keep in the store which replicas of a group may have commits alone

Cause: DepartedReplicas was known to running processes only. A host that started took the one replica in the list for all there were. The opposite happened too: a host that started after the entry of a failed primary had lapsed took that primary for a departed replica and promoted nobody, though a complete replica was there.

Change: MemberRecord, an object for each group with synchronous replicas: member processes, departed replicas that are not accounted for, the last proved primary, and the position that covers the others. The first hosts of the promotion order write it when a member comes or goes; hosts read it at their start and before a promotion. A starting host asks the primary for a proof while a departed replica is unaccounted for, and reports itself ready once it has one, 2 s after its start at the latest.

Refusing promotions for a time after a start: a primary that fails for good would not be replaced.

Related paths that were looked at, sessionproxy: setMembers and entries of another process, entries that lapse in an outage of the store (UpstreamDirectory), knowsGuarantee and readiness, probes of groups without statements, probeLastPrimary at a host that never had a proof (it probed nothing), evacuated domains, records changed by other writers. server: GroupStatus keeps term, lineage and replaced members on the platform and PrimaryReplacement takes the members from the catalogue; a restart loses nothing there.

Process tests of sessions, replicas and evacuation pass. Without synchronous replicas no call to the store is added.

--- a/src/libs/consistency/position.h
+++ b/src/libs/consistency/position.h
@@ -4,6 +4,7 @@
 #include "term.h"
 
 #include <compare>
+#include <string>
 
 namespace lavenderdale {
 
@@ -22,4 +23,9 @@
   }
 };
 
+/// \returns \p At as TERM.NUMBER, both decimal.
+inline std::string toString(const Position &At) {
+  return std::to_string(At.InTerm.Value) + "." + std::to_string(At.Log.Value);
+}
+
 } // namespace lavenderdale
--- a/src/libs/failover/departedreplicas.h
+++ b/src/libs/failover/departedreplicas.h
@@ -3,14 +3,38 @@
 #include "base/boottime.h"
 #include "consistency/verifiedpositions.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace lavenderdale {
 
+/// One process of a member. A later one may have lost the log of the one
+/// before.
+struct MemberProcess {
+  std::string Id;
+  std::uint64_t StartedAt = 0; ///< Unix time in milliseconds.
+
+  auto operator<=>(const MemberProcess &) const = default;
+};
+
+/// What must be known about the members of a group after a restart of all
+/// hosts. Kept in the object store.
+struct MemberRecord {
+  /// The members, and the departed replicas that may have received acknowledged
+  /// commits which no other member has.
+  std::set<MemberProcess> Processes;
+  std::string Primary; ///< The member that proved last to be the primary.
+  /// Position that includes the commits of all other departed replicas.
+  std::optional<Position> Required;
+
+  bool operator==(const MemberRecord &) const = default;
+};
+
 /// Replicas of a group that are gone, and the commits that they may have been
 /// the only ones to receive.
 ///
@@ -19,15 +43,19 @@
 /// includes all commits that the replica can have received alone.
 class DepartedReplicas {
 public:
-  /// Replica \p Id is a member.
-  /// \param StartedAt identifies its process. Another process may have lost the
-  ///        log of the one before.
+  /// Process \p StartedAt of replica \p Id is a member.
   void present(const std::string &Id, std::uint64_t StartedAt, BootTime Now);
   /// Replica \p Id is no member any more. Ignored if it was none.
   void gone(const std::string &Id, BootTime Now);
 
   /// Member \p Id is the primary, so its departure leaves nothing behind.
-  void forget(const std::string &Id) { this->Present.erase(Id); }
+  void leads(const std::string &Id) { this->Primary = Id; }
+
+  /// Adds what the store keeps. A process that was there before and is not any
+  /// more was accounted for by another host.
+  void restore(const MemberRecord &Stored, BootTime Now);
+  /// What the store has to keep.
+  MemberRecord record() const;
 
   /// Uses the positions that the primary proved since replicas went.
   void update(const VerifiedPositions &Proved);
@@ -39,15 +67,10 @@
   std::optional<Position> required() const { return this->Required; }
 
 private:
-  struct Process {
-    std::string Id;
-    std::uint64_t StartedAt = 0;
-
-    auto operator<=>(const Process &) const = default;
-  };
-
   std::map<std::string, std::uint64_t> Present; ///< Start time by id.
-  std::map<Process, BootTime> Gone;             ///< When they were missed.
+  std::map<MemberProcess, BootTime> Gone;       ///< When they were missed.
+  std::set<MemberProcess> Stored;               ///< As restored last.
+  std::string Primary;
   std::optional<Position> Required;
 };
 
--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -22,6 +22,9 @@
   Promotions, ///< Claims of the right to promote, one object for each group.
   /// Orders of operators, one object for each evacuated failure domain.
   Evacuations,
+  /// Members of groups with synchronous replicas, one object for each group;
+  /// see MemberRecord.
+  Members,
 };
 
 /// An object of the store, or a change to one.
--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -31,9 +31,10 @@
 PromotionCoordinator::PromotionCoordinator(asio::any_io_executor Executor,
                                            ObjectStore &Store,
                                            PromotionAuthority &Authority,
-                                           ProxyState &State)
+                                           ProxyState &State,
+                                           MemberRecords &Members)
     : Executor(std::move(Executor)), Store(Store), Authority(Authority),
-      State(State), Random(std::random_device{}()) {}
+      State(State), Members(Members), Random(std::random_device{}()) {}
 
 void PromotionCoordinator::start() {
   asio::co_spawn(this->Executor, this->run(), asio::detached);
@@ -92,6 +93,8 @@
   else if (!Progress.LeavingSince)
     Progress.LeavingSince = Now;
   const std::optional<TimePoint> Since = Group.suspectedSince();
+  if (!Since)
+    Progress.PutOff = false;
   if (!Leaving && !Since)
     return false;
   const std::size_t Rank = this->State.access().promotionRank(Group.name());
@@ -124,10 +127,11 @@
   GroupState &Progress = this->GroupStates[Name];
   Progress.NotBefore = steadyNow() + AttemptPause;
   const Result<std::string> Member =
-      co_await this->chooseMember(*Group, Progress);
+      co_await this->chooseMember(Group, Progress);
   if (!Member) {
     logInfo("event=promotion_no_candidate group=" + Name + " reason=\"" +
             Member.error().Detail + "\"");
+    Progress.PutOff = true;
     Progress.Active = false;
     co_return;
   }
@@ -136,8 +140,8 @@
   const BootTime ClaimedAt = BootClock::now();
   // A host that had contact to most of the fleet all the time was not cut off,
   // so its suspicion does not date from before the end of a cut.
-  const bool MayBeStale =
-      !Group->suspectedSince() || this->State.lowestContact() < MajorityContact;
+  const bool MayBeStale = !Group->suspectedSince() || Progress.PutOff ||
+                          this->State.lowestContact() < MajorityContact;
   if (Token && MayBeStale)
     co_await Group->probeLastPrimary(steadyNow() + ConfirmationTime);
   // Since the check, other hosts may have acted or the primary may have
@@ -216,26 +220,34 @@
 }
 
 PromotionCoordinator::Task<Result<std::string>>
-PromotionCoordinator::chooseMember(ProxyGroup &Group, GroupState &Progress) {
-  const CommitGuarantee Before = Group.commitGuarantee();
-  const auto Answers = co_await Group.queryStatus(
+PromotionCoordinator::chooseMember(std::shared_ptr<ProxyGroup> Group,
+                                   GroupState &Progress) {
+  if (Group->synchronousReplicas() > 0) {
+    const Result<void> Refreshed = co_await this->Members.refresh(Group);
+    if (!Refreshed)
+      co_return failure(ErrorKind::PlatformUnavailable,
+                        "the record of departed replicas cannot be read: " +
+                            Refreshed.error().Detail);
+  }
+  const CommitGuarantee Before = Group->commitGuarantee();
+  const auto Answers = co_await Group->queryStatus(
       steadyNow() +
       (Before.SynchronousReplicas > 0 ? CompleteStatusTimeout : StatusTimeout));
   const TimePoint Now = steadyNow();
-  const std::optional<std::string> Primary = Group.tracker().lastPrimary();
+  const std::optional<std::string> Primary = Group->tracker().lastPrimary();
   std::vector<PromotionCandidate> Candidates;
   for (const auto &[Id, Status] : Answers) {
     const auto Refused = Progress.RefusedAt.find(Id);
     const bool WasRefused = Refused != Progress.RefusedAt.end() &&
                             Now - Refused->second < RefusedMemberPause;
-    const bool Leaving = Group.tracker().isLeaving(Id);
-    logInfo("event=promotion_candidate group=" + Group.name() + " upstream=" +
+    const bool Leaving = Group->tracker().isLeaving(Id);
+    logInfo("event=promotion_candidate group=" + Group->name() + " upstream=" +
             Id + " term=" + std::to_string(Status.Received.InTerm.Value) +
             " position=" + std::to_string(Status.Received.Log.Value) +
             (Leaving ? " leaving=true" : "") +
             (Status.Primary ? " role=primary" : " role=replica"));
     if (Status.Primary)
-      Group.tracker().recordStatus(Id, Status.InTerm, Now);
+      Group->tracker().recordStatus(Id, Status.InTerm, Now);
     if (Progress.LeavingSince && Id == Primary)
       continue;
     // When a leaving primary is replaced, it stays primary if all other members
@@ -245,7 +257,7 @@
         {Id, Status.Received, Leaving, Status.Primary, Eligible});
   }
   if (Before.SynchronousReplicas > 0)
-    co_return this->chooseComplete(Group, Candidates, Before);
+    co_return this->chooseComplete(*Group, Candidates, Before);
   std::erase_if(Candidates,
                 [](const PromotionCandidate &Each) { return !Each.Eligible; });
   const std::optional<std::string> Best = choosePromotionCandidate(Candidates);
@@ -253,7 +265,7 @@
     co_return failure(ErrorKind::Unavailable,
                       Candidates.empty() ? "no member answered"
                                          : "a member already is the primary");
-  const std::optional<Position> Newest = Group.verified().newestPosition();
+  const std::optional<Position> Newest = Group->verified().newestPosition();
   for (const PromotionCandidate &Each : Candidates)
     if (Each.Id == *Best && Progress.LeavingSince && Newest &&
         Each.Received < *Newest &&
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "failover/promotionvote.h"
+#include "memberrecords.h"
 #include "objectstore.h"
 #include "proxystate.h"
 
@@ -64,7 +65,7 @@
 
   PromotionCoordinator(boost::asio::any_io_executor Executor,
                        ObjectStore &Store, PromotionAuthority &Authority,
-                       ProxyState &State);
+                       ProxyState &State, MemberRecords &Members);
 
   void start();
   void stop() { this->Stopped = true; }
@@ -79,6 +80,9 @@
     ClaimTracker Claim;
     std::map<std::string, TimePoint> RefusedAt; ///< By member.
     std::optional<TimePoint> LeavingSince;
+    /// No member could be promoted since the suspicion began. One that lacked
+    /// commits may have got them from the primary, which is back then.
+    bool PutOff = false;
   };
 
   Task<void> run();
@@ -86,7 +90,7 @@
   Task<void> attemptPromotion(std::shared_ptr<ProxyGroup> Group);
   Task<Result<std::uint64_t>> acquireClaim(const std::string &Group,
                                            GroupState &Progress);
-  Task<Result<std::string>> chooseMember(ProxyGroup &Group,
+  Task<Result<std::string>> chooseMember(std::shared_ptr<ProxyGroup> Group,
                                          GroupState &Progress);
   Result<std::string>
   chooseComplete(ProxyGroup &Group,
@@ -99,6 +103,7 @@
   ObjectStore &Store;
   PromotionAuthority &Authority;
   ProxyState &State;
+  MemberRecords &Members;
   std::mt19937_64 Random;
   std::map<std::string, GroupState> GroupStates;
   bool Stopped = false;
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -42,7 +42,7 @@
   const BootTime Now = BootClock::now();
   // A primary has no acknowledged commits that its synchronous replicas lack.
   if (const std::optional<std::string> Primary = this->Tracker.lastPrimary())
-    this->Departed.forget(*Primary);
+    this->Departed.leads(*Primary);
   std::set<std::string> Present;
   std::vector<PrimaryTracker::Member> Members;
   for (const UpstreamEntry &Each : Entries) {
@@ -219,6 +219,9 @@
   if (this->TroubleAt && *this->TroubleAt <= ProvenAt)
     this->TroubleAt.reset();
   this->Verified.add(Sent, At);
+  if (const std::optional<std::string> Primary = this->Tracker.lastPrimary())
+    this->Departed.leads(*Primary);
+  this->Departed.update(this->Verified);
   this->updateSuspicion(Now);
 }
 
@@ -290,6 +293,11 @@
 }
 
 bool ProxyGroup::isProbeDue(TimePoint Now) {
+  // A proof shows which commits the promoted member needs, should the primary
+  // fail next.
+  if (this->SynchronousReplicas > 0 && this->Departed.unaccounted() > 0 &&
+      !this->isEvacuated())
+    return Now - this->LastProbeAt >= ProofInterval;
   if (!this->inUse(Now))
     return false;
   // The primary may have been replaced without this host hearing of it.
@@ -366,7 +374,7 @@
     co_return Idle;
   WaitHandle Wait;
   PoolWaiter Waiter;
-  Waiter.Workspace = this->LastWorkspace;
+  Waiter.Workspace = this->probeWorkspace();
   Waiter.Target = steadyNow();
   Waiter.GiveUpAt = Limit;
   Waiter.TakesSlot = false;
@@ -384,7 +392,7 @@
   Work.Deadline = steadyNow() + (Remote ? RelayedProbeTimeout : ProbeTimeout);
   Work.MaxProofAge = MaxProofAge;
   PoolWaiter Waiter;
-  Waiter.Workspace = this->LastWorkspace;
+  Waiter.Workspace = this->probeWorkspace();
   Waiter.Target = steadyNow();
   Waiter.GiveUpAt = Work.Deadline;
   WaitHandle Wait;
@@ -436,7 +444,10 @@
 
 asio::awaitable<void> ProxyGroup::probeLastPrimary(TimePoint Deadline) {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
-  const std::optional<std::string> Last = this->Tracker.lastPrimary();
+  // A host that has started may know the primary only from its entry.
+  const std::optional<std::string> Last =
+      this->Tracker.lastPrimary() ? this->Tracker.lastPrimary()
+                                  : this->Tracker.primary(steadyNow());
   const auto Found = Last ? this->Clients.find(*Last) : this->Clients.end();
   if (Found == this->Clients.end() || Found->second->isEvacuated())
     co_return;
@@ -493,7 +504,6 @@
 
 CommitGuarantee ProxyGroup::commitGuarantee() {
   const std::optional<std::string> Primary = this->Tracker.lastPrimary();
-  this->Departed.update(this->Verified);
   CommitGuarantee Guarantee;
   Guarantee.SynchronousReplicas = this->SynchronousReplicas;
   Guarantee.Required = this->Departed.required();
@@ -504,6 +514,12 @@
   return Guarantee;
 }
 
+void ProxyGroup::restoreMembers(const MemberRecord &Stored) {
+  this->Departed.restore(Stored, BootClock::now());
+  this->Departed.update(this->Verified);
+  this->MembersRestored = true;
+}
+
 asio::awaitable<std::optional<UpstreamStatus>>
 ProxyGroup::queryMember(std::shared_ptr<UpstreamClient> Client,
                         TimePoint Deadline) {
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -71,6 +71,11 @@
   void setSynchronousReplicas(std::size_t Count) {
     this->SynchronousReplicas = Count;
   }
+  std::size_t synchronousReplicas() const { return this->SynchronousReplicas; }
+  /// \param Workspace connects probes before a statement has used the group.
+  void setProbeWorkspace(const std::string &Workspace) {
+    this->ProbeWorkspace = Workspace;
+  }
 
   /// Records that a statement of \p Workspace uses the group.
   void recordUse(const std::string &Workspace, TimePoint Now);
@@ -164,6 +169,17 @@
   /// Returns what a member must have received to be promoted.
   CommitGuarantee commitGuarantee();
 
+  /// Adds what the store keeps about the members of the group.
+  void restoreMembers(const MemberRecord &Stored);
+  /// Returns what the store has to keep about them.
+  MemberRecord memberRecord() const { return this->Departed.record(); }
+  /// Whether it is known which commits a promoted member must have, so that a
+  /// primary that fails now can be replaced.
+  bool knowsGuarantee() const {
+    return this->SynchronousReplicas == 0 ||
+           (this->MembersRestored && this->Departed.unaccounted() == 0);
+  }
+
   const std::string &name() const { return this->Name; }
   const std::map<std::string, std::shared_ptr<UpstreamClient>> &gates() const {
     return this->Clients;
@@ -182,6 +198,10 @@
   bool knownBehind(const UpstreamClient &Client, const Position &After,
                    TimePoint Now) const;
   bool isEvacuated(const std::string &Id) const;
+  const std::string &probeWorkspace() const {
+    return this->LastWorkspace.empty() ? this->ProbeWorkspace
+                                       : this->LastWorkspace;
+  }
   std::optional<std::string> probeTarget(TimePoint Now);
   bool isProbeDue(TimePoint Now);
   boost::asio::awaitable<void> probe(std::chrono::milliseconds MaxProofAge);
@@ -205,7 +225,9 @@
   PrimaryTracker Tracker;
   VerifiedPositions Verified;
   DepartedReplicas Departed;
+  bool MembersRestored = false;
   std::string LastWorkspace;
+  std::string ProbeWorkspace;
   TimePoint LastUse{};
   std::optional<TimePoint> SuspectedSince;
   /// When a statement last failed to reach the primary; unset once it proved
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -170,6 +170,8 @@
     if (Found != this->Catalogue->Groups.end()) {
       Group->setConnectionLimit(Found->second.ConnectionLimit);
       Group->setSynchronousReplicas(Found->second.SynchronousReplicas);
+      if (!this->Catalogue->Workspaces.empty())
+        Group->setProbeWorkspace(this->Catalogue->Workspaces.begin()->first);
       if (this->Access.evacuations().enabled())
         Group->setColdRate(Found->second.ColdPerSecond, this->ColdUpstreams);
     }
@@ -241,7 +243,12 @@
 }
 
 bool ProxyState::canServe() const {
-  return this->Catalogue && this->Directory.size() > 0;
+  if (!this->Catalogue || this->Directory.size() == 0)
+    return false;
+  return BootClock::now() - this->StartedAt >= GuaranteeWait ||
+         std::ranges::all_of(this->Groups, [](const auto &Each) {
+           return Each.second->knowsGuarantee();
+         });
 }
 
 bool ProxyState::confirmed(TimePoint Now) const {
--- a/src/libs/sessionproxy/proxystate.h
+++ b/src/libs/sessionproxy/proxystate.h
@@ -56,6 +56,9 @@
   /// rate answers. An owner may still grant the whole limit to other hosts, and
   /// the total may exceed the limit by at most a tenth.
   static constexpr double ShareWithoutOwner = 0.1;
+  /// A starting host waits this long at most to learn which commits promoted
+  /// members must have. Should a primary fail before, it cannot be replaced.
+  static constexpr std::chrono::milliseconds GuaranteeWait{2000};
   /// Part of the tolerance of a rate that a starting host uses when it
   /// estimates what its previous process admitted. The rest is for operations
   /// that hosts admit without an owner, and for those that reach a database
--- a/src/libs/sessionproxy/sessionproxy.cpp
+++ b/src/libs/sessionproxy/sessionproxy.cpp
@@ -79,8 +79,11 @@
           this->Executor, this->State, Dependencies.Records,
           this->Settings.Reports, this->Settings.Internal, CataloguePath)),
       Relays(std::make_shared<RelayServer>(this->Executor, this->State)),
+      Members(std::make_shared<MemberRecords>(this->Executor, this->Store,
+                                              this->State)),
       Promotions(std::make_shared<PromotionCoordinator>(
-          this->Executor, this->Store, Dependencies.Authority, this->State)),
+          this->Executor, this->Store, Dependencies.Authority, this->State,
+          *this->Members)),
       ReadinessServer(Workers, shortRequestLimits(),
                       [this](HttpRequest Request) {
                         return this->answerReadiness(std::move(Request));
@@ -96,6 +99,7 @@
   BOOST_OUTCOME_TRY(this->Fleet->start());
   BOOST_OUTCOME_TRY(this->Server->listen(this->Settings.Callers));
   this->Follower->start();
+  this->Members->start();
   this->Promotions->start();
   asio::co_spawn(this->Executor, this->supervise(), asio::detached);
   logInfo("event=started callers=" + toString(this->Settings.Callers) +
@@ -117,6 +121,7 @@
   logInfo("event=stopping sessions=" +
           std::to_string(this->Server->sessions()));
   this->Promotions->stop();
+  this->Members->stop();
   this->Follower->stop();
   this->Store.stop();
   this->Fleet->leave();
--- a/src/libs/sessionproxy/sessionproxy.h
+++ b/src/libs/sessionproxy/sessionproxy.h
@@ -2,6 +2,7 @@
 
 #include "failover/domainisolation.h"
 #include "http/httpserver.h"
+#include "memberrecords.h"
 #include "objectstore.h"
 #include "promotioncoordinator.h"
 #include "proxystate.h"
@@ -87,6 +88,7 @@
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<ReportExchange> Fleet;
   std::shared_ptr<RelayServer> Relays;
+  std::shared_ptr<MemberRecords> Members;
   std::shared_ptr<PromotionCoordinator> Promotions;
   HttpServer ReadinessServer;
   HttpServer InternalServer;
--- a/tests/auto/failover/tst_promotionvote.cpp
+++ b/tests/auto/failover/tst_promotionvote.cpp
@@ -168,8 +168,62 @@
     CHECK(Departed.unaccounted() == 2);
   }
   SECTION("a primary leaves nothing behind") {
-    Departed.forget("b");
+    Departed.leads("b");
     Departed.gone("b", Now);
     CHECK(Departed.unaccounted() == 1);
   }
 }
+
+// Guards against the promotion of a replica without acknowledged commits by a
+// host that started after the replica that had received them was lost.
+TEST_CASE("a host that starts knows the replicas that are gone from the record",
+          "[fencing]") {
+  BootTime Now = BootTime{} + 1h;
+  DepartedReplicas Before;
+  for (const char *Id : {"p", "a", "b"})
+    Before.present(Id, 1, Now);
+  Before.leads("p");
+  const MemberRecord Record = Before.record();
+  CHECK(Record == MemberRecord{{{"p", 1}, {"a", 1}, {"b", 1}}, "p", {}});
+  VerifiedPositions Proved;
+  DepartedReplicas Departed;
+
+  SECTION("whether the upstreams are listed before or after the record") {
+    const bool ListedFirst = GENERATE(true, false);
+    if (!ListedFirst)
+      Departed.restore(Record, Now);
+    Departed.present("p", 1, Now);
+    Departed.present("b", 1, Now);
+    if (ListedFirst)
+      Departed.restore(Record, Now);
+    CHECK(Departed.unaccounted() == 1);
+    CHECK(Departed.record() == Record);
+    Proved.add(Now + 1s, at(3, 80));
+    Departed.update(Proved);
+    CHECK(Departed.unaccounted() == 0);
+    CHECK(Departed.record() ==
+          MemberRecord{{{"p", 1}, {"b", 1}}, "p", at(3, 80)});
+  }
+  SECTION("a primary that is gone leaves nothing behind") {
+    Departed.present("a", 1, Now);
+    Departed.present("b", 1, Now);
+    Departed.restore(Record, Now);
+    CHECK(Departed.unaccounted() == 0);
+  }
+  SECTION("a replica that started again may have lost its log") {
+    Departed.restore(Record, Now);
+    for (const char *Id : {"p", "a", "b"})
+      Departed.present(Id, *Id == 'a' ? 2 : 1, Now);
+    CHECK(Departed.unaccounted() == 1);
+  }
+  SECTION("another host may have accounted for it") {
+    Departed.restore(Record, Now);
+    Departed.present("p", 1, Now);
+    Departed.present("b", 1, Now);
+    Departed.restore({{{"p", 1}, {"b", 1}}, "p", at(3, 70)}, Now);
+    CHECK(Departed.unaccounted() == 0);
+    CHECK(Departed.required() == at(3, 70));
+    Departed.restore({{{"p", 1}, {"b", 1}}, "p", at(3, 60)}, Now);
+    CHECK(Departed.required() == at(3, 70));
+  }
+}
--- a/tests/process/sessionfleet.py
+++ b/tests/process/sessionfleet.py
@@ -79,14 +79,21 @@
 address = "127.0.0.1:{store_port}"
 {more_settings}""")
         self.reports, self.internal = first, second
+        self.settings = settings
         self.log = open(Path(directory) / f"{name}.log", "wb+")
-        self.process = subprocess.Popen([program("platform/lavenderdaled-platform"), "-s", str(settings)],
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen([program("platform/lavenderdaled-platform"), "-s", str(self.settings)],
                                         stdout=self.log, stderr=subprocess.STDOUT)
 
-    def close(self):
+    def kill(self):
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait(PATIENCE_S)
+
+    def close(self):
+        self.kill()
         self.log.close()
 
     def check_runs(self):
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -214,6 +214,9 @@
         self.hold = 0.0
         self.status_delay = 0.0
         self.zone = zone
+        self.synchronous = 0  # Replicas that have a commit before it is acknowledged.
+        self.deaf = False  # Receives nothing.
+        self.promote_s = 0.0  # From the accepted order to the lead.
         self.cold_ms = 0
         self.runs = []
         self.received = []  # (time, line) of all connections.
@@ -245,10 +248,18 @@
     def lead(self):
         if self.primary:
             return
+        if self.promote_s:
+            asyncio.get_running_loop().call_later(self.promote_s, self.take_over)
+        else:
+            self.take_over()
+
+    def take_over(self):
         term = 1 + max(each.term for each in self.members())
         for each in self.members():
             each.primary = each is self
             each.term = term
+            if self.promote_s and each is not self:
+                each.log = list(self.log)  # What it has more is rolled back.
             if each.running:
                 each.announce()
 
@@ -259,6 +270,12 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
+    async def come_back(self):
+        """Listens again at its port, with its log."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=MAX_MESSAGE_BYTES)
+        self.running = True
+        self.announce()
+
     def includes(self, after):
         wanted = tuple(map(int, after.split(".")))
         return wanted[1] == 0 or any((term, number) >= wanted for term, number, _, _ in self.log)
@@ -268,7 +285,19 @@
         self.log.append(entry)
         for each in self.members():
             if each is not self and each.running:
-                asyncio.get_running_loop().call_later(each.lag, each.log.append, entry)
+                asyncio.get_running_loop().call_later(each.lag, each.receive, entry)
+        return entry
+
+    def receive(self, entry):
+        if not self.deaf:
+            self.log.append(entry)
+
+    async def secured(self, entry):
+        """Waits until enough replicas have an entry. Returns whether this is still the primary then."""
+        while self.primary and self.running and self.synchronous > sum(
+                entry in each.log for each in self.members() if each is not self and each.running):
+            await asyncio.sleep(0.001)
+        return self.primary and self.running
 
     def read(self, item):
         return [data for _, _, key, data in self.log if key == item][-1:]
@@ -339,6 +368,11 @@
         self._send(*[f"ROW {row}" for row in rows], f"COMPLETE {self.database.name}.{statement}")
         self._ready()
 
+    async def _commit(self, item, data):
+        if not await self.database.secured(self.database.append(item, data)):
+            self.writer.transport.abort()  # The lead was lost: no answer.
+            raise ConnectionError
+
     async def _query(self, statement, text):
         database = self.database
         word, _, rest = text.partition(" ")
@@ -372,7 +406,7 @@
         elif word in ("COMMIT", "ROLLBACK"):
             if word == "COMMIT":
                 for item, data in self.pending:
-                    database.append(item, data)
+                    await self._commit(item, data)
             self.state, self.number, self.pending = "I", 0, []
         elif word == "READ":
             rows = [data for item, data in self.pending if item == rest][-1:] or database.read(rest)
@@ -381,7 +415,7 @@
             if self.state == "T":
                 self.pending.append((item, data))
             else:
-                database.append(item, data)
+                await self._commit(item, data)
         elif word == "SET":
             name, _, value = rest.partition(" ")
             self.values[name] = value
--- /dev/null
+++ b/tests/process/test_replicas.py
@@ -0,0 +1,135 @@
+"""Which replica is promoted, and what callers were told before, in groups with and without synchronous replicas."""
+import contextlib
+import threading
+import time
+import unittest
+
+from cluster import wait_until
+from sessionfleet import Caller, SessionFleet
+
+
+class Writers:
+    """Callers that write one item after the other, until they are stopped."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.stopped = threading.Event()
+        self.acknowledged = []  # (time, data)
+        self.threads = [threading.Thread(target=self._run, args=(n, host)) for n, host in enumerate(fleet.hosts)]
+        for each in self.threads:
+            each.start()
+
+    def _run(self, number, host):
+        written = 0
+        while not self.stopped.is_set():
+            with contextlib.suppress(OSError):
+                caller = Caller(host.front, "desk", "k-clerks")
+                while not self.stopped.wait(0.02):
+                    written += 1
+                    lines = caller.query(f"WRITE item d{number}-{written}")
+                    if not lines[-1]:
+                        break
+                    if lines[0].startswith("COMPLETE"):
+                        self.acknowledged.append((time.monotonic(), f"d{number}-{written}"))
+                caller.close()
+            self.stopped.wait(0.05)
+
+    def wait_for_more(self, count):
+        target = len(self.acknowledged) + count
+        wait_until(f"{count} writes are acknowledged", lambda: len(self.acknowledged) >= target)
+
+    def stop(self):
+        self.stopped.set()
+        for each in self.threads:
+            each.join(20)
+
+
+class ReplicasTest(unittest.TestCase):
+    def start(self, synchronous):
+        self.fleet = SessionFleet(hosts=2)
+        self.addCleanup(self.fleet.close)
+        self.fleet.configure(2, synchronous=synchronous)
+        for database in self.fleet.databases:
+            database.synchronous, database.promote_s = synchronous, 1.0
+        for host in self.fleet.hosts:
+            wait_until("the guarantee is known", lambda: "version=2" in host.text())
+        self.writers = Writers(self.fleet)
+        self.addCleanup(self.writers.stop)
+        self.writers.wait_for_more(20)
+
+    def set(self, database, name, value):
+        self.fleet.loop.call(setattr, database, name, value)
+
+    def lose(self, database):
+        self.fleet.loop.call(database.crash)
+        self.fleet.loop.call(self.fleet.store.remove, "servers", database.name)
+
+    def restart_hosts(self):
+        for host in self.fleet.hosts:
+            host.kill()
+        self.before = [len(host.text()) for host in self.fleet.hosts]
+        for host in self.fleet.hosts:
+            host.start()
+        for host in self.fleet.hosts:
+            wait_until(f"{host.name} is ready", lambda: self.answers(host))
+
+    def answers(self, host):
+        with contextlib.suppress(OSError):
+            return self.fleet.ready(host)
+        return False
+
+    def new_text(self):
+        return "".join(host.text()[length:] for host, length in zip(self.fleet.hosts, self.before))
+
+    def assert_nothing_lost(self, leader, until=None):
+        kept = {data for _, _, _, data in list(leader.log)}
+        lost = [data for at, data in list(self.writers.acknowledged) if data not in kept and (not until or at < until)]
+        self.assertEqual([], lost)
+
+    def test_hosts_that_start_remember_a_lost_replica(self):
+        """Guards against the promotion of a replica without acknowledged commits by hosts that started after the
+        replica that had received them was lost."""
+        self.start(synchronous=1)
+        primary, deaf, gone = self.fleet.databases
+        self.set(deaf, "deaf", True)
+        self.writers.wait_for_more(20)
+        self.lose(gone)
+        self.restart_hosts()
+        self.fleet.loop.call(primary.crash)
+        wait_until("promotions are put off", lambda: self.fleet.store.promotions
+                   or self.new_text().count("event=promotion_no_candidate") >= 4)
+        self.assertEqual([], self.fleet.store.promotions)
+        self.set(deaf, "deaf", False)
+        self.set(deaf, "log", list(primary.log))
+        self.fleet.loop.run(primary.come_back())
+        self.writers.wait_for_more(20)
+        self.assertEqual([], self.fleet.store.promotions, "the primary is back")
+        self.assert_nothing_lost(primary)
+
+    def test_hosts_that_start_promote_a_complete_replica(self):
+        """Guards against a group that has no primary after a restart of all hosts, although the replica that is left
+        has all acknowledged commits."""
+        self.start(synchronous=1)
+        primary, complete, gone = self.fleet.databases
+        self.lose(gone)
+        self.restart_hosts()
+        self.lose(primary)
+        self.set(complete, "synchronous", 0)  # No replica is left.
+        self.writers.wait_for_more(20)
+        self.assertTrue(complete.primary)
+        self.assert_nothing_lost(complete)
+
+    def test_hosts_that_start_after_the_loss_of_the_primary_replace_it(self):
+        """Guards against a primary that is taken for a departed replica by hosts that never saw it."""
+        self.start(synchronous=1)
+        primary = self.fleet.databases[0]
+        for host in self.fleet.hosts:
+            host.kill()
+        self.lose(primary)
+        self.restart_hosts()
+        self.writers.wait_for_more(20)
+        self.assert_nothing_lost(next(each for each in self.fleet.databases if each.primary))
+
+
+if __name__ == "__main__":
+    unittest.main()
