Demote a leaving primary before its successor is ordered to lead

Cause, one for both: that the successor has all acknowledged commits was checked before the order, which takes effect up to a second later; nothing kept the old primary from acknowledging until then. Besides, a host that was cut off from a leaving primary replaced it without regard to the hosts that reached it.

Change: under the claim, the promoting host demotes the leaving primary and orders only a member that has its log to the end (chooseSuccessor, a pure decision). Without one, a group with synchronous replicas is decided as after a failure, and otherwise the demoted primary leads again until it has been leaving for 3 s. A leaving primary that this host suspects counts as failed, which other hosts have to confirm. An order that fails is repeated by the same host; if that host fails, the others find no primary and replace it as after a failure.

Ruled out: PAUSE of the other replicas (nothing to pause without synchronous ones; a promoter that fails leaves them paused); holding writes at the hosts (one that is cut off does not hear of it); a demotion after the order (commits acknowledged in between may be missing for good).

Related paths that were looked at, sessionproxy: the tracker's choice of the member for writes, retries after a refused or unanswered order, members that leave without being primary, a primary of a term without commits (its answer tells the term), evacuated primaries and primaries that only seem to have failed (not closed, docs/platform.md). server: PrimaryReplacement fences a majority, waits until every permission to acknowledge has expired and catches up before it changes the term, in planned changes too; nothing to change.

Price: no primary from the demotion until the order takes effect.

--- a/src/libs/failover/promotionvote.cpp
+++ b/src/libs/failover/promotionvote.cpp
@@ -66,6 +66,16 @@
   return Best->Id;
 }
 
+std::optional<std::string>
+chooseSuccessor(std::span<const PromotionCandidate> Candidates,
+                const Position &End) {
+  std::vector<PromotionCandidate> Complete;
+  for (const PromotionCandidate &Each : Candidates)
+    if (Each.Eligible && Each.Received >= End)
+      Complete.push_back(Each);
+  return choosePromotionCandidate(Complete);
+}
+
 void ClaimTracker::claimRead(std::uint64_t NewRevision,
                              const std::string &NewHolder, BootTime Now) {
   if (NewRevision <= this->Revision)
--- a/src/libs/failover/promotionvote.h
+++ b/src/libs/failover/promotionvote.h
@@ -106,6 +106,19 @@
 chooseCompleteCandidate(std::span<const PromotionCandidate> Candidates,
                         const CommitGuarantee &Guarantee);
 
+/// Chooses the member that replaces a primary which was demoted in order to be
+/// replaced, and acknowledges nothing any more.
+///
+/// Load pattern: a replica stops receiving between its choice and the moment
+/// when it would lead, while the primary acknowledges commits.
+///
+/// \param End last position of the demoted primary's log.
+/// \returns an eligible member that has the whole log, one that is not leaving
+///          if possible, or nothing.
+std::optional<std::string>
+chooseSuccessor(std::span<const PromotionCandidate> Candidates,
+                const Position &End);
+
 /// Decides when a host may take over the claim to promote a member. The claim
 /// of another host is respected for a time after it was last seen to change.
 /// This keeps two hosts from promoting members in turn, and gives a host that
--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -86,6 +86,8 @@
   if (Group.tracker().orderedWithin(PromotionCooldown, Now) ||
       Group.isEvacuated())
     return false;
+  if (this->isSuccessorDue(Group, Progress, Now))
+    return true;
   const std::optional<std::string> Primary = Group.tracker().primary(Now);
   const bool Leaving = Primary && Group.tracker().isLeaving(*Primary);
   if (!Leaving)
@@ -98,10 +100,9 @@
   if (!Leaving && !Since)
     return false;
   const std::size_t Rank = this->State.access().promotionRank(Group.name());
-  if (Leaving && Now - *Progress.LeavingSince >= Limits.delay(Rank))
-    return true;
+  // A leaving primary that this host does not reach may serve other hosts.
   if (!Since)
-    return false;
+    return Now - *Progress.LeavingSince >= Limits.delay(Rank);
   std::vector<PrimaryReport> Others;
   for (const FleetView::Host *Host : Fleet.recentlyHeard(BootNow))
     for (const GroupReport &Each : Host->Last->Groups) {
@@ -120,14 +121,31 @@
                        Rank, toMilliseconds(Now - *Since), Limits);
 }
 
+/// Whether a primary that this host demoted still has no successor.
+bool PromotionCoordinator::isSuccessorDue(ProxyGroup &Group,
+                                          GroupState &Progress, TimePoint Now) {
+  if (!Progress.Demoted)
+    return false;
+  if (Group.tracker().lastPrimary() != Progress.Demoted->Id ||
+      Now >= Progress.Demoted->ReplaceUntil)
+    Progress.Demoted.reset();
+  return Progress.Demoted.has_value();
+}
+
+bool PromotionCoordinator::isReplacedWhileServing(
+    ProxyGroup &Group, const GroupState &Progress) const {
+  return Progress.LeavingSince && !Group.suspectedSince();
+}
+
 PromotionCoordinator::Task<void>
 PromotionCoordinator::attemptPromotion(std::shared_ptr<ProxyGroup> Group) {
   const std::shared_ptr<PromotionCoordinator> Keep = this->shared_from_this();
   const std::string Name = Group->name();
   GroupState &Progress = this->GroupStates[Name];
   Progress.NotBefore = steadyNow() + AttemptPause;
-  const Result<std::string> Member =
-      co_await this->chooseMember(Group, Progress);
+  Result<std::string> Member = std::string();
+  if (!Progress.Demoted)
+    Member = co_await this->chooseMember(Group, Progress);
   if (!Member) {
     logInfo("event=promotion_no_candidate group=" + Name + " reason=\"" +
             Member.error().Detail + "\"");
@@ -138,11 +156,12 @@
   const Result<std::uint64_t> Token =
       co_await this->acquireClaim(Name, Progress);
   const BootTime ClaimedAt = BootClock::now();
+  const TimePoint ClaimedAtSteady = steadyNow();
   // A host that had contact to most of the fleet all the time was not cut off,
   // so its suspicion does not date from before the end of a cut.
   const bool MayBeStale = !Group->suspectedSince() || Progress.PutOff ||
                           this->State.lowestContact() < MajorityContact;
-  if (Token && MayBeStale)
+  if (Token && MayBeStale && !Progress.Demoted)
     co_await Group->probeLastPrimary(steadyNow() + ConfirmationTime);
   // Since the check, other hosts may have acted or the primary may have
   // recovered.
@@ -156,6 +175,15 @@
     Progress.Active = false;
     co_return;
   }
+  if (Progress.Demoted || this->isReplacedWhileServing(*Group, Progress))
+    Member = co_await this->replaceServing(*Group, Progress, Member.value(),
+                                           ClaimedAtSteady + SuccessorWait);
+  if (!Member) {
+    logInfo("event=promotion_not_ordered group=" + Name + " reason=\"" +
+            Member.error().Detail + "\"");
+    Progress.Active = false;
+    co_return;
+  }
   if (BootClock::now() - ClaimedAt > ClaimValidity) {
     logInfo("event=promotion_claim_expired group=" + Name);
     Progress.Active = false;
@@ -173,6 +201,8 @@
     this->State.metrics().Promotions.add();
     Progress.NotBefore = Now + PromotionCooldown;
     Group->promotionOrdered(Member.value());
+    if (Progress.Demoted && Progress.Demoted->Id == Member.value())
+      Progress.Demoted.reset();
     this->State.recordPromotionOrder(Name, Member.value(), Now);
   } else if (Ordered.error().Kind == ErrorKind::VersionConflict) {
     Progress.RefusedAt[Member.value()] = Now;
@@ -180,6 +210,75 @@
   Progress.Active = false;
 }
 
+/// Demotes a primary that still serves, unless that was done before, and
+/// chooses the member to promote in its place.
+/// \param Chosen the member that was chosen before the claim.
+/// \param Until when the choice has to be made.
+/// Errors: Unavailable, ReplicaBehind.
+PromotionCoordinator::Task<Result<std::string>>
+PromotionCoordinator::replaceServing(ProxyGroup &Group, GroupState &Progress,
+                                     std::string Chosen, TimePoint Until) {
+  if (!Progress.Demoted) {
+    // Nothing may be sent to an evacuated primary, and the hosts that have
+    // heard of the order use it no more.
+    if (Group.isPrimaryEvacuated())
+      co_return Chosen;
+    const Result<void> Demoted = co_await this->demote(Group, Progress);
+    if (!Demoted) {
+      Progress.NotBefore = steadyNow() + DemotionPause;
+      co_return Demoted.error();
+    }
+  }
+  const Demotion Replaced = *Progress.Demoted;
+  const CommitGuarantee Before = Group.commitGuarantee();
+  std::vector<PromotionCandidate> Candidates;
+  do {
+    const auto Answers =
+        co_await Group.queryStatus(steadyNow() + SuccessorStatusTimeout);
+    Candidates = this->candidatesFrom(Group, Progress, Answers, Replaced.Id);
+    if (std::ranges::any_of(Candidates, &PromotionCandidate::IsPrimary))
+      co_return failure(ErrorKind::Unavailable,
+                        "a member already is the primary");
+    if (const std::optional<std::string> Successor =
+            chooseSuccessor(Candidates, Replaced.End))
+      co_return *Successor;
+    co_await sleepUntil(steadyNow() + SuccessorPollPause);
+  } while (steadyNow() + SuccessorStatusTimeout < Until);
+  if (Before.SynchronousReplicas > 0)
+    co_return this->chooseComplete(Group, Candidates, Before);
+  std::erase_if(Candidates,
+                [](const PromotionCandidate &Each) { return !Each.Eligible; });
+  const std::optional<std::string> Best = choosePromotionCandidate(Candidates);
+  // Without synchronous replicas, the demoted primary alone may have commits
+  // that were acknowledged. It leads again until a replica has caught up.
+  if (!Best || steadyNow() < Replaced.CompleteUntil)
+    co_return Replaced.Id;
+  co_return *Best;
+}
+
+PromotionCoordinator::Task<Result<void>>
+PromotionCoordinator::demote(ProxyGroup &Group, GroupState &Progress) {
+  const TimePoint Now = steadyNow();
+  const std::optional<std::string> Primary = Group.tracker().primary(Now);
+  if (!Primary || !Progress.LeavingSince)
+    co_return failure(ErrorKind::Unavailable, "no leaving primary is known");
+  Demotion Started;
+  Started.Id = *Primary;
+  Started.CompleteUntil = *Progress.LeavingSince + CompleteMemberWait;
+  Started.ReplaceUntil = Now + DemotionLifetime;
+  const Result<UpstreamStatus> Status =
+      co_await Group.demotePrimary(*Primary, Now + DemotionTimeout);
+  logInfo("event=primary_demoted group=" + Group.name() +
+          " upstream=" + *Primary +
+          (Status ? " position=" + toString(Status.value().Received)
+                  : " error=\"" + Status.error().Detail + "\""));
+  if (!Status)
+    co_return Status.error();
+  Started.End = Status.value().Received;
+  Progress.Demoted = std::move(Started);
+  co_return success();
+}
+
 /// Acquires the claim to promote a member of \p Group.
 /// \returns the fencing token. Errors: VersionConflict while another host
 ///          holds it, PlatformUnavailable.
@@ -219,43 +318,65 @@
   co_return Stored.error();
 }
 
-PromotionCoordinator::Task<Result<std::string>>
-PromotionCoordinator::chooseMember(std::shared_ptr<ProxyGroup> Group,
-                                   GroupState &Progress) {
-  if (Group->synchronousReplicas() > 0) {
-    const Result<void> Refreshed = co_await this->Members.refresh(Group);
-    if (!Refreshed)
-      co_return failure(ErrorKind::PlatformUnavailable,
-                        "the record of departed replicas cannot be read: " +
-                            Refreshed.error().Detail);
-  }
-  const CommitGuarantee Before = Group->commitGuarantee();
-  const auto Answers = co_await Group->queryStatus(
-      steadyNow() +
-      (Before.SynchronousReplicas > 0 ? CompleteStatusTimeout : StatusTimeout));
+/// \param Replaced leaving primary that is to be replaced, if there is one. It
+///        is no candidate.
+std::vector<PromotionCandidate> PromotionCoordinator::candidatesFrom(
+    ProxyGroup &Group, const GroupState &Progress,
+    const std::vector<std::pair<std::string, UpstreamStatus>> &Answers,
+    const std::optional<std::string> &Replaced) {
   const TimePoint Now = steadyNow();
-  const std::optional<std::string> Primary = Group->tracker().lastPrimary();
   std::vector<PromotionCandidate> Candidates;
   for (const auto &[Id, Status] : Answers) {
     const auto Refused = Progress.RefusedAt.find(Id);
     const bool WasRefused = Refused != Progress.RefusedAt.end() &&
                             Now - Refused->second < RefusedMemberPause;
-    const bool Leaving = Group->tracker().isLeaving(Id);
-    logInfo("event=promotion_candidate group=" + Group->name() + " upstream=" +
+    const bool Leaving = Group.tracker().isLeaving(Id);
+    logInfo("event=promotion_candidate group=" + Group.name() + " upstream=" +
             Id + " term=" + std::to_string(Status.Received.InTerm.Value) +
             " position=" + std::to_string(Status.Received.Log.Value) +
             (Leaving ? " leaving=true" : "") +
             (Status.Primary ? " role=primary" : " role=replica"));
     if (Status.Primary)
-      Group->tracker().recordStatus(Id, Status.InTerm, Now);
-    if (Progress.LeavingSince && Id == Primary)
+      Group.tracker().recordStatus(Id, Status.InTerm, Now);
+    if (Id == Replaced)
       continue;
     // When a leaving primary is replaced, it stays primary if all other members
     // are leaving as well.
-    const bool Eligible = !WasRefused && !(Progress.LeavingSince && Leaving);
+    const bool Eligible = !WasRefused && !(Replaced && Leaving);
     Candidates.push_back(
         {Id, Status.Received, Leaving, Status.Primary, Eligible});
   }
+  return Candidates;
+}
+
+PromotionCoordinator::Task<Result<std::string>>
+PromotionCoordinator::chooseMember(std::shared_ptr<ProxyGroup> Group,
+                                   GroupState &Progress) {
+  if (Group->synchronousReplicas() > 0) {
+    const Result<void> Refreshed = co_await this->Members.refresh(Group);
+    if (!Refreshed)
+      co_return failure(ErrorKind::PlatformUnavailable,
+                        "the record of departed replicas cannot be read: " +
+                            Refreshed.error().Detail);
+  }
+  const CommitGuarantee Before = Group->commitGuarantee();
+  const auto Answers = co_await Group->queryStatus(
+      steadyNow() +
+      (Before.SynchronousReplicas > 0 ? CompleteStatusTimeout : StatusTimeout));
+  const TimePoint Now = steadyNow();
+  const std::optional<std::string> Primary = Group->tracker().lastPrimary();
+  // Such a primary could not be demoted by this host.
+  if (this->isReplacedWhileServing(*Group, Progress) &&
+      !Group->isPrimaryEvacuated() &&
+      Now < *Progress.LeavingSince + CompleteMemberWait &&
+      std::ranges::none_of(Answers, [&Primary](const auto &Each) {
+        return Each.first == Primary;
+      }))
+    co_return failure(ErrorKind::Unavailable,
+                      "the leaving primary does not answer");
+  std::vector<PromotionCandidate> Candidates =
+      this->candidatesFrom(*Group, Progress, Answers,
+                           Progress.LeavingSince ? Primary : std::nullopt);
   if (Before.SynchronousReplicas > 0)
     co_return this->chooseComplete(*Group, Candidates, Before);
   std::erase_if(Candidates,
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -22,6 +22,11 @@
 /// conditionally and uses the new revision as the fencing token of its request.
 /// No two hosts get the same token, and a request that is carried out late is
 /// rejected if a newer one came first.
+///
+/// A primary that is to be replaced while it serves is demoted first, under the
+/// claim. It would otherwise acknowledge commits until the promotion takes
+/// effect, about a second after the request, and the promoted member leads with
+/// what it has received by then.
 class PromotionCoordinator
     : public std::enable_shared_from_this<PromotionCoordinator> {
 public:
@@ -62,6 +67,21 @@
   /// replaced by one that lacks some. The primary keeps serving for at least
   /// seven seconds.
   static constexpr std::chrono::milliseconds CompleteMemberWait{3000};
+  /// Time in which a leaving primary confirms its demotion.
+  static constexpr std::chrono::milliseconds DemotionTimeout{200};
+  /// Time in which the others answer after the demotion; one that is cut off
+  /// delays the promotion by this long.
+  static constexpr std::chrono::milliseconds SuccessorStatusTimeout{150};
+  /// Time from the claim in which a member may still receive the rest of the
+  /// demoted primary's log. Leaves time for the order within ClaimValidity.
+  static constexpr std::chrono::milliseconds SuccessorWait{400};
+  static constexpr std::chrono::milliseconds SuccessorPollPause{10};
+  /// Pause after a leaving primary did not confirm its demotion to this host.
+  /// Longer than ClaimTracker::LeaseDuration, so that another host tries.
+  static constexpr std::chrono::milliseconds DemotionPause{4500};
+  /// A demoted primary that has no successor by then is replaced like one that
+  /// has failed.
+  static constexpr std::chrono::milliseconds DemotionLifetime{10000};
 
   PromotionCoordinator(boost::asio::any_io_executor Executor,
                        ObjectStore &Store, PromotionAuthority &Authority,
@@ -73,6 +93,15 @@
 private:
   template <typename T> using Task = boost::asio::awaitable<T>;
 
+  /// A primary that this host demoted in order to replace it.
+  struct Demotion {
+    std::string Id;
+    Position End;              ///< Of its log.
+    TimePoint CompleteUntil{}; ///< Until then no member that lacks some of it
+                               ///< is promoted.
+    TimePoint ReplaceUntil{};  ///< See DemotionLifetime.
+  };
+
   /// State of the promotions of one group.
   struct GroupState {
     bool Active = false; ///< An attempt is running.
@@ -80,6 +109,7 @@
     ClaimTracker Claim;
     std::map<std::string, TimePoint> RefusedAt; ///< By member.
     std::optional<TimePoint> LeavingSince;
+    std::optional<Demotion> Demoted; ///< Until another member leads.
     /// No member could be promoted since the suspicion began. One that lacked
     /// commits may have got them from the primary, which is back then.
     bool PutOff = false;
@@ -87,7 +117,18 @@
 
   Task<void> run();
   bool isDue(ProxyGroup &Group, GroupState &Progress, TimePoint Now);
+  bool isSuccessorDue(ProxyGroup &Group, GroupState &Progress, TimePoint Now);
+  bool isReplacedWhileServing(ProxyGroup &Group,
+                              const GroupState &Progress) const;
   Task<void> attemptPromotion(std::shared_ptr<ProxyGroup> Group);
+  Task<Result<std::string>> replaceServing(ProxyGroup &Group,
+                                           GroupState &Progress,
+                                           std::string Chosen, TimePoint Until);
+  Task<Result<void>> demote(ProxyGroup &Group, GroupState &Progress);
+  std::vector<PromotionCandidate> candidatesFrom(
+      ProxyGroup &Group, const GroupState &Progress,
+      const std::vector<std::pair<std::string, UpstreamStatus>> &Answers,
+      const std::optional<std::string> &Replaced);
   Task<Result<std::uint64_t>> acquireClaim(const std::string &Group,
                                            GroupState &Progress);
   Task<Result<std::string>> chooseMember(std::shared_ptr<ProxyGroup> Group,
--- a/src/libs/sessionproxy/protocols.h
+++ b/src/libs/sessionproxy/protocols.h
@@ -76,7 +76,8 @@
   /// Adds the contents of one line to \p Reply.
   virtual Progress decode(std::string_view Line,
                           UpstreamReply &Reply) const = 0;
-  /// Decodes the reply to UpstreamCommand::Kind::Status. Errors: BadRequest.
+  /// Decodes the reply to UpstreamCommand::Kind::Status and Demote.
+  /// Errors: BadRequest.
   virtual Result<UpstreamStatus>
   decodeStatus(const UpstreamReply &Reply) const = 0;
 };
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -22,6 +22,12 @@
 // whether it is behind.
 constexpr std::chrono::milliseconds PositionLifetime{300};
 
+Command statusQuery() {
+  Command Query;
+  Query.Type = Command::Kind::Status;
+  return Query;
+}
+
 } // namespace
 
 ProxyGroup::ProxyGroup(const asio::any_io_executor &Executor,
@@ -301,7 +307,7 @@
   if (!this->inUse(Now))
     return false;
   // The primary may have been replaced without this host hearing of it.
-  if (this->isEvacuated(this->Tracker.primary(Now).value_or("")))
+  if (this->isPrimaryEvacuated())
     return Now - this->LastUse < ProofInterval &&
            Now - this->LastProbeAt >= ProofInterval;
   const std::optional<Duration> Age = this->Tracker.provenAge(Now);
@@ -488,7 +494,7 @@
   Query->Missing = Queried.size();
   for (const auto &[Id, Client] : Queried)
     asio::co_spawn(
-        this->Executor, this->queryMember(Client, Deadline),
+        this->Executor, this->queryMember(Client, statusQuery(), Deadline),
         [Query, Ended, Id = Id](const std::exception_ptr &,
                                 const std::optional<UpstreamStatus> &Status) {
           if (Status)
@@ -520,15 +526,42 @@
   this->MembersRestored = true;
 }
 
+asio::awaitable<Result<UpstreamStatus>>
+ProxyGroup::demotePrimary(std::string Id, TimePoint Deadline) {
+  const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
+  const auto Found = this->Clients.find(Id);
+  if (Found == this->Clients.end())
+    co_return failure(ErrorKind::Unavailable, Id + " is no member any more");
+  const std::shared_ptr<UpstreamClient> Client = Found->second;
+  Command Demotion;
+  Demotion.Type = Command::Kind::Demote;
+  Term Above = this->Tracker.term().next();
+  // The proved term is that of the last commit. The primary may lead a newer
+  // one without commits, which its answer tells.
+  constexpr int MaxTries = 2;
+  for (int Try = 0; Try < MaxTries; ++Try) {
+    Demotion.Argument = std::to_string(Above.Value);
+    const std::optional<UpstreamStatus> Status =
+        co_await this->queryMember(Client, Demotion, Deadline);
+    if (!Status)
+      co_return failure(ErrorKind::Unavailable,
+                        Id + " did not confirm its demotion");
+    if (!Status->Primary)
+      co_return *Status;
+    Above = Status->InTerm.next();
+  }
+  co_return failure(ErrorKind::Unavailable, Id + " is still the primary");
+}
+
 asio::awaitable<std::optional<UpstreamStatus>>
 ProxyGroup::queryMember(std::shared_ptr<UpstreamClient> Client,
-                        TimePoint Deadline) {
+                        UpstreamCommand Query, TimePoint Deadline) {
   const std::shared_ptr<ProxyGroup> Keep = this->shared_from_this();
   ConnectionLease Lease = co_await this->probeConnection(Client, Deadline);
   if (!Lease)
     co_return std::nullopt;
-  std::vector<UpstreamCommand> Commands(1);
-  Commands[0].Type = Command::Kind::Status;
+  std::vector<UpstreamCommand> Commands;
+  Commands.push_back(std::move(Query));
   // A promotion depends on the answer, so it is counted but does not wait.
   Lease.occupySlot();
   const ExchangeResult Exchange =
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -83,6 +83,11 @@
   /// Whether the group has members, and all are in evacuated failure domains.
   bool isEvacuated() const;
 
+  /// Whether the likely primary is in an evacuated failure domain.
+  bool isPrimaryEvacuated() const {
+    return this->isEvacuated(this->Tracker.primary(steadyNow()).value_or(""));
+  }
+
   /// Returns the member to send writes to, or nullptr if none is known or it is
   /// evacuated.
   std::shared_ptr<UpstreamClient> primary(TimePoint Now);
@@ -166,6 +171,12 @@
   boost::asio::awaitable<std::vector<std::pair<std::string, UpstreamStatus>>>
   queryStatus(TimePoint Deadline);
 
+  /// Turns member \p Id into a replica. It acknowledges no commit after that.
+  /// \returns its status as a replica. Errors: Unavailable if it did not
+  ///          confirm that, which it may have done nevertheless.
+  boost::asio::awaitable<Result<UpstreamStatus>>
+  demotePrimary(std::string Id, TimePoint Deadline);
+
   /// Returns what a member must have received to be promoted.
   CommitGuarantee commitGuarantee();
 
@@ -210,7 +221,8 @@
   void recordProbeResult(UpstreamClient &Client, const WorkResult &Result,
                          bool Remote);
   boost::asio::awaitable<std::optional<UpstreamStatus>>
-  queryMember(std::shared_ptr<UpstreamClient> Client, TimePoint Deadline);
+  queryMember(std::shared_ptr<UpstreamClient> Client, UpstreamCommand Command,
+              TimePoint Deadline);
   boost::asio::awaitable<ConnectionLease>
   probeConnection(const std::shared_ptr<UpstreamClient> &Client,
                   TimePoint Limit);
--- a/src/libs/statements/upstreamcommand.h
+++ b/src/libs/statements/upstreamcommand.h
@@ -20,6 +20,8 @@
     Prepare,
     Reset,  ///< Removes session values and prepared statements.
     Status, ///< Queries role, term and received position; see UpstreamStatus.
+    Demote, ///< Turns a primary of a lower term into a replica. Argument is the
+            ///< number of the term. Not relayed for other hosts.
   };
 
   Kind Type = Kind::Forward;
--- a/src/libs/statements/upstreamreply.h
+++ b/src/libs/statements/upstreamreply.h
@@ -40,7 +40,7 @@
   bool ok() const { return this->Failure == UpstreamFailure::None; }
 };
 
-/// The content of the reply to UpstreamCommand::Kind::Status.
+/// The content of the reply to UpstreamCommand::Kind::Status and Demote.
 struct UpstreamStatus {
   bool Primary = false;
   Term InTerm;
--- a/tests/auto/failover/tst_promotionvote.cpp
+++ b/tests/auto/failover/tst_promotionvote.cpp
@@ -227,3 +227,18 @@
     CHECK(Departed.required() == at(3, 70));
   }
 }
+
+// Guards against a successor that stops receiving after it was chosen, so that
+// it leads without commits that the leaving primary acknowledged since.
+TEST_CASE("the successor of a demoted primary has its whole log", "[fencing]") {
+  const PromotionCandidate Behind{"behind", at(3, 139), false};
+  PromotionCandidate Whole{"whole", at(3, 140), false};
+  CHECK_FALSE(chooseSuccessor({}, at(3, 140)));
+  CHECK_FALSE(
+      chooseSuccessor(std::vector<PromotionCandidate>{Behind}, at(3, 140)));
+  CHECK(chooseSuccessor(std::vector<PromotionCandidate>{Behind, Whole},
+                        at(3, 140)) == "whole");
+  Whole.Eligible = false;
+  CHECK_FALSE(chooseSuccessor(std::vector<PromotionCandidate>{Behind, Whole},
+                              at(3, 140)));
+}
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -214,6 +214,7 @@
         self.hold = 0.0
         self.status_delay = 0.0
         self.zone = zone
+        self.state = "ready"
         self.synchronous = 0  # Replicas that have a commit before it is acknowledged.
         self.deaf = False  # Receives nothing.
         self.promote_s = 0.0  # From the accepted order to the lead.
@@ -230,6 +231,7 @@
         loop.call(self.announce)
 
     def announce(self, state="ready"):
+        self.state = state
         self.store.put("servers", self.name, {
             "service": self.group, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
             "slots": 2, "state": state, "cold-remaining-ms": self.cold_ms,
@@ -263,6 +265,11 @@
             if each.running:
                 each.announce()
 
+    def demote(self, term):
+        if self.primary and self.term < term:
+            self.primary = False
+            self.announce(self.state)
+
     def crash(self):
         """Refuses connections from now on. Called on the loop."""
         self.running = False
@@ -424,8 +431,10 @@
             self.prepared[name] = rest.split(" ")[0]
         elif word == "RESET":
             self.values, self.prepared = {}, {}
-        elif word == "STATUS":
+        elif word in ("STATUS", "DEMOTE"):
             await asyncio.sleep(database.status_delay)
+            if word == "DEMOTE":
+                database.demote(int(rest))
             role = "primary" if database.primary else "replica"
             rows = [f"{role} {database.term} {database.position()} 0 0 0 1"]
         else:
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -130,6 +130,41 @@
         self.writers.wait_for_more(20)
         self.assert_nothing_lost(next(each for each in self.fleet.databases if each.primary))
 
+    def replace_with_a_successor_that_goes_deaf(self, synchronous):
+        self.start(synchronous)
+        old = self.fleet.databases[0]
+        took_over = []
+
+        def order(database):
+            # Accepted; the database leads after a while, with what it has received until then.
+            asyncio_loop = self.fleet.loop.loop
+            asyncio_loop.call_later(0.2, setattr, database, "deaf", True)
+            asyncio_loop.call_later(database.promote_s, lead, database)
+
+        def lead(database):
+            took_over.append((time.monotonic(), database, list(database.log)))
+            database.take_over()
+
+        for each in self.fleet.databases:
+            self.set(each, "lead", lambda database=each: None if database.primary or took_over else order(database))
+        self.fleet.loop.call(old.announce, "draining")
+        wait_until("another member leads", lambda: took_over)
+        at, leader, log = took_over[0]
+        self.assertIsNot(old, leader)
+        kept = {data for _, _, _, data in log}
+        self.assertEqual([], [data for when, data in self.writers.acknowledged if when < at and data not in kept])
+        self.set(leader, "deaf", False)
+        self.writers.wait_for_more(20)
+
+    def test_a_leaving_primary_acknowledges_nothing_that_its_successor_lacks(self):
+        """Guards against commits that a leaving primary acknowledges with the receipt of other replicas, after the
+        promotion of a replica that receives nothing any more was ordered."""
+        self.replace_with_a_successor_that_goes_deaf(synchronous=1)
+
+    def test_the_same_without_synchronous_replicas(self):
+        """Guards against the same commits where the primary alone acknowledges them."""
+        self.replace_with_a_successor_that_goes_deaf(synchronous=0)
+
 
 if __name__ == "__main__":
     unittest.main()
