--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -175,7 +175,11 @@
     Progress.Active = false;
     co_return;
   }
-  if (Progress.Demoted || this->isReplacedWhileServing(*Group, Progress))
+  const auto IsClaimExpired = [ClaimedAt] {
+    return BootClock::now() - ClaimedAt > ClaimValidity;
+  };
+  if (!IsClaimExpired() &&
+      (Progress.Demoted || this->isReplacedWhileServing(*Group, Progress)))
     Member = co_await this->replaceServing(*Group, Progress, Member.value(),
                                            ClaimedAtSteady + SuccessorWait);
   if (!Member) {
@@ -184,7 +188,7 @@
     Progress.Active = false;
     co_return;
   }
-  if (BootClock::now() - ClaimedAt > ClaimValidity) {
+  if (IsClaimExpired()) {
     logInfo("event=promotion_claim_expired group=" + Name);
     Progress.Active = false;
     co_return;
