Repeat an unconfirmed demotion at once while the primary answers

A demotion whose answer was lost kept the host from another try for 4.5 s, and its claim the others for 3.5 s, of the 7 s for which a leaving primary serves on. Within 3 s of its leaving, the primary has answered this host just before, so the next attempt follows after the usual pause. Process tests of replicas pass.

--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -229,7 +229,11 @@
       co_return Chosen;
     const Result<void> Demoted = co_await this->demote(Group, Progress);
     if (!Demoted) {
-      Progress.NotBefore = steadyNow() + DemotionPause;
+      // Until then, the primary had answered this host just before.
+      const TimePoint Now = steadyNow();
+      if (!Progress.LeavingSince ||
+          Now >= *Progress.LeavingSince + CompleteMemberWait)
+        Progress.NotBefore = Now + DemotionPause;
       co_return Demoted.error();
     }
   }
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -76,8 +76,9 @@
   /// demoted primary's log. Leaves time for the order within ClaimValidity.
   static constexpr std::chrono::milliseconds SuccessorWait{400};
   static constexpr std::chrono::milliseconds SuccessorPollPause{10};
-  /// Pause after a leaving primary did not confirm its demotion to this host.
-  /// Longer than ClaimTracker::LeaseDuration, so that another host tries.
+  /// Pause after a leaving primary, which may not have answered this host
+  /// before either, did not confirm its demotion. Longer than
+  /// ClaimTracker::LeaseDuration, so that another host tries.
   static constexpr std::chrono::milliseconds DemotionPause{4500};
   /// A demoted primary that has no successor by then is replaced like one that
   /// has failed.
