Wait for a member of the newest term before an older one is promoted

Cause: without synchronous replicas, only the members that answered were compared with each other, although the hosts had proofs of the newer term.

Change: mayLeadAfter, a pure decision: a member whose log ends in an older term than the newest proved one is promoted only when the primary has been suspected for 8 s.

Ruled out: waiting only while the failed primary is registered (its entry lapses before it can be back); waiting without end. Related paths: groups with synchronous replicas and leaving primaries are decided by positions already; in server the lineage excludes members that are not part of it.

--- a/src/libs/failover/promotionvote.cpp
+++ b/src/libs/failover/promotionvote.cpp
@@ -38,6 +38,12 @@
   return Best->Id;
 }
 
+bool mayLeadAfter(const Position &Received, Term Proved,
+                  std::chrono::milliseconds SuspectedFor,
+                  const PromotionLimits &Limits) {
+  return Received.InTerm >= Proved || SuspectedFor >= Limits.OlderTermWait;
+}
+
 Result<std::string>
 chooseCompleteCandidate(std::span<const PromotionCandidate> Candidates,
                         const CommitGuarantee &Guarantee) {
--- a/src/libs/failover/promotionvote.h
+++ b/src/libs/failover/promotionvote.h
@@ -38,6 +38,11 @@
   /// Hosts of a higher rank wait no longer than this one, so that the hosts of
   /// a large fleet do not wait for dozens of others.
   std::size_t MaxDelayedRank = 8;
+  /// Without synchronous replicas, a member without commits of the newest
+  /// proved term is promoted only when the primary has been suspected for this
+  /// long. A crashed member needs up to 7 s to come back with its log, and
+  /// writes have to be served again after 12 s.
+  std::chrono::milliseconds OlderTermWait{8000};
 
   /// How long the host of \p Rank leaves a promotion to those before it.
   std::chrono::milliseconds delay(std::size_t Rank) const {
@@ -79,6 +84,19 @@
 std::optional<std::string>
 choosePromotionCandidate(std::span<const PromotionCandidate> Candidates);
 
+/// Whether a member may be promoted in a group without synchronous replicas, as
+/// far as the terms of its log go.
+///
+/// Load pattern: a primary is replaced while it is cut off, and keeps its log
+/// of the older term. Its successor crashes, and it is the only one to answer.
+///
+/// \param Received last position of the member's log.
+/// \param Proved newest term in which a member proved to be the primary.
+/// \param SuspectedFor how long the primary has been suspected.
+bool mayLeadAfter(const Position &Received, Term Proved,
+                  std::chrono::milliseconds SuspectedFor,
+                  const PromotionLimits &Limits);
+
 /// What the promoted member of a group must have received.
 struct CommitGuarantee {
   /// Number of replicas that have received a commit before it is acknowledged.
--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -395,12 +395,20 @@
                       Candidates.empty() ? "no member answered"
                                          : "a member already is the primary");
   const std::optional<Position> Newest = Group->verified().newestPosition();
-  for (const PromotionCandidate &Each : Candidates)
-    if (Each.Id == *Best && Progress.LeavingSince && Newest &&
-        Each.Received < *Newest &&
+  const std::optional<TimePoint> Suspected = Group->suspectedSince();
+  for (const PromotionCandidate &Each : Candidates) {
+    if (Each.Id != *Best)
+      continue;
+    if (Progress.LeavingSince && Newest && Each.Received < *Newest &&
         Now - *Progress.LeavingSince < CompleteMemberWait)
       co_return failure(ErrorKind::ReplicaBehind,
                         "the most recent replica still lacks commits");
+    if (Suspected &&
+        !mayLeadAfter(Each.Received, Group->tracker().term(),
+                      toMilliseconds(Now - *Suspected), PromotionLimits()))
+      co_return failure(ErrorKind::ReplicaBehind,
+                        "no member has commits of the newest term");
+  }
   co_return *Best;
 }
 
--- a/tests/auto/failover/tst_promotionvote.cpp
+++ b/tests/auto/failover/tst_promotionvote.cpp
@@ -242,3 +242,14 @@
   CHECK_FALSE(chooseSuccessor(std::vector<PromotionCandidate>{Behind, Whole},
                               at(3, 140)));
 }
+
+// Guards against the promotion of a former primary that kept its log of an
+// older term, while the primary of the newer term may come back.
+TEST_CASE("a member of an older term is promoted only after a wait",
+          "[fencing]") {
+  CHECK(mayLeadAfter(at(3, 1), Term{3}, 0ms, Limits));
+  CHECK(mayLeadAfter(at(4, 1), Term{3}, 0ms, Limits));
+  CHECK_FALSE(mayLeadAfter(at(2, 900), Term{3}, 7s, Limits));
+  CHECK(mayLeadAfter(at(2, 900), Term{3}, Limits.OlderTermWait, Limits));
+  CHECK(mayLeadAfter(at(0, 0), Term{}, 0ms, Limits));
+}
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -130,6 +130,39 @@
         self.writers.wait_for_more(20)
         self.assert_nothing_lost(next(each for each in self.fleet.databases if each.primary))
 
+    def keep_only_a_former_primary(self):
+        """Leaves a primary of the second term, which crashes, and one of the first term that has heard of none of its
+        commits."""
+        self.start(synchronous=0)
+        former, successor, other = self.fleet.databases
+        self.set(former, "deaf", True)
+        for each in self.fleet.databases:
+            self.set(each, "promote_s", 0)
+        self.fleet.loop.call(successor.lead)
+        self.writers.wait_for_more(20)
+        for host in self.fleet.hosts:
+            wait_until("the second term is known", lambda: "upstream=i-2 term=2" in host.text())
+        self.lose(other)
+        self.fleet.loop.call(successor.crash)
+        return former, successor
+
+    def test_a_primary_of_an_older_term_does_not_replace_one_that_comes_back(self):
+        """Guards against the promotion of a former primary, whose commits were rolled back, while the primary of the
+        newer term restarts."""
+        former, successor = self.keep_only_a_former_primary()
+        wait_until("promotions are put off", lambda: self.fleet.store.promotions
+                   or any("no member has commits of the newest term" in host.text() for host in self.fleet.hosts))
+        self.fleet.loop.run(successor.come_back())
+        self.writers.wait_for_more(20)
+        self.assertEqual([], self.fleet.store.promotions)
+        self.assertTrue(successor.primary)
+
+    def test_a_primary_of_an_older_term_leads_if_no_one_comes_back(self):
+        """Guards against a group that stays without a primary because none of its members has the newest term."""
+        former, _ = self.keep_only_a_former_primary()
+        wait_until("it leads", lambda: former.primary)
+        self.writers.wait_for_more(20)
+
     def replace_with_a_successor_that_goes_deaf(self, synchronous):
         self.start(synchronous)
         old = self.fleet.databases[0]
