Let a record of members that was set back account for nothing

Cause: a process that was missing from the record counted as accounted for by another host, also when the record was unreadable, lost, or an older copy; a running host then forgot a departed replica. Found by reading the diff; no run showed it. Change: it counts only if the required position has risen with it. The new section of the unit test failed before: checked by reading only, as the former line erased every process that the record lacked. Process tests of replicas pass.

--- a/src/libs/failover/departedreplicas.cpp
+++ b/src/libs/failover/departedreplicas.cpp
@@ -25,9 +25,11 @@
 void DepartedReplicas::restore(const MemberRecord &Read, BootTime Now) {
   if (this->Primary.empty())
     this->Primary = Read.Primary;
-  for (const MemberProcess &Each : this->Stored)
-    if (!Read.Processes.contains(Each))
-      this->Gone.erase(Each);
+  // A record that was damaged or set back accounts for nothing.
+  if (Read.Required && Read.Required > this->Stored.Required)
+    for (const MemberProcess &Each : this->Stored.Processes)
+      if (!Read.Processes.contains(Each))
+        this->Gone.erase(Each);
   for (const MemberProcess &Each : Read.Processes) {
     const auto Known = this->Present.find(Each.Id);
     const bool IsPresent =
@@ -35,7 +37,7 @@
     if (!IsPresent && Each.Id != this->Primary)
       this->Gone.try_emplace(Each, Now);
   }
-  this->Stored = Read.Processes;
+  this->Stored = Read;
   if (Read.Required)
     this->Required =
         std::max(this->Required.value_or(*Read.Required), *Read.Required);
--- a/src/libs/failover/departedreplicas.h
+++ b/src/libs/failover/departedreplicas.h
@@ -51,8 +51,8 @@
   /// Member \p Id is the primary, so its departure leaves nothing behind.
   void leads(const std::string &Id) { this->Primary = Id; }
 
-  /// Adds what the store keeps. A process that was there before and is not any
-  /// more was accounted for by another host.
+  /// Adds what the store keeps. A process that was there before was accounted
+  /// for by another host if it was removed with a higher required position.
   void restore(const MemberRecord &Stored, BootTime Now);
   /// What the store has to keep.
   MemberRecord record() const;
@@ -69,7 +69,7 @@
 private:
   std::map<std::string, std::uint64_t> Present; ///< Start time by id.
   std::map<MemberProcess, BootTime> Gone;       ///< When they were missed.
-  std::set<MemberProcess> Stored;               ///< As restored last.
+  MemberRecord Stored;                          ///< As restored last.
   std::string Primary;
   std::optional<Position> Required;
 };
--- a/tests/auto/failover/tst_promotionvote.cpp
+++ b/tests/auto/failover/tst_promotionvote.cpp
@@ -226,6 +226,17 @@
     Departed.restore({{{"p", 1}, {"b", 1}}, "p", at(3, 60)}, Now);
     CHECK(Departed.required() == at(3, 70));
   }
+  SECTION("a record that was lost, damaged or set back accounts for nothing") {
+    Departed.restore({Record.Processes, "p", at(3, 50)}, Now);
+    Departed.present("p", 1, Now);
+    Departed.present("b", 1, Now);
+    for (const MemberRecord &Each :
+         {MemberRecord{}, MemberRecord{{{"p", 1}, {"b", 1}}, "p", at(3, 40)}}) {
+      Departed.restore(Each, Now);
+      CHECK(Departed.unaccounted() == 1);
+      CHECK(Departed.required() == at(3, 50));
+    }
+  }
 }
 
 // Guards against a successor that stops receiving after it was chosen, so that
