--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -113,6 +113,7 @@
         primary, complete, gone = self.fleet.databases
         self.lose(gone)
         self.restart_hosts()
+        wait_until("the lost replica is accounted for", lambda: "required=" in self.new_text())
         self.lose(primary)
         self.set(complete, "synchronous", 0)  # No replica is left.
         self.writers.wait_for_more(20)
