Keep revisions rising when the store returns from an older copy

Cause: a revision was taken for a number that is never used twice. The revision of the claim is the fencing token, and a watch goes on from the revision seen last. The store gives its revisions out again after such a return; its era, which tells that, was not read.

Change: platform/ joins era and revision into one number that never goes back. Everything that compares revisions holds again: tokens, claims, shared watches, sets of evacuated failure domains. A call that names a revision of an earlier era is not sent; a watch that is answered in another era ends with a fresh list. After an outage the first watch does not wait. Upstreams that the copy lacks keep their entries for the time in which they register again.

Ruled out: status 410 alone (the revision has been given out again by the time of the next watch); a token from the claim's own contents (lost with the claim).

--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -27,10 +27,25 @@
   Members,
 };
 
+/// Revisions of the store never go back, although it may return from an older
+/// copy and count its own revisions from there again: the upper bits tell its
+/// era, which rises with each such return.
+constexpr int StoreRevisionBits = 40;
+constexpr std::uint64_t MaxStoreRevision =
+    (std::uint64_t{1} << StoreRevisionBits) - 1;
+/// Keeps revisions, and so fencing tokens, below 2^53: exact as a double, which
+/// some decoders of JSON read numbers as.
+constexpr std::uint64_t MaxStoreEra = (std::uint64_t{1} << 13) - 1;
+
+/// \returns the era of the store in which it gave out \p Revision.
+constexpr std::uint64_t storeEra(std::uint64_t Revision) {
+  return Revision >> StoreRevisionBits;
+}
+
 /// An object of the store, or a change to one.
 struct StoredObject {
   std::string Name;
-  std::uint64_t Revision = 0;
+  std::uint64_t Revision = 0; ///< See StoreRevisionBits.
   Json::Value Spec;
   bool Removed = false; ///< Set only in changes.
 };
@@ -63,7 +78,8 @@
 
   /// Waits at most \p Wait for changes after \p Revision.
   /// \returns no objects if nothing changed. Errors: VersionConflict if the
-  ///          store no longer keeps these changes; the caller must list again.
+  ///          store no longer keeps these changes, or is in another era; the
+  ///          caller must list again.
   virtual Call<StoredObjects> watch(Collection From, std::uint64_t Revision,
                                     std::chrono::milliseconds Wait) = 0;
 
@@ -76,7 +92,8 @@
                                     TimePoint Deadline) = 0;
 
   /// Replaces the object if its revision is still Object.Revision.
-  /// Errors: VersionConflict, NotFound.
+  /// Errors: VersionConflict, also if the store is in another era than the
+  /// revision; NotFound.
   virtual Call<StoredObject> replaceIfUnchanged(Collection In,
                                                 StoredObject Object,
                                                 TimePoint Deadline) = 0;
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -20,8 +20,9 @@
 /// Promotes replicas of groups whose primary has failed or is leaving. Only one
 /// host acts at a time: it updates the group's claim in the object store
 /// conditionally and uses the new revision as the fencing token of its request.
-/// No two hosts get the same token, and a request that is carried out late is
-/// rejected if a newer one came first.
+/// No two hosts get the same token, also when the store returns from an older
+/// copy, and a request that is carried out late is rejected if a newer one came
+/// first.
 ///
 /// A primary that is to be replaced while it serves is demoted first, under the
 /// claim. It would otherwise acknowledge commits until the promotion takes
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -114,6 +114,7 @@
   std::chrono::milliseconds Backoff = MinBackoff;
   bool Starting = true;
   bool Lost = false;
+  std::optional<std::uint64_t> Era;
   while (!this->Stopped) {
     // g++ 12 frees a temporary twice when a conditional operator awaits.
     Result<StoredObjects> Listed =
@@ -135,9 +136,15 @@
     if (std::exchange(Lost, false))
       logInfo(std::string("event=store_regained collection=") + Followed.Name);
     Backoff = MinBackoff;
+    const std::uint64_t ListedEra = storeEra(Listed.value().AtRevision);
+    // Objects of other writers are missing until they are written again.
+    if (Era && ListedEra != *Era)
+      (this->*Followed.OnUnavailable)();
+    Era = ListedEra;
     (this->*Followed.OnAnswered)(Listed.value());
     (this->*Followed.OnListed)(Listed.value());
-    // Lists again only when the store no longer keeps the changes since.
+    // Lists again only when the store no longer keeps the changes since, or has
+    // returned from an older copy.
     while (!this->Stopped &&
            co_await this->watchChanges(Followed, Listed.value().AtRevision))
       ;
@@ -152,8 +159,12 @@
   std::chrono::milliseconds Backoff = MinBackoff;
   bool Lost = false;
   while (!this->Stopped) {
+    // After an outage, the first answer has to tell soon whether the store has
+    // returned from an older copy.
     const Result<StoredObjects> Changes = co_await this->Store.watch(
-        Followed.From, Revision, this->callIntervals().*Followed.Wait);
+        Followed.From, Revision,
+        Lost ? std::chrono::milliseconds(0)
+             : this->callIntervals().*Followed.Wait);
     if (Changes) {
       if (std::exchange(Lost, false)) {
         (this->*Followed.OnUnavailable)();
@@ -173,7 +184,8 @@
     }
     if (Changes.error().Kind == ErrorKind::VersionConflict) {
       logInfo(std::string("event=history_gone collection=") + Followed.Name +
-              " revision=" + std::to_string(Revision));
+              " revision=" + std::to_string(Revision) + " reason=\"" +
+              Changes.error().Detail + "\"");
       co_return false;
     }
     (this->*Followed.OnUnavailable)();
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -5,6 +5,7 @@
 their methods. Written from the platform's pages only.
 """
 import asyncio
+import copy
 import json
 import threading
 import time
@@ -56,6 +57,7 @@
         self.databases = {}
         self.promotions = []  # (group, id, token, status)
         self.away = False
+        self.era = "1"  # Sent with every answer; None for a store that has none.
         self.raw = {}  # Bytes that stand for a string in responses.
         self.tokens = {}
         self.connections = set()
@@ -105,6 +107,18 @@
             for writer in list(self.connections):
                 writer.transport.abort()
 
+    def snapshot(self):
+        """Returns a copy for restore(). Called on the loop."""
+        return self.revision, copy.deepcopy(self.objects), list(self.events)
+
+    def restore(self, earlier, cut=True):
+        """Goes on from a copy, in the next era, and may cut open connections."""
+        self.revision, objects, events = earlier
+        self.objects, self.events = copy.deepcopy(objects), list(events)
+        self.era = str(int(self.era) + 1)
+        self.set_away(cut)
+        self.away = False
+
     def _publish(self, kind, stored, removed):
         self.events.append((self.revision, kind, {"removed": removed, "object": stored}))
         self.changed.set()
@@ -126,7 +140,8 @@
                 data = json.dumps(answer).encode()
                 for placeholder, raw in self.raw.items():
                     data = data.replace(json.dumps(placeholder).encode(), raw)
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                era = f"Store-Era: {self.era}\r\n" if self.era is not None else ""
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}"
                              f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
                 await writer.drain()
         except CLOSED:
@@ -166,6 +181,8 @@
 
     async def _watch(self, kind, since, wait):
         deadline = asyncio.get_running_loop().time() + wait
+        if since > self.revision:
+            return 410, {}
         while True:
             found = [event for revision, each, event in self.events if revision > since and each == kind]
             left = deadline - asyncio.get_running_loop().time()
