Let an order to promote count until its outcome is known

Cause: an order counted only while the primary was suspected. A fresh proof of the primary that was back counted for more than the order, and an order without an answer was treated like one without an effect and known to its sender only.

Change: the claim names the ordered member before the order is sent. Until the member, or one of a newer term, proves that it leads, or the order is known to have no effect, hosts use no other primary; the connection's host checks it again before it sends a write. Hosts that start, or had trouble with a primary, read the claim before they use one. If the primary is back and the order has not taken effect, the holder of the claim, or another host after its lease, demotes the primary and orders a member with its whole log, the ordered one if possible; the higher token makes the order before invalid.

--- a/src/libs/failover/primarytracker.cpp
+++ b/src/libs/failover/primarytracker.cpp
@@ -30,6 +30,9 @@
     return;
   if (InTerm == this->ProvenTerm && this->ProvenAt && At < *this->ProvenAt)
     return;
+  if (this->Pending &&
+      (Id == this->Pending->Id || InTerm > this->Pending->Before))
+    this->orderSettled(this->Pending->Token);
   this->ProvenPrimary = Id;
   this->ProvenTerm = InTerm;
   this->ProvenAt = At;
@@ -66,6 +69,25 @@
   Found->second.RefusedAt = {};
 }
 
+void PrimaryTracker::orderPending(const PendingOrder &Sent) {
+  const std::uint64_t Known =
+      this->Pending ? this->Pending->Token : this->SettledToken;
+  if (Sent.Token > Known)
+    this->Pending = Sent;
+}
+
+void PrimaryTracker::orderSettled(std::uint64_t Token) {
+  this->SettledToken = std::max(this->SettledToken, Token);
+  if (this->Pending && this->Pending->Token <= Token)
+    this->Pending.reset();
+}
+
+bool PrimaryTracker::isExcludedByOrder(const std::string &Id) const {
+  return this->Pending && Id != this->Pending->Id &&
+         !(Id == this->ProvenPrimary &&
+           this->ProvenTerm > this->Pending->Before);
+}
+
 bool PrimaryTracker::mayBePrimary(const State &Each, TimePoint Now) const {
   return Each.RefusedAt == TimePoint{} ||
          Now - Each.RefusedAt > RefusalLifetime;
@@ -85,7 +107,7 @@
     BestRank = Rank(At, Kind);
   };
   for (const auto &[Id, Each] : this->Members) {
-    if (!this->mayBePrimary(Each, Now))
+    if (!this->mayBePrimary(Each, Now) || this->isExcludedByOrder(Id))
       continue;
     if (Id == this->ProvenPrimary && Each.RefusedAt == TimePoint{} &&
         this->ProvenAt)
--- a/src/libs/failover/primarytracker.h
+++ b/src/libs/failover/primarytracker.h
@@ -4,6 +4,7 @@
 #include "consistency/term.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +31,13 @@
     bool Leaving = false;
   };
 
+  /// An order to promote a member that may still take effect.
+  struct PendingOrder {
+    std::string Id;
+    std::uint64_t Token = 0; ///< Its fencing token.
+    Term Before;             ///< Newest known term when it was sent.
+  };
+
   void setMembers(const std::vector<Member> &Members, TimePoint Now);
 
   /// \p Id proved at \p At that it is the primary of \p InTerm. A proof that
@@ -51,6 +59,20 @@
   /// A host ordered the promotion of \p Id.
   void promotionOrdered(const std::string &Id, TimePoint Now);
 
+  /// An order was sent, or is about to be, in a group with synchronous
+  /// replicas. Until its outcome is known, only the ordered member or one of a
+  /// newer term can be the primary(): another one may be back after a crash,
+  /// and commits that it acknowledged could be missing in the ordered member.
+  /// Ignored if an order with the same or a higher token is known.
+  void orderPending(const PendingOrder &Sent);
+  /// The order with \p Token, and all before it, will not take effect any more.
+  void orderSettled(std::uint64_t Token);
+  const std::optional<PendingOrder> &pendingOrder() const {
+    return this->Pending;
+  }
+  /// Whether \p Id cannot be the primary() because of a pending order.
+  bool isExcludedByOrder(const std::string &Id) const;
+
   /// The member to send writes to, or nothing if none is likely to be the
   /// primary.
   std::optional<std::string> primary(TimePoint Now) const;
@@ -92,6 +114,8 @@
   std::string ProvenPrimary;
   Term ProvenTerm;
   std::optional<TimePoint> ProvenAt;
+  std::optional<PendingOrder> Pending;
+  std::uint64_t SettledToken = 0; ///< Highest one of an order that is settled.
   std::optional<TimePoint> FailedSince; ///< First failure after the last proof.
   std::size_t ProbeTurn = 0;
 };
--- a/src/libs/failover/promotionvote.cpp
+++ b/src/libs/failover/promotionvote.cpp
@@ -74,11 +74,15 @@
 
 std::optional<std::string>
 chooseSuccessor(std::span<const PromotionCandidate> Candidates,
-                const Position &End) {
+                const Position &End, const std::string &Ordered) {
   std::vector<PromotionCandidate> Complete;
-  for (const PromotionCandidate &Each : Candidates)
-    if (Each.Eligible && Each.Received >= End)
-      Complete.push_back(Each);
+  for (const PromotionCandidate &Each : Candidates) {
+    if (!Each.Eligible || Each.Received < End)
+      continue;
+    if (Each.Id == Ordered)
+      return Ordered;
+    Complete.push_back(Each);
+  }
   return choosePromotionCandidate(Complete);
 }
 
--- a/src/libs/failover/promotionvote.h
+++ b/src/libs/failover/promotionvote.h
@@ -131,11 +131,13 @@
 /// when it would lead, while the primary acknowledges commits.
 ///
 /// \param End last position of the demoted primary's log.
+/// \param Ordered member whose promotion was ordered already, which is
+///        preferred: that order may still take effect.
 /// \returns an eligible member that has the whole log, one that is not leaving
 ///          if possible, or nothing.
 std::optional<std::string>
 chooseSuccessor(std::span<const PromotionCandidate> Candidates,
-                const Position &End);
+                const Position &End, const std::string &Ordered = {});
 
 /// Decides when a host may take over the claim to promote a member. The claim
 /// of another host is respected for a time after it was last seen to change.
@@ -154,6 +156,9 @@
   void claimRead(std::uint64_t Revision, const std::string &Holder,
                  BootTime Now);
 
+  /// Whether \p Host held the claim when it was last read.
+  bool isHeldBy(const std::string &Host) const { return this->Holder == Host; }
+
   /// Whether \p Host may take the claim now.
   bool mayClaim(const std::string &Host, BootTime Now) const;
 
--- a/src/libs/sessionproxy/memberrecords.cpp
+++ b/src/libs/sessionproxy/memberrecords.cpp
@@ -197,6 +197,9 @@
     Record.Revision = Stored.value().Revision;
     Record.Stored = Wanted;
     Group->restoreMembers(Wanted);
+    // Until the primary is recorded, hosts that start cannot replace it.
+    if (Wanted.Primary.empty())
+      Record.WriteAt.reset();
     co_return;
   }
   // Another host has changed it, or the answer was lost.
--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -112,7 +112,8 @@
   /// Requests the promotion of an upstream to primary of its group.
   /// \param Token fencing token of the request.
   /// Errors: VersionConflict if a higher token was used or the upstream is not
-  /// running; PlatformUnavailable.
+  /// running; Unavailable if the request was not sent or not accepted;
+  /// PlatformUnavailable if it may still be carried out.
   virtual boost::asio::awaitable<Result<void>> promote(std::string Group,
                                                        std::string UpstreamId,
                                                        std::uint64_t Token,
--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -16,6 +16,11 @@
 
 constexpr const char *HolderMember = "holder";
 constexpr const char *AttemptMember = "attempt";
+/// Member of the group whose promotion was or will be ordered, and the newest
+/// known term before that. Only in groups with synchronous replicas, until it
+/// is known that the order will not take effect.
+constexpr const char *OrderedMember = "ordered";
+constexpr const char *TermMember = "term";
 
 std::string stringMember(const Json::Value &Spec, const char *Member) {
   return Spec.isObject() && Spec[Member].isString() ? Spec[Member].asString()
@@ -57,8 +62,51 @@
 }
 
 void PromotionCoordinator::recordClaim(const StoredObject &Claim) {
-  this->GroupStates[Claim.Name].Claim.claimRead(
+  GroupState &Progress = this->GroupStates[Claim.Name];
+  Progress.Claim.claimRead(
       Claim.Revision, stringMember(Claim.Spec, HolderMember), BootClock::now());
+  const std::shared_ptr<ProxyGroup> Group = this->State.findGroup(Claim.Name);
+  // This host may still decide to send no order.
+  const bool IsUnderWay =
+      Progress.Active &&
+      stringMember(Claim.Spec, AttemptMember) == Progress.Attempt;
+  if (!Group || Group->synchronousReplicas() == 0 || IsUnderWay)
+    return;
+  PrimaryTracker &Tracker = Group->tracker();
+  const std::string Ordered = stringMember(Claim.Spec, OrderedMember);
+  if (Ordered.empty()) {
+    Tracker.orderSettled(Claim.Revision);
+    return;
+  }
+  const Json::Value &Before = Claim.Spec[TermMember];
+  const auto Known = Tracker.pendingOrder();
+  Tracker.orderPending({Ordered, Claim.Revision,
+                        Term{Before.isUInt64() ? Before.asUInt64() : 0}});
+  const auto &Pending = Tracker.pendingOrder();
+  if (Pending && (!Known || Known->Token != Pending->Token))
+    logInfo("event=promotion_pending group=" + Claim.Name + " upstream=" +
+            Pending->Id + " token=" + std::to_string(Pending->Token));
+}
+
+/// Reads the claim of a group with synchronous replicas, and so the orders of
+/// other hosts.
+PromotionCoordinator::Task<void>
+PromotionCoordinator::readClaim(std::shared_ptr<ProxyGroup> Group) {
+  const std::shared_ptr<PromotionCoordinator> Keep = this->shared_from_this();
+  GroupState &Progress = this->GroupStates[Group->name()];
+  const TimePoint Began = steadyNow();
+  Progress.ReadClaimAt = Began + OrderReadInterval;
+  const Result<StoredObject> Present = co_await this->Store.get(
+      Collection::Promotions, Group->name(), Began + CallTimeout);
+  Progress.ReadingClaim = false;
+  if (Present)
+    this->recordClaim(Present.value());
+  else if (Present.error().Kind != ErrorKind::NotFound) {
+    logInfo("event=orders_unknown group=" + Group->name() + " error=\"" +
+            Present.error().Detail + "\"");
+    co_return;
+  }
+  Group->ordersRead(Began);
 }
 
 PromotionCoordinator::Task<void> PromotionCoordinator::run() {
@@ -68,6 +116,12 @@
     const TimePoint Now = steadyNow();
     for (const auto &[Name, Group] : this->State.groups()) {
       GroupState &Progress = this->GroupStates[Name];
+      if ((Group->needsOrders() || Group->tracker().pendingOrder()) &&
+          !Group->inTrouble() && !Progress.Active && !Progress.ReadingClaim &&
+          Now >= Progress.ReadClaimAt) {
+        Progress.ReadingClaim = true;
+        asio::co_spawn(this->Executor, this->readClaim(Group), asio::detached);
+      }
       if (Progress.Active || Now < Progress.NotBefore ||
           !this->isDue(*Group, Progress, Now))
         continue;
@@ -88,6 +142,8 @@
     return false;
   if (this->isSuccessorDue(Group, Progress, Now))
     return true;
+  if (this->isSettlementDue(Group, Progress, Now))
+    return true;
   const std::optional<std::string> Primary = Group.tracker().primary(Now);
   const bool Leaving = Primary && Group.tracker().isLeaving(*Primary);
   if (!Leaving)
@@ -132,9 +188,30 @@
   return Progress.Demoted.has_value();
 }
 
+/// Whether a primary is back while an order to replace it is pending, and this
+/// host should settle that order. If no primary is back, it is replaced like
+/// any that has failed.
+bool PromotionCoordinator::isSettlementDue(ProxyGroup &Group,
+                                           GroupState &Progress,
+                                           TimePoint Now) {
+  const auto &Pending = Group.tracker().pendingOrder();
+  if (!Pending || Group.synchronousReplicas() == 0)
+    return false;
+  if (std::exchange(Progress.PendingToken, Pending->Token) != Pending->Token)
+    Progress.PendingSince = Now;
+  if (Group.suspectedSince() || !Group.tracker().lastPrimary())
+    return false;
+  if (Progress.Claim.isHeldBy(this->State.identity().Host))
+    return true;
+  const std::size_t Rank = this->State.access().promotionRank(Group.name());
+  return Now - Progress.PendingSince >=
+         ClaimTracker::LeaseDuration + PromotionLimits().delay(Rank);
+}
+
 bool PromotionCoordinator::isReplacedWhileServing(
     ProxyGroup &Group, const GroupState &Progress) const {
-  return Progress.LeavingSince && !Group.suspectedSince();
+  return (Progress.LeavingSince || Group.tracker().pendingOrder()) &&
+         !Group.suspectedSince();
 }
 
 PromotionCoordinator::Task<void>
@@ -144,7 +221,10 @@
   GroupState &Progress = this->GroupStates[Name];
   Progress.NotBefore = steadyNow() + AttemptPause;
   Result<std::string> Member = std::string();
-  if (!Progress.Demoted)
+  const bool Synchronous = Group->synchronousReplicas() > 0;
+  if (Group->tracker().pendingOrder() && !Group->suspectedSince())
+    Member = Group->tracker().pendingOrder()->Id;
+  else if (!Progress.Demoted)
     Member = co_await this->chooseMember(Group, Progress);
   if (!Member) {
     logInfo("event=promotion_no_candidate group=" + Name + " reason=\"" +
@@ -153,8 +233,13 @@
     Progress.Active = false;
     co_return;
   }
+  // A demoted primary acknowledges nothing, so its successor need not be known.
+  const bool IsOrderKnown = Synchronous && !Progress.Demoted &&
+                            !this->isReplacedWhileServing(*Group, Progress);
+  const std::string Claimed = IsOrderKnown ? Member.value() : std::string();
   const Result<std::uint64_t> Token =
-      co_await this->acquireClaim(Name, Progress);
+      co_await this->acquireClaim(Name, Progress, Claimed);
+  Progress.IsEarlierPending = Group->tracker().pendingOrder().has_value();
   const BootTime ClaimedAt = BootClock::now();
   const TimePoint ClaimedAtSteady = steadyNow();
   // A host that had contact to most of the fleet all the time was not cut off,
@@ -172,6 +257,8 @@
             (Token ? "promotion no longer needed" : Token.error().Detail) +
             "\"");
     Progress.NotBefore = steadyNow() + ClaimPause;
+    if (Token && IsOrderKnown)
+      co_await this->releaseOrder(Name, Token.value());
     Progress.Active = false;
     co_return;
   }
@@ -185,14 +272,23 @@
   if (!Member) {
     logInfo("event=promotion_not_ordered group=" + Name + " reason=\"" +
             Member.error().Detail + "\"");
+    if (IsOrderKnown)
+      co_await this->releaseOrder(Name, Token.value());
     Progress.Active = false;
     co_return;
   }
   if (IsClaimExpired()) {
     logInfo("event=promotion_claim_expired group=" + Name);
+    if (IsOrderKnown)
+      co_await this->releaseOrder(Name, Token.value());
     Progress.Active = false;
     co_return;
   }
+  if (Synchronous) {
+    Group->tracker().orderPending(
+        {Member.value(), Token.value(), this->newestTerm(Name)});
+    this->State.recordPromotionOrder(Name, Member.value(), steadyNow());
+  }
   const Result<void> Ordered = co_await this->Authority.promote(
       Name, Member.value(), Token.value(), steadyNow() + CallTimeout);
   logInfo(
@@ -204,6 +300,7 @@
   if (Ordered) {
     this->State.metrics().Promotions.add();
     Progress.NotBefore = Now + PromotionCooldown;
+    Progress.IsEarlierPending = false;
     Group->promotionOrdered(Member.value());
     if (Progress.Demoted && Progress.Demoted->Id == Member.value())
       Progress.Demoted.reset();
@@ -211,9 +308,33 @@
   } else if (Ordered.error().Kind == ErrorKind::VersionConflict) {
     Progress.RefusedAt[Member.value()] = Now;
   }
+  if (Synchronous && !Ordered &&
+      Ordered.error().Kind != ErrorKind::PlatformUnavailable)
+    co_await this->releaseOrder(Name, Token.value());
   Progress.Active = false;
 }
 
+/// Withdraws the order that the claim names, because it was not sent or was
+/// refused. Keeps it if an earlier one may still take effect.
+PromotionCoordinator::Task<void>
+PromotionCoordinator::releaseOrder(const std::string &Group,
+                                   std::uint64_t Token) {
+  GroupState &Progress = this->GroupStates[Group];
+  if (Progress.IsEarlierPending)
+    co_return;
+  StoredObject Claim = this->newClaim(Group, {});
+  Claim.Revision = Token;
+  const Result<StoredObject> Released = co_await this->Store.replaceIfUnchanged(
+      Collection::Promotions, Claim, steadyNow() + CallTimeout);
+  if (Released) {
+    this->recordClaim(Released.value());
+    if (const auto Owner = this->State.findGroup(Group))
+      Owner->tracker().orderSettled(Released.value().Revision);
+  }
+  logInfo("event=promotion_order_released group=" + Group +
+          (Released ? "" : " error=\"" + Released.error().Detail + "\""));
+}
+
 /// Demotes a primary that still serves, unless that was done before, and
 /// chooses the member to promote in its place.
 /// \param Chosen the member that was chosen before the claim.
@@ -231,13 +352,17 @@
     if (!Demoted) {
       // Until then, the primary had answered this host just before.
       const TimePoint Now = steadyNow();
-      if (!Progress.LeavingSince ||
-          Now >= *Progress.LeavingSince + CompleteMemberWait)
+      if (Group.tracker().pendingOrder())
+        Progress.NotBefore = Now + ClaimPause;
+      else if (!Progress.LeavingSince ||
+               Now >= *Progress.LeavingSince + CompleteMemberWait)
         Progress.NotBefore = Now + DemotionPause;
       co_return Demoted.error();
     }
   }
   const Demotion Replaced = *Progress.Demoted;
+  const std::optional<PrimaryTracker::PendingOrder> Pending =
+      Group.tracker().pendingOrder();
   const CommitGuarantee Before = Group.commitGuarantee();
   std::vector<PromotionCandidate> Candidates;
   do {
@@ -247,8 +372,8 @@
     if (std::ranges::any_of(Candidates, &PromotionCandidate::IsPrimary))
       co_return failure(ErrorKind::Unavailable,
                         "a member already is the primary");
-    if (const std::optional<std::string> Successor =
-            chooseSuccessor(Candidates, Replaced.End))
+    if (const std::optional<std::string> Successor = chooseSuccessor(
+            Candidates, Replaced.End, Pending ? Pending->Id : std::string()))
       co_return *Successor;
     co_await sleepUntil(steadyNow() + SuccessorPollPause);
   } while (steadyNow() + SuccessorStatusTimeout < Until);
@@ -267,12 +392,16 @@
 PromotionCoordinator::Task<Result<void>>
 PromotionCoordinator::demote(ProxyGroup &Group, GroupState &Progress) {
   const TimePoint Now = steadyNow();
-  const std::optional<std::string> Primary = Group.tracker().primary(Now);
-  if (!Primary || !Progress.LeavingSince)
+  const bool IsOrderPending = Group.tracker().pendingOrder().has_value();
+  const std::optional<std::string> Primary = IsOrderPending
+                                                 ? Group.tracker().lastPrimary()
+                                                 : Group.tracker().primary(Now);
+  if (!Primary || (!IsOrderPending && !Progress.LeavingSince))
     co_return failure(ErrorKind::Unavailable, "no leaving primary is known");
   Demotion Started;
   Started.Id = *Primary;
-  Started.CompleteUntil = *Progress.LeavingSince + CompleteMemberWait;
+  Started.CompleteUntil =
+      Progress.LeavingSince.value_or(Now) + CompleteMemberWait;
   Started.ReplaceUntil = Now + DemotionLifetime;
   const Result<UpstreamStatus> Status =
       co_await Group.demotePrimary(*Primary, Now + DemotionTimeout);
@@ -287,17 +416,51 @@
   co_return success();
 }
 
+/// Names a pending order in \p Claim if it names none, so that the order is not
+/// forgotten should this host fail.
+void PromotionCoordinator::keepPendingOrder(StoredObject &Claim) {
+  const std::shared_ptr<ProxyGroup> Group = this->State.findGroup(Claim.Name);
+  if (!Group || !Group->tracker().pendingOrder() ||
+      Claim.Spec.isMember(OrderedMember))
+    return;
+  const PrimaryTracker::PendingOrder &Pending =
+      *Group->tracker().pendingOrder();
+  Claim.Spec[OrderedMember] = Pending.Id;
+  Claim.Spec[TermMember] = Json::UInt64(Pending.Before.Value);
+}
+
+/// Builds a claim of this host.
+/// \param Ordered the member to order; empty if it is not known yet.
+StoredObject PromotionCoordinator::newClaim(const std::string &Group,
+                                            const std::string &Ordered) {
+  StoredObject Claim;
+  Claim.Name = Group;
+  Claim.Spec[HolderMember] = this->State.identity().Host;
+  Claim.Spec[AttemptMember] = std::to_string(this->Random());
+  if (!Ordered.empty()) {
+    Claim.Spec[OrderedMember] = Ordered;
+    Claim.Spec[TermMember] = Json::UInt64(this->newestTerm(Group).Value);
+  }
+  return Claim;
+}
+
+Term PromotionCoordinator::newestTerm(const std::string &Group) {
+  const Term Answered = this->GroupStates[Group].NewestTerm;
+  const std::shared_ptr<ProxyGroup> Found = this->State.findGroup(Group);
+  return Found ? std::max(Found->tracker().term(), Answered) : Answered;
+}
+
 /// Acquires the claim to promote a member of \p Group.
+/// \param Ordered the member, if it is known.
 /// \returns the fencing token. Errors: VersionConflict while another host
 ///          holds it, PlatformUnavailable.
 PromotionCoordinator::Task<Result<std::uint64_t>>
 PromotionCoordinator::acquireClaim(const std::string &Group,
-                                   GroupState &Progress) {
-  StoredObject Claim;
-  Claim.Name = Group;
-  const std::string Attempt = std::to_string(this->Random());
-  Claim.Spec[HolderMember] = this->State.identity().Host;
-  Claim.Spec[AttemptMember] = Attempt;
+                                   GroupState &Progress,
+                                   const std::string &Ordered) {
+  StoredObject Claim = this->newClaim(Group, Ordered);
+  const std::string Attempt = stringMember(Claim.Spec, AttemptMember);
+  Progress.Attempt = Attempt;
   const Result<StoredObject> Present = co_await this->Store.get(
       Collection::Promotions, Group, steadyNow() + CallTimeout);
   Result<StoredObject> Stored = Present;
@@ -310,12 +473,15 @@
     if (!Progress.Claim.mayClaim(this->State.identity().Host, BootClock::now()))
       co_return failure(ErrorKind::VersionConflict,
                         "claimed by " + stringMember(Old.Spec, HolderMember));
+    this->keepPendingOrder(Claim);
     Claim.Revision = Old.Revision;
     Stored = co_await this->Store.replaceIfUnchanged(
         Collection::Promotions, Claim, steadyNow() + CallTimeout);
   }
-  if (Stored)
+  if (Stored) {
+    this->recordClaim(Stored.value());
     co_return Stored.value().Revision;
+  }
   if (Stored.error().Kind != ErrorKind::PlatformUnavailable)
     co_return Stored.error();
   // The claim may have been stored although the answer was lost.
@@ -329,7 +495,7 @@
 /// \param Replaced leaving primary that is to be replaced, if there is one. It
 ///        is no candidate.
 std::vector<PromotionCandidate> PromotionCoordinator::candidatesFrom(
-    ProxyGroup &Group, const GroupState &Progress,
+    ProxyGroup &Group, GroupState &Progress,
     const std::vector<std::pair<std::string, UpstreamStatus>> &Answers,
     const std::optional<std::string> &Replaced) {
   const TimePoint Now = steadyNow();
@@ -344,6 +510,7 @@
             " position=" + std::to_string(Status.Received.Log.Value) +
             (Leaving ? " leaving=true" : "") +
             (Status.Primary ? " role=primary" : " role=replica"));
+    Progress.NewestTerm = std::max(Progress.NewestTerm, Status.InTerm);
     if (Status.Primary)
       Group.tracker().recordStatus(Id, Status.InTerm, Now);
     if (Id == Replaced)
@@ -374,7 +541,7 @@
   const TimePoint Now = steadyNow();
   const std::optional<std::string> Primary = Group->tracker().lastPrimary();
   // Such a primary could not be demoted by this host.
-  if (this->isReplacedWhileServing(*Group, Progress) &&
+  if (Progress.LeavingSince && !Group->suspectedSince() &&
       !Group->isPrimaryEvacuated() &&
       Now < *Progress.LeavingSince + CompleteMemberWait &&
       std::ranges::none_of(Answers, [&Primary](const auto &Each) {
--- a/src/libs/sessionproxy/promotioncoordinator.h
+++ b/src/libs/sessionproxy/promotioncoordinator.h
@@ -28,6 +28,13 @@
 /// claim. It would otherwise acknowledge commits until the promotion takes
 /// effect, about a second after the request, and the promoted member leads with
 /// what it has received by then.
+///
+/// In a group with synchronous replicas, the claim names the member before the
+/// request is sent. Until the outcome is known, hosts use no other primary; one
+/// that answers again must not acknowledge commits that the ordered member may
+/// lack. If the order does not take effect in time, the holder of the claim, or
+/// another host after it, settles it: it demotes the primary that is back, and
+/// orders a member that has its whole log.
 class PromotionCoordinator
     : public std::enable_shared_from_this<PromotionCoordinator> {
 public:
@@ -81,6 +88,8 @@
   /// before either, did not confirm its demotion. Longer than
   /// ClaimTracker::LeaseDuration, so that another host tries.
   static constexpr std::chrono::milliseconds DemotionPause{4500};
+  /// Interval at which hosts that see a pending order read the claim again.
+  static constexpr std::chrono::milliseconds OrderReadInterval{500};
   /// A demoted primary that has no successor by then is replaced like one that
   /// has failed.
   static constexpr std::chrono::milliseconds DemotionLifetime{10000};
@@ -112,6 +121,14 @@
     std::map<std::string, TimePoint> RefusedAt; ///< By member.
     std::optional<TimePoint> LeavingSince;
     std::optional<Demotion> Demoted; ///< Until another member leads.
+    Term NewestTerm;                 ///< That members answered with.
+    std::uint64_t PendingToken = 0;  ///< Of the order that was seen last.
+    TimePoint PendingSince{};        ///< When it was first seen.
+    std::string Attempt;             ///< Identifies this host's last claim.
+    /// An order before the one of the claim may still take effect.
+    bool IsEarlierPending = false;
+    bool ReadingClaim = false;
+    TimePoint ReadClaimAt{};
     /// No member could be promoted since the suspicion began. One that lacked
     /// commits may have got them from the primary, which is back then.
     bool PutOff = false;
@@ -122,17 +139,24 @@
   bool isSuccessorDue(ProxyGroup &Group, GroupState &Progress, TimePoint Now);
   bool isReplacedWhileServing(ProxyGroup &Group,
                               const GroupState &Progress) const;
+  bool isSettlementDue(ProxyGroup &Group, GroupState &Progress, TimePoint Now);
   Task<void> attemptPromotion(std::shared_ptr<ProxyGroup> Group);
   Task<Result<std::string>> replaceServing(ProxyGroup &Group,
                                            GroupState &Progress,
                                            std::string Chosen, TimePoint Until);
   Task<Result<void>> demote(ProxyGroup &Group, GroupState &Progress);
   std::vector<PromotionCandidate> candidatesFrom(
-      ProxyGroup &Group, const GroupState &Progress,
+      ProxyGroup &Group, GroupState &Progress,
       const std::vector<std::pair<std::string, UpstreamStatus>> &Answers,
       const std::optional<std::string> &Replaced);
   Task<Result<std::uint64_t>> acquireClaim(const std::string &Group,
-                                           GroupState &Progress);
+                                           GroupState &Progress,
+                                           const std::string &Ordered);
+  Task<void> releaseOrder(const std::string &Group, std::uint64_t Token);
+  Task<void> readClaim(std::shared_ptr<ProxyGroup> Group);
+  void keepPendingOrder(StoredObject &Claim);
+  Term newestTerm(const std::string &Group);
+  StoredObject newClaim(const std::string &Group, const std::string &Ordered);
   Task<Result<std::string>> chooseMember(std::shared_ptr<ProxyGroup> Group,
                                          GroupState &Progress);
   Result<std::string>
--- a/src/libs/sessionproxy/proxygroup.cpp
+++ b/src/libs/sessionproxy/proxygroup.cpp
@@ -60,9 +60,15 @@
     std::shared_ptr<UpstreamClient> &Client = this->Clients[Each.Id];
     if (Client)
       Client->update(Each);
-    else
+    else {
       Client = std::make_shared<UpstreamClient>(this->Executor, this->Protocol,
                                                 Each);
+      Client->setWriteCheck(
+          [Group = this->weak_from_this(), Id = Each.Id](TimePoint At) {
+            const std::shared_ptr<ProxyGroup> Owner = Group.lock();
+            return !Owner || Owner->mayWriteTo(Id, At);
+          });
+    }
     Client->applyEvacuation(
         this->Access.evacuations().find(Each.FailureDomain));
   }
@@ -106,7 +112,25 @@
   return !this->LastWorkspace.empty() && Now - this->LastUse < IdleTimeout;
 }
 
+void ProxyGroup::requireOrders() {
+  this->OrdersUnread = true;
+  this->OrdersRequiredAt = steadyNow();
+  this->OrdersNeededAt = {};
+}
+
+bool ProxyGroup::waitsForOrders(TimePoint Now) const {
+  return this->needsOrders() && (this->OrdersNeededAt == TimePoint{} ||
+                                 Now - this->OrdersNeededAt < OrderReadTime);
+}
+
+bool ProxyGroup::mayWriteTo(const std::string &Id, TimePoint Now) const {
+  return this->SynchronousReplicas == 0 ||
+         (!this->waitsForOrders(Now) && !this->Tracker.isExcludedByOrder(Id));
+}
+
 std::shared_ptr<UpstreamClient> ProxyGroup::primary(TimePoint Now) {
+  if (this->waitsForOrders(Now))
+    return nullptr;
   const std::optional<std::string> Id = this->Tracker.primary(Now);
   if (!Id)
     return nullptr;
@@ -221,9 +245,17 @@
             " age_ms=" + std::to_string(Age.count()));
   const TimePoint Now = steadyNow();
   const TimePoint ProvenAt = Now - Age;
+  const std::optional<PrimaryTracker::PendingOrder> Pending =
+      this->Tracker.pendingOrder();
   this->Tracker.recordLeadershipProof(Id, At.InTerm, ProvenAt);
+  if (Pending && !this->Tracker.pendingOrder())
+    logInfo("event=promotion_settled group=" + this->Name + " upstream=" + Id +
+            " token=" + std::to_string(Pending->Token));
   if (this->TroubleAt && *this->TroubleAt <= ProvenAt)
     this->TroubleAt.reset();
+  if (this->OrdersUnread && this->OrdersNeededAt == TimePoint{} &&
+      !this->inTrouble())
+    this->OrdersNeededAt = Now;
   this->Verified.add(Sent, At);
   if (const std::optional<std::string> Primary = this->Tracker.lastPrimary())
     this->Departed.leads(*Primary);
@@ -274,6 +306,8 @@
   logInfo("event=primary_refused group=" + this->Name +
           " upstream=" + Client.entry().Id);
   this->Tracker.recordLeadershipRefusal(Client.entry().Id, steadyNow());
+  if (this->Tracker.hasFailed())
+    this->requireOrders();
 }
 
 void ProxyGroup::promotionOrdered(const std::string &Id) {
@@ -407,6 +441,11 @@
   this->recordProbeResult(*Client, Result, Remote);
 }
 
+void ProxyGroup::recordUnreachable(const std::string &Id, TimePoint Now) {
+  this->Tracker.recordUnreachable(Id, Now);
+  this->requireOrders();
+}
+
 void ProxyGroup::recordProbeResult(UpstreamClient &Client,
                                    const WorkResult &Result, bool Remote) {
   const std::string &Target = Client.entry().Id;
@@ -416,11 +455,11 @@
   if (Result.RelayFailed || (!Result.Connected && !Result.Unreachable)) {
     if (!Client.isEvacuated() && !Result.Connected &&
         Client.pool().connections() == 0 && !Remote)
-      this->Tracker.recordUnreachable(Target, Now);
+      this->recordUnreachable(Target, Now);
     return;
   }
   if (Result.Replies.empty() || Result.Lost) {
-    this->Tracker.recordUnreachable(Target, Now);
+    this->recordUnreachable(Target, Now);
     logInfo("event=probe_failed group=" + this->Name + " upstream=" + Target);
     return;
   }
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -80,6 +80,25 @@
   /// Records that a statement of \p Workspace uses the group.
   void recordUse(const std::string &Workspace, TimePoint Now);
 
+  /// Time from which writes do not wait any more for the orders to promote to
+  /// be read, because the store does not answer.
+  static constexpr std::chrono::milliseconds OrderReadTime{2000};
+
+  /// Whether orders to promote have to be read from the store before a primary
+  /// is used: in a group with synchronous replicas, after the start of this
+  /// host and when a primary answers again. Another host may have ordered to
+  /// replace it meanwhile.
+  bool needsOrders() const {
+    return this->SynchronousReplicas > 0 && this->OrdersUnread;
+  }
+  /// The orders were read by a call that began at \p Began, when the primary
+  /// was not in trouble.
+  void ordersRead(TimePoint Began) {
+    this->OrdersUnread = Began < this->OrdersRequiredAt;
+  }
+  /// Orders have to be read before a primary is used, see needsOrders().
+  void requireOrders();
+
   /// Whether the group has members, and all are in evacuated failure domains.
   bool isEvacuated() const;
 
@@ -92,6 +111,9 @@
   /// evacuated.
   std::shared_ptr<UpstreamClient> primary(TimePoint Now);
 
+  /// Whether a write may be sent to member \p Id, which was chosen earlier.
+  bool mayWriteTo(const std::string &Id, TimePoint Now) const;
+
   /// Waits for a primary.
   /// \returns nullptr if none was found until \p Until, or if \p Wait was
   ///          cancelled; at once if all members are evacuated.
@@ -115,7 +137,10 @@
                              std::chrono::milliseconds Age = {});
   /// Records that a statement did not reach the primary. It is probed until it
   /// proves its leadership.
-  void recordTrouble() { this->TroubleAt = steadyNow(); }
+  void recordTrouble() {
+    this->TroubleAt = steadyNow();
+    this->requireOrders();
+  }
   /// Whether the primary failed to answer since its last proof.
   bool inTrouble() const {
     return this->TroubleAt.has_value() || this->Tracker.hasFailed();
@@ -209,6 +234,7 @@
   bool knownBehind(const UpstreamClient &Client, const Position &After,
                    TimePoint Now) const;
   bool isEvacuated(const std::string &Id) const;
+  bool waitsForOrders(TimePoint Now) const;
   const std::string &probeWorkspace() const {
     return this->LastWorkspace.empty() ? this->ProbeWorkspace
                                        : this->LastWorkspace;
@@ -227,6 +253,7 @@
   probeConnection(const std::shared_ptr<UpstreamClient> &Client,
                   TimePoint Limit);
   void updateSuspicion(TimePoint Now);
+  void recordUnreachable(const std::string &Id, TimePoint Now);
 
   boost::asio::any_io_executor Executor;
   const UpstreamProtocol &Protocol;
@@ -238,6 +265,9 @@
   VerifiedPositions Verified;
   DepartedReplicas Departed;
   bool MembersRestored = false;
+  bool OrdersUnread = true;
+  TimePoint OrdersRequiredAt{}; ///< Last call of requireOrders().
+  TimePoint OrdersNeededAt{};   ///< When a primary first answered without them.
   std::string LastWorkspace;
   std::string ProbeWorkspace;
   TimePoint LastUse{};
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -198,10 +198,14 @@
     const bool Proven =
         Each.PrimaryProofAgeMs >= 0 &&
         Each.PrimaryProofAgeMs < PromotionLimits().RecentProofAge.count();
-    if (!Each.PromotionOrdered.empty())
+    if (!Each.PromotionOrdered.empty()) {
+      // The first report of an order; the store tells which one it is.
+      if (!Group->tracker().orderedWithin(PrimaryTracker::PromotionTimeout,
+                                          Steady))
+        Group->requireOrders();
       Group->promotionOrdered(Each.PromotionOrdered);
-    else if (!Proven && this->Access.promotionRank(Each.Group) <
-                            UpstreamAccess::PromoterCount)
+    } else if (!Proven && this->Access.promotionRank(Each.Group) <
+                              UpstreamAccess::PromoterCount)
       Group->recordTroubleOfOthers(Steady);
   }
   this->Access.recordReport(Report.Host, Steady);
--- a/src/libs/sessionproxy/upstreamclient.h
+++ b/src/libs/sessionproxy/upstreamclient.h
@@ -127,6 +127,15 @@
     return !this->Evacuation || Now < this->Evacuation->TransactionsEndAt;
   }
 
+  /// \param Check whether a write may be sent at a time; called for each.
+  void setWriteCheck(std::function<bool(TimePoint)> Check) {
+    this->WriteCheck = std::move(Check);
+  }
+  /// Whether a leased connection may be used for a write at \p Now.
+  bool mayWrite(TimePoint Now) const {
+    return !this->WriteCheck || this->WriteCheck(Now);
+  }
+
   /// \param Limit requests in ColdRate::Window that this host may send to the
   ///        upstream while it is cold; nothing for no limit.
   void setColdLimit(std::optional<std::size_t> Limit) {
@@ -254,6 +263,7 @@
   std::optional<TimePoint> TimerAt;
   boost::asio::steady_timer EvacuationTimer;
   std::optional<Evacuations::Order> Evacuation;
+  std::function<bool(TimePoint)> WriteCheck;
   std::optional<std::size_t> ColdLimit;
   TimePoint ColdUntil{};
   ColdRate Cold;
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -91,6 +91,13 @@
     Result.Lost = true;
     co_return Result;
   }
+  if (TakesSlot && Work.mayWrite() && !Work.InTransaction &&
+      !Lease.client()->mayWrite(steadyNow())) {
+    Lease.endStatement(std::nullopt);
+    Lease.markReusable();
+    Result.Connected = false;
+    co_return Result;
+  }
   if (TakesSlot)
     Lease.client()->countCold(steadyNow());
   const std::string *Definition = Work.Definition ? &*Work.Definition : nullptr;
--- a/tests/auto/failover/tst_primarytracker.cpp
+++ b/tests/auto/failover/tst_primarytracker.cpp
@@ -142,3 +142,44 @@
   Unknown.recordLeadershipRefusal("a", Start);
   CHECK(Unknown.hasFailed());
 }
+
+// Guards against commits that a primary which is back after a crash
+// acknowledges, and that the member ordered in its place lacks.
+TEST_CASE("a pending order excludes the primary that it replaces",
+          "[fencing]") {
+  PrimaryTracker Tracker = trackerWithClaim("a");
+  Tracker.recordLeadershipProof("a", Term{3}, Start);
+  Tracker.orderPending({"b", 10, Term{3}});
+  CHECK_FALSE(Tracker.primary(Start));
+  SECTION("also when it proves its leadership again") {
+    Tracker.recordLeadershipProof("a", Term{3}, Start + 1s);
+    CHECK_FALSE(Tracker.primary(Start + 1s));
+    CHECK(Tracker.lastPrimary() == "a");
+    CHECK(Tracker.pendingOrder()->Id == "b");
+  }
+  SECTION("until the ordered member leads") {
+    Tracker.recordLeadershipProof("b", Term{3}, Start + 1s);
+    CHECK_FALSE(Tracker.pendingOrder());
+    CHECK(Tracker.primary(Start + 1s) == "b");
+    // The claim still names it.
+    Tracker.orderPending({"b", 10, Term{3}});
+    CHECK(Tracker.primary(Start + 1s) == "b");
+  }
+  SECTION("until any member leads a newer term") {
+    Tracker.recordLeadershipProof("c", Term{4}, Start + 1s);
+    CHECK_FALSE(Tracker.pendingOrder());
+    CHECK(Tracker.primary(Start + 1s) == "c");
+  }
+  SECTION("until it is known to be without effect") {
+    Tracker.orderSettled(9);
+    CHECK_FALSE(Tracker.primary(Start));
+    Tracker.orderSettled(11);
+    CHECK(Tracker.primary(Start) == "a");
+  }
+  SECTION("and gives way to a later order only") {
+    Tracker.orderPending({"c", 9, Term{3}});
+    CHECK(Tracker.pendingOrder()->Id == "b");
+    Tracker.orderPending({"c", 12, Term{3}});
+    CHECK(Tracker.pendingOrder()->Id == "c");
+  }
+}
--- a/tests/auto/failover/tst_promotionvote.cpp
+++ b/tests/auto/failover/tst_promotionvote.cpp
@@ -264,3 +264,16 @@
   CHECK(mayLeadAfter(at(2, 900), Term{3}, Limits.OlderTermWait, Limits));
   CHECK(mayLeadAfter(at(0, 0), Term{}, 0ms, Limits));
 }
+
+// Guards against two members that are ordered to lead at the same time.
+TEST_CASE("the member that was ordered before is preferred if it is complete",
+          "[fencing]") {
+  const Position End{Term{1}, LogPosition{7}};
+  const Position Behind{Term{1}, LogPosition{6}};
+  std::vector<PromotionCandidate> Candidates = {{"a", End, false, false, true},
+                                                {"b", End, false, false, true}};
+  CHECK(chooseSuccessor(Candidates, End) == "a");
+  CHECK(chooseSuccessor(Candidates, End, "b") == "b");
+  Candidates[1].Received = Behind;
+  CHECK(chooseSuccessor(Candidates, End, "b") == "a");
+}
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -56,6 +56,8 @@
         self.changed = asyncio.Event()
         self.databases = {}
         self.promotions = []  # (group, id, token, status)
+        self.on_promote = None  # Called with each promotion call.
+        self.unanswered = []  # How much later the next promotion calls are carried out, without an answer.
         self.away = False
         self.era = "1"  # Sent with every answer; None for a store that has none.
         self.raw = {}  # Bytes that stand for a string in responses.
@@ -156,6 +158,11 @@
         parts = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
         if parts.path == "/promote":
+            if self.on_promote:
+                self.on_promote()
+            if self.unanswered:
+                asyncio.get_running_loop().call_later(self.unanswered.pop(0), self._promote, headers, body)
+                await asyncio.sleep(3600)
             return self._promote(headers, body)
         path = parts.path.removeprefix("/-/objects/").split("/")
         kind = self.objects.setdefault(path[0], {})
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -1,5 +1,6 @@
 """Which replica is promoted, and what callers were told before, in groups with and without synchronous replicas."""
 import contextlib
+import functools
 import threading
 import time
 import unittest
@@ -45,8 +46,8 @@
 
 
 class ReplicasTest(unittest.TestCase):
-    def start(self, synchronous):
-        self.fleet = SessionFleet(hosts=2)
+    def start(self, synchronous, hosts=2):
+        self.fleet = SessionFleet(hosts=hosts)
         self.addCleanup(self.fleet.close)
         self.fleet.configure(2, synchronous=synchronous)
         for database in self.fleet.databases:
@@ -199,6 +200,83 @@
         """Guards against the same commits where the primary alone acknowledges them."""
         self.replace_with_a_successor_that_goes_deaf(synchronous=0)
 
+    def order_while_the_primary_returns(self, back_s, unanswered=(), restart=None):
+        """The primary crashes and is back soon after the first order to replace it. The ordered member is slow to
+        receive, another one receives at once; what is lost is counted when a member leads."""
+        self.start(synchronous=1, hosts=3)
+        primary, ordered, fast = self.fleet.databases
+        self.set(ordered, "lag", 0.02)
+        self.set(fast, "lag", 0.0)
+        took_over = []
+
+        def take_over(database, original):
+            if database.running and not database.primary:
+                took_over.append((database, list(database.log), list(self.writers.acknowledged)))
+                original()
+        for each in self.fleet.databases:
+            self.set(each, "take_over", functools.partial(take_over, each, each.take_over))
+
+        def order_seen():
+            self.fleet.store.on_promote = None
+            loop = self.fleet.loop.loop
+            loop.call_later(back_s, lambda: loop.create_task(primary.come_back()))
+        self.fleet.store.on_promote = order_seen
+        self.fleet.store.unanswered = list(unanswered)
+        self.fleet.loop.call(primary.crash)
+        wait_until("the primary is back", lambda: primary.running)
+        if restart:
+            restart()
+        wait_until("another member leads", lambda: took_over)
+        leader, log, acknowledged = took_over[0]
+        self.assertIsNot(primary, leader)
+        kept = {data for _, _, _, data in log}
+        self.assertEqual([], [data for _, data in acknowledged if data not in kept])
+        self.writers.wait_for_more(20)
+        return leader
+
+    def test_a_primary_that_is_back_before_its_successor_leads_acknowledges_nothing(self):
+        """Guards against commits that a crashed primary acknowledges when it is back between an accepted order to
+        replace it and the moment in which that takes effect (review/12)."""
+        self.order_while_the_primary_returns(back_s=0.2)
+
+    def test_an_order_without_an_answer_counts_until_its_outcome_is_known(self):
+        """Guards against the same if the order gets no answer and is carried out seconds later (review/11)."""
+        leader = self.order_while_the_primary_returns(back_s=0.0, unanswered=[5.0])
+        self.assertEqual([409], self.late_statuses())
+        self.assertTrue(leader.primary)
+
+    def late_statuses(self):
+        """Statuses of calls that were carried out after ones with higher tokens."""
+        def late():
+            calls = self.fleet.store.promotions
+            return [status for n, (_, _, token, status) in enumerate(calls)
+                    if any(other > token for _, _, other, _ in calls[:n])]
+        wait_until("the late order is carried out", late)
+        return late()
+
+    def test_an_order_counts_when_its_host_dies(self):
+        """Guards against an order that is forgotten with the host that sent it."""
+        def kill():
+            holder = self.fleet.store.objects["lavenderdale-promotions"]["orders"]["spec"]["holder"]
+            next(host for host in self.fleet.hosts if host.name == holder).kill()
+        self.order_while_the_primary_returns(back_s=0.0, unanswered=[6.0], restart=kill)
+
+    def test_an_order_counts_when_all_hosts_restart(self):
+        """Guards against an order that hosts which started after it do not know."""
+        self.order_while_the_primary_returns(back_s=0.0, unanswered=[6.0], restart=self.restart_hosts)
+
+    def test_a_refused_order_holds_up_nothing(self):
+        """Guards against a group without a primary because an order that was refused still counts."""
+        self.start(synchronous=1)
+        primary = self.fleet.databases[0]
+        self.fleet.loop.call(self.fleet.store.tokens.__setitem__, "orders", 1 << 60)
+        self.fleet.loop.call(primary.crash)
+        wait_until("an order is refused", lambda: self.fleet.store.promotions)
+        self.fleet.loop.run(primary.come_back())
+        self.writers.wait_for_more(20)
+        self.assertTrue(primary.primary)
+        self.assert_nothing_lost(primary)
+
 
 if __name__ == "__main__":
     unittest.main()
