Send a statement only after its set-up has succeeded

Cause: RESET, SET and PREPARE went out in one batch with the statement, and a database goes on after a command that failed.

Change: a statement waits for the answers to its set-up. A connection that needs none pays no round trip. A failed set-up means that nothing ran, so the statement is tried again and its caller is not told that it is in doubt. The pause before the next try doubles up to 200 ms, because each failure closes a connection.

Ruled out: leaving it to the connection's close (the statement has run by then); a transaction around each statement (a round trip more for all).

Related paths: sessionproxy: guards, relayed work, values inside transactions, resets. server: statement and parse share one synchronization point, after an error in which the database skips the rest; not affected.

--- a/src/libs/sessionproxy/statementexecutor.cpp
+++ b/src/libs/sessionproxy/statementexecutor.cpp
@@ -18,6 +18,14 @@
   return Own;
 }
 
+/// Doubles with each failure, since each one closes a connection.
+std::chrono::milliseconds pauseAfterSetUpFailures(std::size_t Failures) {
+  std::chrono::milliseconds Pause = UpstreamClient::MinBusyPause;
+  for (; Failures > 0 && Pause < UpstreamClient::MaxBusyPause; --Failures)
+    Pause *= 2;
+  return std::min(Pause, UpstreamClient::MaxBusyPause);
+}
+
 AttemptOutcome outcomeOf(UpstreamFailure Failure) {
   switch (Failure) {
   case UpstreamFailure::Busy:
@@ -89,8 +97,9 @@
   /// Pause before a busy upstream or one without a free connection is tried
   /// again.
   std::chrono::milliseconds BusyPause{UpstreamClient::MinBusyPause};
-  std::size_t Refusals = 0; ///< Attempts that were refused on arrival.
-  bool Refused = false;     ///< The current attempt was.
+  std::size_t SetUpFailures = 0; ///< Each cost the upstream a connection.
+  std::size_t Refusals = 0;      ///< Attempts that were refused on arrival.
+  bool Refused = false;          ///< The current attempt was.
   /// Shortest time after which one of the refusing members will have room.
   std::chrono::milliseconds RetryAfter{};
 };
@@ -258,13 +267,14 @@
       Call.Group->tracker().primary(Now) == Try.Upstream)
     Call.Group->recordTrouble();
   if (!Result.SetUpError.empty()) {
-    // The statement was sent together with the set-up commands. It may have run
-    // without the session's values; without a reply, its result is unknown.
+    // The statement waits for its set-up, but a relaying host of an earlier
+    // version sends them together.
     const bool MayHaveRun =
         Answered ? Result.Replies.front().ok() : Result.Sent;
     Try.Outcome = MayHaveRun ? AttemptOutcome::AnswerLost
                              : AttemptOutcome::RefusedBeforeRun;
     Try.MayHaveRun = Try.MayHaveRun || (Measured && MayHaveRun);
+    Try.BusyPause = pauseAfterSetUpFailures(++Try.SetUpFailures);
     return;
   }
   if (Try.Guard && !Try.Guard->ok()) {
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -103,22 +103,43 @@
   const std::string *Definition = Work.Definition ? &*Work.Definition : nullptr;
   std::vector<Command> Batch =
       Lease->Image.switchTo(Work.Values, Definition, Names, Work.InTransaction);
-  const std::size_t SetUp = Batch.size();
+  std::size_t SetUp = Batch.size();
   for (Command &Each : Work.Commands)
     if (Each.Type == Command::Kind::Execute && Definition)
       Each.Name = Names.nameOf(*Definition);
   const std::size_t Count = Work.Commands.size();
+  TimePoint Start = steadyNow();
+  ExchangeResult Exchange;
+  // A statement that is sent together with its set-up runs even if that fails.
+  // A guard may: the commands wait for it.
+  if (SetUp > 0 && !Work.Guard) {
+    Exchange = co_await Lease->exchange(std::move(Batch), Work.Deadline);
+    Result.SentAt = Exchange.SentAt;
+    Result.Lost = Exchange.Lost.has_value();
+    Result.SetUpError = extractSetUpError(Exchange.Replies, SetUp);
+    Batch.clear();
+    SetUp = 0;
+    Exchange = {};
+    if (!Result.Lost && Result.SetUpError.empty() &&
+        !Lease.client()->maySend(steadyNow())) {
+      Lease->close();
+      Result.Lost = true;
+    }
+  }
+  const bool MaySend =
+      !Result.Lost && Result.SetUpError.empty() && steadyNow() < Work.Deadline;
   if (Work.Guard)
     Batch.push_back(*Work.Guard);
   else
     std::move(Work.Commands.begin(), Work.Commands.end(),
               std::back_inserter(Batch));
-  TimePoint Start = steadyNow();
-  ExchangeResult Exchange =
-      co_await Lease->exchange(std::move(Batch), Work.Deadline);
-  Result.SentAt = Exchange.SentAt;
-  Result.Lost = Exchange.Lost.has_value();
-  Result.SetUpError = extractSetUpError(Exchange.Replies, SetUp);
+  if (MaySend) {
+    Start = steadyNow();
+    Exchange = co_await Lease->exchange(std::move(Batch), Work.Deadline);
+    Result.SentAt = Exchange.SentAt;
+    Result.Lost = Exchange.Lost.has_value();
+    Result.SetUpError = extractSetUpError(Exchange.Replies, SetUp);
+  }
   if (Work.Guard) {
     if (!Exchange.Replies.empty())
       Result.Guard = std::move(Exchange.Replies.front());
--- a/src/libs/sessionproxy/upstreamwork.h
+++ b/src/libs/sessionproxy/upstreamwork.h
@@ -50,7 +50,8 @@
   bool Connected = false;
   /// The upstream cannot be reached from the host that ran the work.
   bool Unreachable = false;
-  /// Error code of applying the session state; empty if it succeeded.
+  /// Error code of applying the session state; empty if it succeeded. Otherwise
+  /// no command was sent.
   std::string SetUpError;
   std::optional<UpstreamReply> Guard;
   /// One for each command that was answered.
--- a/tests/process/sessionstandin.py
+++ b/tests/process/sessionstandin.py
@@ -236,6 +236,7 @@
         self.lag = 0.0
         self.lose_answers = False
         self.hold = 0.0
+        self.failing = set()  # Words of commands that fail.
         self.status_delay = 0.0
         self.zone = zone
         self.state = "ready"
@@ -412,6 +413,8 @@
             word, _, rest = text.partition(" ")
             if not database.includes(after):
                 return self._fail("LAGGING")
+        if word in database.failing:
+            return self._fail("FAILED")
         if word == "EXECUTE":
             name, _, rest = rest.partition(" ")
             if name not in self.prepared:
--- a/tests/process/test_sessions.py
+++ b/tests/process/test_sessions.py
@@ -61,6 +61,31 @@
             self.assertEqual(runs[second.last_id].values, {"clerk": "7"})
         self.assertTrue(first.query("EXECUTE other item")[0].startswith("ERROR UNPREPARED"))
 
+    def test_no_statement_runs_after_its_set_up_failed(self):
+        """Guards against statements that run with the values of another caller, because a command that adapts their
+        connection failed (review/13)."""
+        primary = self.fleet.databases[0]
+        plain, west, clerk, prepared = (self.fleet.caller("desk") for _ in range(4))
+        west.query("SET zone west")
+        clerk.query("SET clerk 7")
+        prepared.query("PREPARE s WRITE shape")
+        for failing, before, caller, text, values in (
+                ("SET", plain, west, "WRITE item v", {"zone": "west"}),
+                ("RESET", west, clerk, "WRITE item v", {"clerk": "7"}),
+                ("PREPARE", plain, prepared, "EXECUTE s item v", {})):
+            self.assert_served(before.query("WRITE other v"))
+            connections = len(primary.greetings)
+            self.fleet.loop.call(primary.failing.add, failing)
+            answer = caller.query(text)[0]
+            # Pauses of 12 ms to 200 ms, for 70 % of the statement's 3 s.
+            self.assertLess(len(primary.greetings) - connections, 20, "each failure costs a connection")
+            failed = caller.last_id
+            self.fleet.loop.call(primary.failing.clear)
+            runs = [run.values for run in self.fleet.runs() if run.id == failed]
+            # A new connection needs no RESET.
+            self.assertEqual([values] if answer.startswith("COMPLETE") else [], runs, f"{failing}: {answer}")
+            self.assert_served(caller.query(text))
+
     def test_upstreams_get_the_workspace_and_never_the_key(self):
         self.fleet.caller("desk").query("WRITE item x")
         greetings = [each for database in self.fleet.databases for each in database.greetings]
