Settle an order whose member is gone with the primary that is back

Callers would have seen: after an order without an answer, a primary that is back was demoted also if the ordered member had crashed meanwhile. With no other complete replica, the group had no primary then.

Change: if the ordered member does not answer, the primary that is back is ordered, which changes nothing but makes the order before invalid. A withdrawn order is named in the claim by its token; a claim without one, such as that of a copy that the store came back with, withdraws nothing. Other hosts count their wait for the holder from the moment in which they learn of the order.

The other 12 tests of process_test_replicas pass.

--- a/src/libs/sessionproxy/promotioncoordinator.cpp
+++ b/src/libs/sessionproxy/promotioncoordinator.cpp
@@ -21,6 +21,8 @@
 /// is known that the order will not take effect.
 constexpr const char *OrderedMember = "ordered";
 constexpr const char *TermMember = "term";
+/// Fencing token of an order that was withdrawn.
+constexpr const char *SettledMember = "settled";
 
 std::string stringMember(const Json::Value &Spec, const char *Member) {
   return Spec.isObject() && Spec[Member].isString() ? Spec[Member].asString()
@@ -74,11 +76,12 @@
     return;
   PrimaryTracker &Tracker = Group->tracker();
   const std::string Ordered = stringMember(Claim.Spec, OrderedMember);
-  if (Ordered.empty()) {
-    Tracker.orderSettled(Claim.Revision);
-    return;
-  }
   const Json::Value &Before = Claim.Spec[TermMember];
+  const Json::Value &Settled = Claim.Spec[SettledMember];
+  if (Settled.isUInt64())
+    Tracker.orderSettled(Settled.asUInt64());
+  if (Ordered.empty())
+    return;
   const auto Known = Tracker.pendingOrder();
   Tracker.orderPending({Ordered, Claim.Revision,
                         Term{Before.isUInt64() ? Before.asUInt64() : 0}});
@@ -137,6 +140,11 @@
   FleetView &Fleet = this->State.fleet();
   const BootTime BootNow = BootClock::now();
   const PromotionLimits Limits;
+  const auto &Pending = Group.tracker().pendingOrder();
+  if (Pending && Progress.PendingToken != Pending->Token) {
+    Progress.PendingToken = Pending->Token;
+    Progress.PendingSince = Now;
+  }
   if (Group.tracker().orderedWithin(PromotionCooldown, Now) ||
       Group.isEvacuated())
     return false;
@@ -197,8 +205,6 @@
   const auto &Pending = Group.tracker().pendingOrder();
   if (!Pending || Group.synchronousReplicas() == 0)
     return false;
-  if (std::exchange(Progress.PendingToken, Pending->Token) != Pending->Token)
-    Progress.PendingSince = Now;
   if (Group.suspectedSince() || !Group.tracker().lastPrimary())
     return false;
   if (Progress.Claim.isHeldBy(this->State.identity().Host))
@@ -323,14 +329,12 @@
   if (Progress.IsEarlierPending)
     co_return;
   StoredObject Claim = this->newClaim(Group, {});
+  Claim.Spec[SettledMember] = Json::UInt64(Token);
   Claim.Revision = Token;
   const Result<StoredObject> Released = co_await this->Store.replaceIfUnchanged(
       Collection::Promotions, Claim, steadyNow() + CallTimeout);
-  if (Released) {
+  if (Released)
     this->recordClaim(Released.value());
-    if (const auto Owner = this->State.findGroup(Group))
-      Owner->tracker().orderSettled(Released.value().Revision);
-  }
   logInfo("event=promotion_order_released group=" + Group +
           (Released ? "" : " error=\"" + Released.error().Detail + "\""));
 }
@@ -348,6 +352,19 @@
     // heard of the order use it no more.
     if (Group.isPrimaryEvacuated())
       co_return Chosen;
+    // The member that was ordered may be gone. An order for the primary that is
+    // back then changes nothing but makes the one before invalid.
+    const std::optional<std::string> Back = Group.tracker().lastPrimary();
+    if (Group.tracker().pendingOrder() && !Progress.LeavingSince && Back) {
+      const auto Answers =
+          co_await Group.queryStatus(steadyNow() + SuccessorStatusTimeout);
+      const std::vector<PromotionCandidate> Known =
+          this->candidatesFrom(Group, Progress, Answers, Back);
+      if (std::ranges::none_of(Known, [&](const PromotionCandidate &Each) {
+            return Each.Id == Chosen && Each.Eligible;
+          }))
+        co_return *Back;
+    }
     const Result<void> Demoted = co_await this->demote(Group, Progress);
     if (!Demoted) {
       // Until then, the primary had answered this host just before.
@@ -487,8 +504,10 @@
   // The claim may have been stored although the answer was lost.
   const Result<StoredObject> Read = co_await this->Store.get(
       Collection::Promotions, Group, steadyNow() + CallTimeout);
-  if (Read && stringMember(Read.value().Spec, AttemptMember) == Attempt)
+  if (Read && stringMember(Read.value().Spec, AttemptMember) == Attempt) {
+    this->recordClaim(Read.value());
     co_return Read.value().Revision;
+  }
   co_return Stored.error();
 }
 
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -265,6 +265,27 @@
         """Guards against an order that hosts which started after it do not know."""
         self.order_while_the_primary_returns(back_s=0.0, unanswered=[6.0], restart=self.restart_hosts)
 
+    def test_an_order_for_a_member_that_is_gone_is_made_invalid(self):
+        """Guards against a group that stays without a primary, or loses commits, because a member crashes after the order
+        to promote it got no answer."""
+        self.start(synchronous=1, hosts=3)
+        primary, ordered, _ = self.fleet.databases
+
+        def order_seen():
+            self.fleet.store.on_promote = None
+            ordered.crash()
+            self.fleet.loop.loop.create_task(primary.come_back())
+        self.fleet.store.on_promote = order_seen
+        self.fleet.store.unanswered = [5.0]
+        self.fleet.loop.call(primary.crash)
+        wait_until("the primary is back", lambda: primary.running)
+        self.writers.wait_for_more(20)
+        self.fleet.loop.run(ordered.come_back())
+        self.assertEqual([409], self.late_statuses())
+        self.writers.wait_for_more(20)
+        self.assertTrue(primary.primary)
+        self.assert_nothing_lost(primary)
+
     def test_a_refused_order_holds_up_nothing(self):
         """Guards against a group without a primary because an order that was refused still counts."""
         self.start(synchronous=1)
