Log the store's own revisions beside their era

Since the era is a part of a revision, log lines held numbers that an operator could not find in the store, and process_test_sharedstore, which looks for one, failed. Log lines now have both parts; the test is unchanged and passes.

Splits the set-up of a connection from executeWork, ends it if its deadline has passed meanwhile, and moves a constant to the others of its class.

--- a/src/libs/sessionproxy/memberrecords.cpp
+++ b/src/libs/sessionproxy/memberrecords.cpp
@@ -154,8 +154,8 @@
               Decoded.error().Detail + "\"");
   }
   Group.restoreMembers(Record.Stored);
-  logInfo("event=members_read group=" + Group.name() + " revision=" +
-          std::to_string(Record.Revision) + " " + describe(Record.Stored));
+  logInfo("event=members_read group=" + Group.name() + " " +
+          describeRevision(Record.Revision) + " " + describe(Record.Stored));
 }
 
 bool MemberRecords::isWriteDue(ProxyGroup &Group, Known &Record,
--- a/src/libs/sessionproxy/objectstore.h
+++ b/src/libs/sessionproxy/objectstore.h
@@ -42,6 +42,14 @@
   return Revision >> StoreRevisionBits;
 }
 
+/// \returns the store's own number of \p Revision and its era, for a log line.
+inline std::string describeRevision(std::uint64_t Revision) {
+  std::string Text = "revision=" + std::to_string(Revision & MaxStoreRevision);
+  if (const std::uint64_t Era = storeEra(Revision); Era != 0)
+    Text += " era=" + std::to_string(Era);
+  return Text;
+}
+
 /// An object of the store, or a change to one.
 struct StoredObject {
   std::string Name;
--- a/src/libs/sessionproxy/proxygroup.h
+++ b/src/libs/sessionproxy/proxygroup.h
@@ -46,6 +46,10 @@
   /// The primary is suspected after this long without proof of leadership.
   static constexpr std::chrono::milliseconds SuspectAfter{800};
 
+  /// Time for which writes wait until orders to promote are read, from the
+  /// first answer of a primary. The store may not answer.
+  static constexpr std::chrono::milliseconds OrderReadTime{2000};
+
   ProxyGroup(const boost::asio::any_io_executor &Executor,
              const UpstreamProtocol &Protocol, UpstreamAccess &Access,
              std::string Name, std::string OwnDomain);
@@ -80,10 +84,6 @@
   /// Records that a statement of \p Workspace uses the group.
   void recordUse(const std::string &Workspace, TimePoint Now);
 
-  /// Time from which writes do not wait any more for the orders to promote to
-  /// be read, because the store does not answer.
-  static constexpr std::chrono::milliseconds OrderReadTime{2000};
-
   /// Whether orders to promote have to be read from the store before a primary
   /// is used: in a group with synchronous replicas, after the start of this
   /// host and when a primary answers again. Another host may have ordered to
--- a/src/libs/sessionproxy/proxystate.cpp
+++ b/src/libs/sessionproxy/proxystate.cpp
@@ -1,6 +1,7 @@
 #include "proxystate.h"
 
 #include "failover/promotionvote.h"
+#include "objectstore.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -77,7 +78,7 @@
   if (Change.empty())
     return;
   const std::string Origin =
-      " revision=" + std::to_string(Read.Revision) + " source=" + Source;
+      " " + describeRevision(Read.Revision) + " source=" + Source;
   for (const std::string &Each : Change.Withdrawn)
     logInfo(std::string("event=evacuation_withdrawn domain=")
                 .append(Each)
--- a/src/libs/sessionproxy/storefollower.cpp
+++ b/src/libs/sessionproxy/storefollower.cpp
@@ -161,10 +161,11 @@
   while (!this->Stopped) {
     // After an outage, the first answer has to tell soon whether the store has
     // returned from an older copy.
-    const Result<StoredObjects> Changes = co_await this->Store.watch(
-        Followed.From, Revision,
-        Lost ? std::chrono::milliseconds(0)
-             : this->callIntervals().*Followed.Wait);
+    std::chrono::milliseconds Wait{0};
+    if (!Lost)
+      Wait = this->callIntervals().*Followed.Wait;
+    const Result<StoredObjects> Changes =
+        co_await this->Store.watch(Followed.From, Revision, Wait);
     if (Changes) {
       if (std::exchange(Lost, false)) {
         (this->*Followed.OnUnavailable)();
@@ -184,7 +185,7 @@
     }
     if (Changes.error().Kind == ErrorKind::VersionConflict) {
       logInfo(std::string("event=history_gone collection=") + Followed.Name +
-              " revision=" + std::to_string(Revision) + " reason=\"" +
+              " " + describeRevision(Revision) + " reason=\"" +
               Changes.error().Detail + "\"");
       co_return false;
     }
@@ -239,8 +240,8 @@
   UpstreamDirectory &Directory = this->State.directory();
   for (const StoredObject &Each : Objects.Objects) {
     if (Each.Removed) {
-      logInfo("event=upstream_removed upstream=" + Each.Name +
-              " revision=" + std::to_string(Each.Revision));
+      logInfo("event=upstream_removed upstream=" + Each.Name + " " +
+              describeRevision(Each.Revision));
       Directory.remove(Each.Name, steadyNow());
       continue;
     }
@@ -255,8 +256,8 @@
     logInfo("event=upstream_changed upstream=" + Entry.Id +
             " group=" + Entry.Group +
             (Entry.ClaimsPrimary ? " role=primary" : " role=replica") +
-            (Entry.Leaving ? " state=leaving" : " state=ready") +
-            " revision=" + std::to_string(Each.Revision));
+            (Entry.Leaving ? " state=leaving" : " state=ready") + " " +
+            describeRevision(Each.Revision));
     Directory.put(Entry);
   }
   this->State.applyUpstreams();
--- a/src/libs/sessionproxy/upstreamwork.cpp
+++ b/src/libs/sessionproxy/upstreamwork.cpp
@@ -79,6 +79,30 @@
   return this->Guard ? this->Guard->State : TransactionState::Open;
 }
 
+namespace {
+
+/// Sends the set-up commands of a statement and waits for their answers.
+/// \param [out] Result gets the error of the first one that failed, or is lost
+///        if the connection must not be used any more.
+asio::awaitable<void> setUp(ConnectionLease &Lease,
+                            std::vector<Command> Commands, TimePoint Deadline,
+                            WorkResult &Result) {
+  const std::size_t Count = Commands.size();
+  ExchangeResult Exchange =
+      co_await Lease->exchange(std::move(Commands), Deadline);
+  Result.SentAt = Exchange.SentAt;
+  Result.Lost = Exchange.Lost.has_value();
+  Result.SetUpError = extractSetUpError(Exchange.Replies, Count);
+  const TimePoint Now = steadyNow();
+  const bool MayGoOn = Lease.client()->maySend(Now) && Now < Deadline;
+  if (Result.Lost || !Result.SetUpError.empty() || MayGoOn)
+    co_return;
+  Lease->close();
+  Result.Lost = true;
+}
+
+} // namespace
+
 asio::awaitable<WorkResult>
 executeWork(ConnectionLease &Lease, UpstreamWork Work, StatementNames &Names) {
   WorkResult Result;
@@ -111,29 +135,18 @@
   TimePoint Start = steadyNow();
   ExchangeResult Exchange;
   // A statement that is sent together with its set-up runs even if that fails.
-  // A guard may: the commands wait for it.
+  // A guard may be: the commands wait for it.
   if (SetUp > 0 && !Work.Guard) {
-    Exchange = co_await Lease->exchange(std::move(Batch), Work.Deadline);
-    Result.SentAt = Exchange.SentAt;
-    Result.Lost = Exchange.Lost.has_value();
-    Result.SetUpError = extractSetUpError(Exchange.Replies, SetUp);
-    Batch.clear();
+    co_await setUp(Lease, std::exchange(Batch, {}), Work.Deadline, Result);
     SetUp = 0;
-    Exchange = {};
-    if (!Result.Lost && Result.SetUpError.empty() &&
-        !Lease.client()->maySend(steadyNow())) {
-      Lease->close();
-      Result.Lost = true;
-    }
   }
-  const bool MaySend =
-      !Result.Lost && Result.SetUpError.empty() && steadyNow() < Work.Deadline;
+  const bool IsSetUp = !Result.Lost && Result.SetUpError.empty();
   if (Work.Guard)
     Batch.push_back(*Work.Guard);
   else
     std::move(Work.Commands.begin(), Work.Commands.end(),
               std::back_inserter(Batch));
-  if (MaySend) {
+  if (IsSetUp) {
     Start = steadyNow();
     Exchange = co_await Lease->exchange(std::move(Batch), Work.Deadline);
     Result.SentAt = Exchange.SentAt;
