Make the test of missing upstreams fail without what it guards

test_upstreams_missing_in_the_copy_stay_in_use wrote as soon as any collection had shown the new era, before the hosts listed the upstreams again. It now ends the watches of the upstreams with an entry of another writer, waits for the fresh list of each host and then writes.

No code of the product is changed.

--- a/tests/process/test_storerestore.py
+++ b/tests/process/test_storerestore.py
@@ -89,10 +89,14 @@
         """Guards against the loss of all databases whose entries the copy does not hold for a moment."""
         empty = self.on_loop(self.store.snapshot)
         empty[1]["servers"] = {}
-        self.on_loop(self.store.restore, empty, False)
-        for host in self.fleet.hosts:
-            wait_until(f"{host.name} lists again", lambda: "event=store_era_changed from=1 to=2" in host.text())
-        for number in range(len(self.fleet.hosts)):
+
+        def restore():
+            self.store.restore(empty, False)
+            # Ends the watches of the hosts, which list a store without databases then.
+            self.store.put("servers", "other", {})
+        self.on_loop(restore)
+        for number, host in enumerate(self.fleet.hosts):
+            wait_until(f"{host.name} lists again", lambda: "event=history_gone collection=upstreams" in host.text())
             self.assertTrue(self.write(number))
 
 
